--- /dev/null
+++ b/scripts/ensure-installed.mjs
@@ -0,0 +1,8 @@
+// Installs the dependencies on a fresh clone. Runs on the machine's own Node.js, before the pinned one is there.
+import { spawnSync } from "node:child_process";
+import { existsSync } from "node:fs";
+
+if (!existsSync("node_modules/.package-lock.json")) {
+    const result = spawnSync("npm", ["ci", "--no-audit", "--no-fund"], { stdio: "inherit" });
+    process.exit(result.status ?? 1);
+}
--- /dev/null
+++ b/src/core/util/Clock.ts
@@ -0,0 +1,5 @@
+/** Source of time for pure code. */
+export interface Clock {
+    /** Monotonic milliseconds. */
+    nowMs(): number;
+}
--- /dev/null
+++ b/src/node/services/BookingAnswer.ts
@@ -0,0 +1,6 @@
+/** The answer an upstream gave to a keyed call, kept for replays. */
+export interface BookingAnswer {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: Uint8Array;
+}
--- /dev/null
+++ b/src/node/services/Grant.ts
@@ -0,0 +1,14 @@
+import type { Upstream } from "../../schema/config/Upstream.js";
+import type { GrantEnd } from "../../schema/peer/GrantEnd.js";
+
+/** Permission to send one request to one upstream. Its holder must call `end` exactly once. */
+export interface Grant {
+    readonly upstream: Upstream;
+    /** Engine priority to send along; 0 is most urgent. */
+    readonly priority: number;
+    /** Aborted when the dispatcher wants the slot back for a higher tier; the holder cancels and re-acquires. */
+    readonly preempted: AbortSignal;
+    /** Reports progress: tokens received so far and the time since the last token. */
+    progress(outputTokens: number, firstTokenMs: number): void;
+    end(end: GrantEnd): void;
+}
--- /dev/null
+++ b/src/node/services/MembershipService.ts
@@ -0,0 +1,7 @@
+import type { Member } from "../../core/membership/Member.js";
+
+/** The VMs that this VM believes to be alive, itself included. */
+export interface MembershipService {
+    readonly members: readonly Member[];
+    onChange(listener: (members: readonly Member[]) => void, signal: AbortSignal): void;
+}
--- /dev/null
+++ b/src/schema/config/ModelPlacement.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+
+/** Wanted state of a pool's engines: `replicas` engines serve this model version, adapter and role. */
+export const ModelPlacement = z.strictObject({
+    model: z.string().min(1),
+    version: z.string().min(1),
+    adapter: z.string().optional(),
+    role: z.enum(["prefill", "decode", "both"]).default("both"),
+    replicas: z.int().min(0),
+});
+export type ModelPlacement = z.infer<typeof ModelPlacement>;
