--- /dev/null
+++ b/scripts/KnownRedEntry.ts
@@ -0,0 +1,7 @@
+/** One line of KNOWN-RED.txt: a command that is expected to fail, and the issue that tracks it. */
+export interface KnownRedEntry {
+    readonly command: string;
+    readonly seed: string;
+    readonly seen: string;
+    readonly issue: string;
+}
