--- /dev/null
+++ b/src/core/util/rendezvous.test.ts
@@ -0,0 +1,37 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { rendezvous } from "./rendezvous.js";
+
+const names = fc.uniqueArray(fc.string({ minLength: 1, maxLength: 8 }), { minLength: 1, maxLength: 20 });
+
+test("rendezvous does not depend on the order of candidates and moves only keys of a candidate that goes", () => {
+    fc.assert(
+        fc.property(fc.string(), names, fc.nat(), (key, candidates, pick) => {
+            const chosen = rendezvous(key, candidates);
+            expect(rendezvous(key, [...candidates].reverse())).toEqual(chosen);
+            const gone = candidates[pick % candidates.length]!;
+            const after = rendezvous(key, candidates.filter(candidate => candidate !== gone));
+            if (gone !== chosen) {
+                expect(after).toEqual(chosen);
+            }
+        }),
+        { seed: 1 },
+    );
+});
+
+test("rendezvous spreads keys evenly over candidates that differ in their last digit", () => {
+    const candidates = [..."123456789"].map(digit => `vm-${digit}`);
+    const counts = new Map<string, number>();
+    for (let key = 0; key < 9000; key++) {
+        const chosen = rendezvous(`shard-${key}`, candidates)!;
+        counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+    }
+    for (const candidate of candidates) {
+        expect(counts.get(candidate)!).toBeBetween(850, 1150);
+    }
+});
+
+test("rendezvous of no candidates is undefined", () => {
+    expect(rendezvous("key", [])).toEqual(undefined);
+});
