--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -40,6 +40,19 @@
         kind: z.enum(["shed", "queue-timeout", "target-unreachable", "no-upstream", "not-dispatcher"]),
         retryAfterMs: z.number().optional(),
     }),
+    /** The dispatcher holds the ticket and will answer later. */
+    z.object({ type: z.literal("ticketQueued"), shard: z.string(), requestId: z.string(), attempt: z.int(), position: z.int() }),
+    /** Asked by an entry VM with work on the shard; a dispatcher that does not answer is passed over. */
+    z.object({ type: z.literal("shardProbe"), shard: z.string() }),
+    z.object({ type: z.literal("shardState"), shard: z.string(), waiting: z.int(), expectedWaitMs: z.number() }),
+    /** Tells a new dispatcher of a shard about grants that are running. */
+    z.object({
+        type: z.literal("grantAdopt"),
+        shard: z.string(),
+        grants: z.array(
+            z.object({ grantId: z.string(), upstreamId: z.string(), ticket: Ticket, outputTokens: z.int(), ageMs: z.number() }),
+        ),
+    }),
     z.object({ type: z.literal("grantPreempt"), shard: z.string(), grantId: z.string() }),
     z.object({ type: z.literal("grantProgress"), shard: z.string(), grantId: z.string(), outputTokens: z.int(), firstTokenMs: z.number() }),
     z.object({ type: z.literal("grantEnd"), shard: z.string(), grantId: z.string(), end: GrantEnd }),
