--- /dev/null
+++ b/src/node/dispatch/RunningGrant.ts
@@ -0,0 +1,16 @@
+import type { Ticket } from "../../schema/peer/Ticket.js";
+
+/** A grant that a request of this VM is using. */
+export interface RunningGrant {
+    readonly grantId: string;
+    readonly shard: string;
+    readonly upstreamId: string;
+    readonly ticket: Ticket;
+    readonly startedMs: number;
+    /** VMs that count this grant as in flight and must hear of its end. */
+    readonly holders: Set<string>;
+    readonly preemption: AbortController;
+    outputTokens: number;
+    /** Output tokens at which the dispatcher is told of progress next. */
+    nextReportTokens: number;
+}
--- /dev/null
+++ b/src/node/dispatch/RunningGrants.ts
@@ -0,0 +1,101 @@
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { Upstream } from "../../schema/config/Upstream.js";
+import type { GrantEnd } from "../../schema/peer/GrantEnd.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import type { Ticket } from "../../schema/peer/Ticket.js";
+import type { Grant } from "../services/Grant.js";
+import type { RunningGrant } from "./RunningGrant.js";
+import type { SendMessage } from "./SendMessage.js";
+
+/** Progress is told at the first token, at this many tokens and at each doubling, which bounds the messages of a long answer. */
+const firstReportTokens = 64;
+
+type GrantMessage = Extract<PeerMessage, { type: "ticketGrant"; }>;
+type AdoptedGrant = Extract<PeerMessage, { type: "grantAdopt"; }>["grants"][number];
+
+/** The grants that requests of this VM are using. */
+export class RunningGrants {
+    private readonly grants = new Map<string, RunningGrant>();
+
+    constructor(private readonly scheduler: Scheduler, private readonly send: SendMessage) {}
+
+    add(dispatcher: string, message: GrantMessage, ticket: Ticket, upstream: Upstream): Grant {
+        const running: RunningGrant = {
+            grantId: message.grantId,
+            shard: message.shard,
+            upstreamId: upstream.id,
+            ticket,
+            startedMs: this.scheduler.nowMs(),
+            holders: new Set([dispatcher]),
+            preemption: new AbortController(),
+            outputTokens: 0,
+            nextReportTokens: 1,
+        };
+        this.grants.set(running.grantId, running);
+        return {
+            upstream,
+            priority: message.priority,
+            preempted: running.preemption.signal,
+            progress: (outputTokens, firstTokenMs) => {
+                this.progress(running, outputTokens, firstTokenMs);
+            },
+            end: end => {
+                this.end(running, end);
+            },
+        };
+    }
+
+    preempt(grantId: string): void {
+        this.grants.get(grantId)?.preemption.abort();
+    }
+
+    /** Tells the dispatcher that `dispatcherOf` names for a shard about each grant that it does not count yet. */
+    adopt(dispatcherOf: (shard: string) => string): void {
+        const batches = new Map<string, { vm: string; shard: string; grants: AdoptedGrant[]; }>();
+        for (const running of this.grants.values()) {
+            const vm = dispatcherOf(running.shard);
+            if (running.holders.has(vm)) {
+                continue;
+            }
+            running.holders.add(vm);
+            const key = `${vm}\n${running.shard}`;
+            const batch = batches.get(key) ?? { vm, shard: running.shard, grants: [] };
+            batch.grants.push(this.describe(running));
+            batches.set(key, batch);
+        }
+        for (const { vm, shard, grants } of batches.values()) {
+            this.send(vm, { type: "grantAdopt", shard, grants });
+        }
+    }
+
+    private describe(running: RunningGrant): AdoptedGrant {
+        return {
+            grantId: running.grantId,
+            upstreamId: running.upstreamId,
+            ticket: running.ticket,
+            outputTokens: running.outputTokens,
+            ageMs: this.scheduler.nowMs() - running.startedMs,
+        };
+    }
+
+    private progress(running: RunningGrant, outputTokens: number, firstTokenMs: number): void {
+        running.outputTokens = outputTokens;
+        if (outputTokens < running.nextReportTokens) {
+            return;
+        }
+        running.nextReportTokens = Math.max(firstReportTokens, 2 * outputTokens);
+        this.tell(running, { type: "grantProgress", shard: running.shard, grantId: running.grantId, outputTokens, firstTokenMs });
+    }
+
+    private end(running: RunningGrant, end: GrantEnd): void {
+        if (this.grants.delete(running.grantId)) {
+            this.tell(running, { type: "grantEnd", shard: running.shard, grantId: running.grantId, end });
+        }
+    }
+
+    private tell(running: RunningGrant, message: PeerMessage): void {
+        for (const vm of running.holders) {
+            this.send(vm, message);
+        }
+    }
+}
