--- /dev/null
+++ b/src/core/dispatch/DispatchOptions.ts
@@ -0,0 +1,25 @@
+/** Settings of a shard's dispatcher. Start from `defaultDispatchOptions`. */
+export interface DispatchOptions {
+    /** Makes grant ids unique over dispatchers and their restarts, such as `vm/incarnation/shard`. */
+    readonly grantIdPrefix: string;
+    /** Order inside a tier: by slack to the class target, or by arrival. */
+    readonly order: "slack" | "arrival";
+    /** Most tickets waiting; beyond it the lowest tier is shed. */
+    readonly maxWaiting: number;
+    /** Share of an engine's slots, in [0, 1), that long work cannot fill. */
+    readonly shortSlotShare: number;
+    /** Work predicted to hold its slot longer than this is long. */
+    readonly longWorkMs: number;
+    /** Cancel and resume lower-tier streams when a higher tier would miss its target. */
+    readonly preemption: boolean;
+    /** Most times that one request is preempted. */
+    readonly maxPreemptions: number;
+    /** Share of grants, in [0, 1), that hedging may add. */
+    readonly hedgeShare: number;
+    /** Judge engines by what is seen of them. */
+    readonly health: boolean;
+    /** Extra time to an engine in another availability zone. */
+    readonly zoneHopMs: number;
+    /** A grant that shows no sign of life for this long is taken as lost. */
+    readonly staleGrantMs: number;
+}
--- /dev/null
+++ b/src/core/dispatch/RunningGrant.ts
@@ -0,0 +1,26 @@
+import type { Ticket } from "../../schema/peer/Ticket.js";
+
+/** A grant that has not ended. Instants are on the dispatcher's clock. */
+export interface RunningGrant {
+    readonly grantId: string;
+    readonly ticket: Ticket;
+    readonly upstreamId: string;
+    readonly grantedMs: number;
+    readonly isLong: boolean;
+    /** Requests in flight on the engine when this one was granted, with it. */
+    readonly batchSize: number;
+    /** Prompt tokens that the engine has to read before the first token, with those ahead. */
+    readonly prefillTokens: number;
+    /** Prompt tokens of this request alone that are not in the cache, as predicted. */
+    readonly uncachedTokens: number;
+    readonly predictedFirstTokenMs: number;
+    predictedOutputTokens: number;
+    outputTokens: number;
+    /** Undefined until the first token was seen. */
+    firstTokenMs: number | undefined;
+    lastSeenMs: number;
+    /** The dispatcher has asked for the slot back. */
+    isPreempted: boolean;
+    /** The other grant of a hedged pair. */
+    hedgeGrantId: string | undefined;
+}
--- /dev/null
+++ b/src/core/dispatch/WaitingTicket.ts
@@ -0,0 +1,19 @@
+import type { Ticket } from "../../schema/peer/Ticket.js";
+
+/** A ticket in the queue, with what the order and the bounds need. Instants are on the dispatcher's clock. */
+export interface WaitingTicket {
+    readonly ticket: Ticket;
+    readonly sequence: number;
+    readonly offeredMs: number;
+    /** A grant later than this misses the class's first-token target. */
+    readonly latestStartMs: number;
+    /** The ticket is refused at this instant. */
+    readonly expiresMs: number;
+    readonly isLong: boolean;
+    /** Predicted time in a slot, for the wait of those behind. */
+    readonly serviceMs: number;
+    /** The latest start has passed; the ticket waits in order of arrival, behind those that can still make it. */
+    isLate: boolean;
+    orderPosition: number;
+    expiryPosition: number;
+}
--- /dev/null
+++ b/src/core/dispatch/defaultDispatchOptions.ts
@@ -0,0 +1,16 @@
+import type { DispatchOptions } from "./DispatchOptions.js";
+
+/** Settings that suit both deployments of today. */
+export const defaultDispatchOptions: DispatchOptions = {
+    grantIdPrefix: "grant",
+    order: "slack",
+    maxWaiting: 20_000,
+    shortSlotShare: 0.25,
+    longWorkMs: 10_000,
+    preemption: true,
+    maxPreemptions: 1,
+    hedgeShare: 0.02,
+    health: true,
+    zoneHopMs: 0.5,
+    staleGrantMs: 30_000,
+};
--- /dev/null
+++ b/src/core/dispatch/shardMap.ts
@@ -0,0 +1,82 @@
+import type { Pool } from "../../schema/config/Pool.js";
+import type { Upstream } from "../../schema/config/Upstream.js";
+import type { Member } from "../membership/Member.js";
+import { hashText } from "./hashText.js";
+import type { Shard } from "./Shard.js";
+
+/** Most engines in one shard. */
+const maxShardEngines = 16;
+
+/**
+ * Cuts a pool into shards and gives each one its dispatcher. Depends on the pool and the set of ready members alone, so that VMs with
+ * the same view agree. A shard spans zones while the whole pool fits into one; beyond that each shard stays inside a zone.
+ */
+export function shardMap(pool: Pool, members: readonly Member[]): readonly Shard[] {
+    const ready = members.filter(member => member.state === "ready");
+    if (pool.upstreams.length <= maxShardEngines) {
+        return [toShard(pool, undefined, 0, byId(pool.upstreams), ready)];
+    }
+    return [...groupByZone(pool.upstreams)].flatMap(([zone, upstreams]) => cutZone(pool, zone, upstreams, ready));
+}
+
+/** Engines of one zone, cut so that one engine more or less moves few others: each engine goes to its rendezvous shard. */
+function cutZone(pool: Pool, zone: string, upstreams: readonly Upstream[], ready: readonly Member[]): readonly Shard[] {
+    const shardCount = Math.ceil(upstreams.length / maxShardEngines);
+    const groups: Upstream[][] = Array.from({ length: shardCount }, () => []);
+    for (const upstream of byId(upstreams)) {
+        roomiestOf(groups, upstream).push(upstream);
+    }
+    return groups.map((group, index) => toShard(pool, zone, index, group, ready));
+}
+
+/** The shard that this engine hashes to, or the next best with room. */
+function roomiestOf(groups: Upstream[][], upstream: Upstream): Upstream[] {
+    const open = groups.map((group, index) => ({ group, index })).filter(({ group }) => group.length < maxShardEngines);
+    const best = highest(open, ({ index }) => hashText(`${upstream.id}/${index}`));
+    return (best ?? { group: groups[0] as Upstream[] }).group;
+}
+
+function toShard(
+    pool: Pool,
+    zone: string | undefined,
+    index: number,
+    upstreams: readonly Upstream[],
+    ready: readonly Member[],
+): Shard {
+    const id = zone === undefined ? pool.name : `${pool.name}/${zone}/${index}`;
+    return { id, pool: pool.name, availabilityZone: zone, upstreams, dispatcherVm: dispatcherOf(id, zone, ready) };
+}
+
+/** Rendezvous hashing: when a VM leaves, only the shards that it dispatched move. A zone's own VMs go first. */
+function dispatcherOf(shardId: string, zone: string | undefined, ready: readonly Member[]): string | undefined {
+    const local = ready.filter(member => member.availabilityZone === zone);
+    const candidates = local.length > 0 ? local : ready;
+    return highest(candidates, member => hashText(`${shardId}/${member.vm}`))?.vm;
+}
+
+function highest<T>(items: readonly T[], score: (item: T) => number): T | undefined {
+    let best: T | undefined;
+    let bestScore = -1;
+    for (const item of items) {
+        const itemScore = score(item);
+        if (itemScore > bestScore) {
+            best = item;
+            bestScore = itemScore;
+        }
+    }
+    return best;
+}
+
+function byId(upstreams: readonly Upstream[]): readonly Upstream[] {
+    return [...upstreams].sort((left, right) => (left.id < right.id ? -1 : 1));
+}
+
+function groupByZone(upstreams: readonly Upstream[]): Map<string, Upstream[]> {
+    const groups = new Map<string, Upstream[]>();
+    for (const upstream of byId(upstreams)) {
+        const group = groups.get(upstream.availabilityZone) ?? [];
+        group.push(upstream);
+        groups.set(upstream.availabilityZone, group);
+    }
+    return groups;
+}
--- /dev/null
+++ b/src/core/estimate/LengthKey.ts
@@ -0,0 +1,6 @@
+/** What output lengths are learnt by. */
+export interface LengthKey {
+    readonly service: string;
+    readonly customer: string;
+    readonly serviceClass: string;
+}
--- /dev/null
+++ b/src/core/estimate/PrefixCacheHints.ts
@@ -0,0 +1,62 @@
+interface PrefixOwner {
+    readonly upstreamId: string;
+    readonly seenMs: number;
+}
+
+/** Prompt tokens in one hashed block. */
+const tokensPerBlock = 256;
+const maxBlocks = 65_536;
+const maxOwnersPerBlock = 3;
+/** A block that was not seen for this long is taken as evicted. */
+const hintLifetimeMs = 120_000;
+
+/** Guesses which engines hold which prompt blocks, from where requests went; engines evict without telling, so it is a hint. */
+export class PrefixCacheHints {
+    private readonly owners = new Map<number, PrefixOwner[]>();
+
+    static get tokensPerBlock(): number {
+        return tokensPerBlock;
+    }
+
+    /** A request with these blocks ran on this engine. */
+    note(prefixHashes: readonly number[], upstreamId: string, nowMs: number): void {
+        for (const hash of prefixHashes) {
+            const others = (this.owners.get(hash) ?? []).filter(owner => owner.upstreamId !== upstreamId);
+            this.owners.delete(hash);
+            this.owners.set(hash, [{ upstreamId, seenMs: nowMs }, ...others].slice(0, maxOwnersPerBlock));
+        }
+        while (this.owners.size > maxBlocks) {
+            this.owners.delete(this.owners.keys().next().value as number);
+        }
+    }
+
+    /** The engine said, or showed by reading the prompt again, that it no longer has these blocks. */
+    forget(prefixHashes: readonly number[], upstreamId: string): void {
+        for (const hash of prefixHashes) {
+            const rest = (this.owners.get(hash) ?? []).filter(owner => owner.upstreamId !== upstreamId);
+            if (rest.length > 0) {
+                this.owners.set(hash, rest);
+            }
+            else {
+                this.owners.delete(hash);
+            }
+        }
+    }
+
+    /** Prompt tokens of the leading blocks that this engine likely holds. */
+    cachedTokens(prefixHashes: readonly number[], upstreamId: string, nowMs: number): number {
+        let blocks = 0;
+        for (const hash of prefixHashes) {
+            if (!this.holds(hash, upstreamId, nowMs)) {
+                break;
+            }
+            blocks++;
+        }
+        return blocks * tokensPerBlock;
+    }
+
+    private holds(hash: number, upstreamId: string, nowMs: number): boolean {
+        const owners = this.owners.get(hash);
+        return owners !== undefined && owners.some(owner => owner.upstreamId === upstreamId && nowMs - owner.seenMs < hintLifetimeMs);
+    }
+}
--- /dev/null
+++ b/src/core/health/HealthBoard.ts
@@ -0,0 +1,112 @@
+interface EngineRecord {
+    /** Fast average of the logarithm of seen over expected time. */
+    logRatio: number;
+    lastSeenMs: number;
+    lastProbeMs: number;
+    failuresInRow: number;
+}
+
+/** Share that one observation takes of the average: two slow ones in a row show. */
+const fastShare = 0.5;
+/** An engine slower than its peers by this much is slow. */
+const slowRatio = 1.8;
+/** Time after which an engine without observations is trusted half as little in its bad record. */
+const forgiveHalfLifeMs = 1_000;
+/** A slow or broken engine is given one request per this time, to see whether it has recovered. */
+const probePeriodMs = 500;
+const failuresToBreak = 3;
+
+/** Judges the engines of one shard by what is seen of them against their peers, never by their own reports. */
+export class HealthBoard {
+    private readonly engines = new Map<string, EngineRecord>();
+
+    /** Keeps records for these engines only. */
+    setEngines(ids: readonly string[], nowMs: number): void {
+        const wanted = new Set(ids);
+        for (const id of this.engines.keys()) {
+            if (!wanted.has(id)) {
+                this.engines.delete(id);
+            }
+        }
+        for (const id of ids) {
+            if (!this.engines.has(id)) {
+                this.engines.set(id, { logRatio: 0, lastSeenMs: nowMs, lastProbeMs: -Infinity, failuresInRow: 0 });
+            }
+        }
+    }
+
+    /** A first token or a stretch of tokens took `seenMs` where the model of all engines expected `expectedMs`. */
+    observe(id: string, seenMs: number, expectedMs: number, nowMs: number): void {
+        const record = this.engines.get(id);
+        if (record === undefined || expectedMs <= 0) {
+            return;
+        }
+        const logRatio = Math.log(Math.max(seenMs, 0.01) / expectedMs);
+        record.logRatio = (1 - fastShare) * this.forgiven(record, nowMs) + fastShare * logRatio;
+        record.lastSeenMs = nowMs;
+    }
+
+    /** A request on it came through. */
+    succeeded(id: string): void {
+        const record = this.engines.get(id);
+        if (record !== undefined) {
+            record.failuresInRow = 0;
+        }
+    }
+
+    failed(id: string): void {
+        const record = this.engines.get(id);
+        if (record !== undefined) {
+            record.failuresInRow++;
+        }
+    }
+
+    /** Seen over expected time against the middle of all engines: when all are slow, none is. */
+    slowness(id: string, nowMs: number): number {
+        const record = this.engines.get(id);
+        return record === undefined ? 1 : Math.exp(Math.max(0, this.forgiven(record, nowMs) - this.middle(nowMs)));
+    }
+
+    isSlow(id: string, nowMs: number): boolean {
+        return this.slowness(id, nowMs) > slowRatio;
+    }
+
+    /** Failed several times in a row while most of its peers did not. */
+    isBroken(id: string): boolean {
+        return this.hasFailed(id) && this.brokenCount() * 2 <= this.engines.size;
+    }
+
+    /** Whether it may get a request now, though slow or broken, to see whether it has recovered. */
+    mayProbe(id: string, nowMs: number): boolean {
+        const record = this.engines.get(id);
+        return record !== undefined && nowMs - record.lastProbeMs >= probePeriodMs;
+    }
+
+    noteProbe(id: string, nowMs: number): void {
+        const record = this.engines.get(id);
+        if (record !== undefined) {
+            record.lastProbeMs = nowMs;
+        }
+    }
+
+    private hasFailed(id: string): boolean {
+        return (this.engines.get(id)?.failuresInRow ?? 0) >= failuresToBreak;
+    }
+
+    private brokenCount(): number {
+        let count = 0;
+        for (const id of this.engines.keys()) {
+            count += this.hasFailed(id) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private forgiven(record: EngineRecord, nowMs: number): number {
+        return record.logRatio * 0.5 ** (Math.max(0, nowMs - record.lastSeenMs) / forgiveHalfLifeMs);
+    }
+
+    private middle(nowMs: number): number {
+        const ratios = [...this.engines.values()].map(record => this.forgiven(record, nowMs)).sort((left, right) => left - right);
+        return ratios[(ratios.length - 1) >> 1] ?? 0;
+    }
+}
