--- /dev/null
+++ b/standins/engine/CompletionBody.ts
@@ -0,0 +1,17 @@
+import { z } from "zod";
+
+/** The parts of an OpenAI completion request that the stand-in reads, with the extension fields of our engine protocol. */
+export const CompletionBody = z.looseObject({
+    model: z.string(),
+    messages: z.array(z.looseObject({ role: z.string(), content: z.unknown() })).optional(),
+    prompt: z.union([z.string(), z.array(z.string())]).optional(),
+    max_tokens: z.int().positive().optional(),
+    max_completion_tokens: z.int().positive().optional(),
+    stream: z.boolean().default(false),
+    stream_options: z.looseObject({ include_usage: z.boolean().optional() }).optional(),
+    /** Lower is more urgent. */
+    priority: z.int().default(0),
+    /** Continue the same answer after this many tokens. */
+    resume_from_token: z.int().nonnegative().default(0),
+});
+export type CompletionBody = z.infer<typeof CompletionBody>;
--- /dev/null
+++ b/standins/engine/defaultEngineOptions.ts
@@ -0,0 +1,18 @@
+import type { EngineStandinOptions } from "./EngineStandinOptions.js";
+
+/** A quick engine with one model. */
+export const defaultEngineOptions: EngineStandinOptions = {
+    models: ["pumpline-model"],
+    seed: 1,
+    maxBatchSize: 16,
+    stepMs: 2,
+    stepMsPerRequest: 0,
+    prefillMsPerToken: 0.01,
+    naturalAnswerTokens: 32,
+    loadReportDelayMs: 500,
+    cacheEventDelayMs: 200,
+    cacheEventLossPeriod: 0,
+    cacheCapacityTokens: 100_000,
+    checksFencing: true,
+    loadMs: 50,
+};
--- /dev/null
+++ b/standins/shared/delay.ts
@@ -0,0 +1,4 @@
+/** Resolves after `delayMs`. */
+export function delay(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
