Add authenticated WebSocket links between VMs

A challenge-response HMAC both ways proves the shared key; frames are MessagePack, checked against the schema. A connection on which nothing is heard, or whose peer says that it hears nothing, is replaced by a new one beside it.

--- /dev/null
+++ b/src/node/peer/PeerLinkLimits.ts
@@ -0,0 +1,20 @@
+/** Bounds on what a peer may make this VM hold, and how fast silence is noticed. */
+export interface PeerLinkLimits {
+    /** Largest frame read; a larger one closes the connection. */
+    readonly maxFrameBytes: number;
+    /** Most bytes waiting to be sent on one connection; messages beyond it are dropped. */
+    readonly maxSendBufferBytes: number;
+    /** Most connections that have not proved themselves yet. */
+    readonly maxUnprovenConnections: number;
+    readonly handshakeTimeoutMs: number;
+    /** A connection on which nothing was heard for this long is pinged. */
+    readonly pingAfterMs: number;
+    /** A connection on which nothing was heard for this long is replaced by a new one beside it. */
+    readonly silentAfterMs: number;
+    /** A connection on which nothing was heard for this long is closed. */
+    readonly closeAfterMs: number;
+    /** A connection that carried no message of a task for this long is closed. */
+    readonly idleAfterMs: number;
+    /** Least time between two attempts to dial one peer. */
+    readonly redialAfterMs: number;
+}
--- /dev/null
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -0,0 +1,420 @@
+import createDebug from "debug";
+import { errAsync, ResultAsync } from "neverthrow";
+import { createServer, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import { WebSocket, WebSocketServer } from "ws";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import type { PeerError } from "../services/PeerError.js";
+import type { PeerLinks } from "../services/PeerLinks.js";
+import { bestConnection } from "./bestConnection.js";
+import { defaultPeerLinkLimits } from "./defaultPeerLinkLimits.js";
+import { PeerConnection } from "./PeerConnection.js";
+import type { PeerFrame } from "./PeerFrame.js";
+import type { PeerIdentity } from "./PeerIdentity.js";
+import type { PeerLinkLimits } from "./PeerLinkLimits.js";
+import type { PeerListenError } from "./PeerListenError.js";
+import type { PeerState } from "./PeerState.js";
+import type { PeerTls } from "./PeerTls.js";
+
+const log = createDebug("orioleshelf:peer");
+
+const checkPeriodMs = 100;
+/** A check that comes later than this means that this process itself was paused. */
+const ownPauseMs = 400;
+/** A connection that was replaced stays readable this long, for what was sent on it before. */
+const lingerMs = 1000;
+const maxWaitingFrames = 256;
+const maxHeaderBytes = 4096;
+
+type Handler = (from: string, message: PeerMessage) => PeerMessage | undefined | Promise<PeerMessage | undefined>;
+
+interface PendingRequest {
+    readonly vm: string;
+    readonly settle: (answer: PeerMessage | PeerError) => void;
+}
+
+interface WebSocketPeerLinksOptions {
+    readonly self: PeerIdentity;
+    readonly listenHost: string;
+    /** 0 takes any free port. */
+    readonly listenPort: number;
+    readonly sharedKey: string;
+    readonly scheduler: Scheduler;
+    readonly tls?: PeerTls | undefined;
+    readonly limits?: PeerLinkLimits;
+}
+
+/**
+ * Links to the other VMs over WebSockets. A link is dialled when something is first sent to a VM whose address is known. A connection on
+ * which nothing is heard is replaced by a new one beside it; a VM is given up by the membership, never here.
+ */
+export class WebSocketPeerLinks implements PeerLinks {
+    /** Payload bytes of frames, for metrics. */
+    sentBytes = 0;
+    receivedBytes = 0;
+    private readonly limits: PeerLinkLimits;
+    private readonly peers = new Map<string, PeerState>();
+    private readonly handlers = new Map<string, Handler>();
+    private readonly requests = new Map<number, PendingRequest>();
+    /** Connections whose handshake is not over. */
+    private readonly opening = new Set<PeerConnection>();
+    private readonly linkListeners = new Set<(vm: string) => void>();
+    private nextRequestId = 1;
+    private lastCheckMs = 0;
+    private signal: AbortSignal = AbortSignal.abort();
+
+    constructor(private readonly options: WebSocketPeerLinksOptions) {
+        this.limits = options.limits ?? defaultPeerLinkLimits;
+    }
+
+    /** Opens the port for peers and resolves with its number; everything is closed when `signal` aborts. */
+    start(signal: AbortSignal): ResultAsync<number, PeerListenError> {
+        this.signal = signal;
+        this.lastCheckMs = this.options.scheduler.nowMs();
+        this.options.scheduler.every(checkPeriodMs, () => {
+            this.check();
+        }, signal);
+        signal.addEventListener("abort", () => {
+            this.closeAll();
+        }, { once: true });
+        return ResultAsync.fromPromise(this.listen(signal), error => ({
+            kind: "listen-failed",
+            message: `cannot listen for peers on ${this.options.listenHost}:${this.options.listenPort} (${
+                String(error)
+            }); free the port or set peer.listen`,
+        }));
+    }
+
+    /** Tells where a VM can be dialled; undefined forgets it. */
+    setAddress(vm: string, url: string | undefined): void {
+        const state = this.peers.get(vm);
+        if (state !== undefined) {
+            state.url = url;
+        }
+        else if (url !== undefined) {
+            this.peers.set(vm, newPeerState(url));
+        }
+    }
+
+    /** Dials an address whose VM is not known yet; `onLink` listeners learn of it once it has proved itself. */
+    greet(url: string): void {
+        if (!this.signal.aborted) {
+            this.dial(url, undefined);
+        }
+    }
+
+    /** Calls `listener` with the VM of each connection that opens. */
+    onLink(listener: (vm: string) => void, signal: AbortSignal): void {
+        this.linkListeners.add(listener);
+        signal.addEventListener("abort", () => this.linkListeners.delete(listener), { once: true });
+    }
+
+    hasLink(vm: string): boolean {
+        return this.connectionTo(vm) !== undefined;
+    }
+
+    send(vm: string, message: PeerMessage): boolean {
+        return this.sendFrame(vm, { kind: "message", message });
+    }
+
+    request(vm: string, message: PeerMessage, timeoutMs: number, signal: AbortSignal): ResultAsync<PeerMessage, PeerError> {
+        const id = this.nextRequestId++;
+        if (signal.aborted || !this.sendFrame(vm, { kind: "request", id, message })) {
+            return errAsync({ kind: "no-link", message: `no link to VM ${vm}; it may be down or cut off` });
+        }
+        const done = new AbortController();
+        const settled = new Promise<PeerMessage | PeerError>(settle => {
+            this.requests.set(id, { vm, settle });
+            const onTimeout = () => {
+                settle({ kind: "timeout", message: `VM ${vm} did not answer within ${timeoutMs} ms; try again or another VM` });
+            };
+            const onAbort = () => {
+                settle({ kind: "closed", message: "the request was cancelled" });
+            };
+            this.options.scheduler.after(timeoutMs, onTimeout, done.signal);
+            signal.addEventListener("abort", onAbort, { once: true, signal: done.signal });
+        }).finally(() => {
+            done.abort();
+            this.requests.delete(id);
+        });
+        return ResultAsync.fromSafePromise<PeerMessage | PeerError, PeerError>(settled)
+            .andThen(answer => "type" in answer ? ResultAsync.fromSafePromise(Promise.resolve(answer)) : errAsync(answer));
+    }
+
+    onMessage<T extends PeerMessage["type"]>(
+        type: T,
+        handler: (from: string, message: Extract<PeerMessage, { type: T; }>) => PeerMessage | undefined | Promise<PeerMessage | undefined>,
+        signal: AbortSignal,
+    ): void {
+        this.handlers.set(type, handler as Handler);
+        signal.addEventListener("abort", () => this.handlers.delete(type), { once: true });
+    }
+
+    private listen(signal: AbortSignal): Promise<number> {
+        const bounds = { maxHeaderSize: maxHeaderBytes, headersTimeout: 2000, requestTimeout: 2000, connectionsCheckingInterval: 1000 };
+        const { tls } = this.options;
+        const server: Server = tls === undefined
+            ? createServer(bounds)
+            : createTlsServer({ ...bounds, cert: tls.certificate, key: tls.privateKey, ca: tls.certificateAuthority });
+        server.on("request", (request, response) => {
+            request.resume();
+            response.writeHead(426).end();
+        });
+        const socketServer = new WebSocketServer({ server, maxPayload: this.limits.maxFrameBytes, perMessageDeflate: false });
+        socketServer.on("connection", socket => {
+            this.accept(socket);
+        });
+        socketServer.on("error", () => undefined);
+        signal.addEventListener("abort", () => {
+            server.close();
+            server.closeAllConnections();
+        }, { once: true });
+        return new Promise((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(this.options.listenPort, this.options.listenHost, () => {
+                resolve((server.address() as AddressInfo).port);
+            });
+        });
+    }
+
+    private accept(socket: WebSocket): void {
+        const unproven = [...this.opening].filter(connection => connection.role === "acceptor").length;
+        if (unproven >= this.limits.maxUnprovenConnections) {
+            log("too many connections wait for their handshake; a new one is closed");
+            socket.terminate();
+            return;
+        }
+        this.newConnection(socket, "acceptor", undefined);
+    }
+
+    private dial(url: string, vm: string | undefined): void {
+        const state = vm === undefined ? undefined : this.peers.get(vm);
+        if (state !== undefined) {
+            state.isDialing = true;
+            state.lastDialMs = this.options.scheduler.nowMs();
+        }
+        const socket = new WebSocket(url, {
+            maxPayload: this.limits.maxFrameBytes,
+            perMessageDeflate: false,
+            handshakeTimeout: this.limits.handshakeTimeoutMs,
+            followRedirects: false,
+            ...(this.options.tls === undefined ? {} : { ca: this.options.tls.certificateAuthority }),
+        });
+        this.newConnection(socket, "dialer", state);
+    }
+
+    /** `dialed` is the state of the VM that is being dialled, where it is known. */
+    private newConnection(socket: WebSocket, role: "dialer" | "acceptor", dialed: PeerState | undefined): void {
+        const connection = new PeerConnection(socket, role, {
+            self: this.options.self,
+            sharedKey: this.options.sharedKey,
+            limits: this.limits,
+            scheduler: this.options.scheduler,
+            events: {
+                nextGeneration: vm => this.nextGeneration(vm),
+                onOpen: opened => {
+                    this.onOpen(opened);
+                    endDial(dialed);
+                },
+                onMessage: (sender, message) => void this.handle(vmOf(sender), message),
+                onRequest: (sender, id, message) => void this.answer(vmOf(sender), id, message),
+                onReply: (id, message) => {
+                    this.requests.get(id)?.settle(message);
+                },
+                onClosed: (closed, reason) => {
+                    this.onClosed(closed, reason);
+                    endDial(dialed);
+                },
+            },
+        });
+        this.opening.add(connection);
+    }
+
+    private nextGeneration(vm: string): number {
+        const generations = (this.peers.get(vm)?.connections ?? []).map(connection => connection.generation);
+        return Math.max(0, ...generations) + 1;
+    }
+
+    private onOpen(connection: PeerConnection): void {
+        this.opening.delete(connection);
+        if (this.signal.aborted) {
+            connection.close("this VM stops");
+            return;
+        }
+        const vm = vmOf(connection);
+        const state = this.peers.get(vm) ?? newPeerState(undefined);
+        this.peers.set(vm, state);
+        state.connections.push(connection);
+        log("link to VM %s is open, generation %d", vm, connection.generation);
+        this.retireOthers(state);
+        const waiting = state.waiting;
+        state.waiting = [];
+        for (const frame of waiting) {
+            this.sendFrame(vm, frame);
+        }
+        for (const listener of this.linkListeners) {
+            listener(vm);
+        }
+    }
+
+    /** Closes all connections but the best; those of the same incarnation linger for what is still on the way. */
+    private retireOthers(state: PeerState): void {
+        const best = this.best(state);
+        for (const connection of [...state.connections]) {
+            if (connection === best) {
+                continue;
+            }
+            if (connection.peer?.incarnation !== best?.peer?.incarnation) {
+                connection.close("the VM was replaced by a newer incarnation");
+                continue;
+            }
+            this.options.scheduler.after(lingerMs, () => {
+                if (this.best(state) !== connection) {
+                    connection.close("a newer connection took its place");
+                }
+            }, this.signal);
+        }
+    }
+
+    private onClosed(connection: PeerConnection, reason: string): void {
+        this.opening.delete(connection);
+        const vm = connection.peer?.vm;
+        log("link to VM %s closed: %s", vm ?? "unknown", reason);
+        const state = vm === undefined ? undefined : this.peers.get(vm);
+        if (vm === undefined || state === undefined) {
+            return;
+        }
+        const index = state.connections.indexOf(connection);
+        if (index >= 0) {
+            state.connections.splice(index, 1);
+        }
+        if (state.connections.length === 0) {
+            this.failRequests(vm, reason);
+        }
+    }
+
+    private failRequests(vm: string, reason: string): void {
+        for (const request of this.requests.values()) {
+            if (request.vm === vm) {
+                request.settle({ kind: "closed", message: `the link to VM ${vm} closed before it answered: ${reason}` });
+            }
+        }
+    }
+
+    private sendFrame(vm: string, frame: PeerFrame): boolean {
+        const connection = this.connectionTo(vm);
+        if (connection !== undefined) {
+            return connection.send(frame);
+        }
+        const state = this.peers.get(vm);
+        if (state === undefined || !this.dialIfDue(vm, state) || state.waiting.length >= maxWaitingFrames) {
+            return false;
+        }
+        state.waiting.push(frame);
+        return true;
+    }
+
+    /** True when a dial is under way afterwards. */
+    private dialIfDue(vm: string, state: PeerState): boolean {
+        if (state.isDialing) {
+            return true;
+        }
+        const isTooSoon = this.options.scheduler.nowMs() - state.lastDialMs < this.limits.redialAfterMs;
+        if (state.url === undefined || isTooSoon || this.signal.aborted) {
+            return false;
+        }
+        state.waiting = [];
+        this.dial(state.url, vm);
+        return true;
+    }
+
+    private connectionTo(vm: string): PeerConnection | undefined {
+        const state = this.peers.get(vm);
+        return state === undefined ? undefined : this.best(state);
+    }
+
+    private best(state: PeerState): PeerConnection | undefined {
+        return bestConnection(this.options.self.vm, state.connections, this.options.scheduler.nowMs());
+    }
+
+    private async handle(from: string, message: PeerMessage): Promise<PeerMessage | undefined> {
+        const handler = this.handlers.get(message.type);
+        if (handler === undefined) {
+            log("no task handles %s from VM %s; the message is dropped", message.type, from);
+            return undefined;
+        }
+        try {
+            return await handler(from, message);
+        }
+        catch (error) {
+            log("handling %s from VM %s failed: %s", message.type, from, String(error));
+            return undefined;
+        }
+    }
+
+    private async answer(from: string, id: number, message: PeerMessage): Promise<void> {
+        const reply = await this.handle(from, message);
+        if (reply !== undefined) {
+            this.sendFrame(from, { kind: "reply", id, message: reply });
+        }
+    }
+
+    private check(): void {
+        const nowMs = this.options.scheduler.nowMs();
+        const pausedMs = nowMs - this.lastCheckMs;
+        this.lastCheckMs = nowMs;
+        for (const [vm, state] of this.peers) {
+            for (const connection of [...state.connections]) {
+                if (pausedMs > ownPauseMs) {
+                    connection.lastHeardMs += pausedMs;
+                }
+                this.checkConnection(vm, state, connection, nowMs);
+            }
+        }
+    }
+
+    private checkConnection(vm: string, state: PeerState, connection: PeerConnection, nowMs: number): void {
+        const quietMs = nowMs - connection.lastHeardMs;
+        if (nowMs - connection.lastUsedMs > this.limits.idleAfterMs) {
+            connection.close("no message was sent for a while");
+            return;
+        }
+        if (quietMs > this.limits.closeAfterMs) {
+            connection.close("the peer fell silent");
+            return;
+        }
+        connection.pingIfQuiet(nowMs);
+        if (connection.isSilent(nowMs) && this.best(state) === connection) {
+            this.dialIfDue(vm, state);
+        }
+    }
+
+    private closeAll(): void {
+        for (const connection of this.opening) {
+            connection.close("this VM stops");
+        }
+        for (const state of this.peers.values()) {
+            for (const connection of [...state.connections]) {
+                connection.close("this VM stops");
+            }
+        }
+    }
+}
+
+/** What still waits when a dial ends is lost: it either was sent, or the peer could not be reached. */
+function endDial(state: PeerState | undefined): void {
+    if (state !== undefined) {
+        state.isDialing = false;
+        state.waiting = [];
+    }
+}
+
+function newPeerState(url: string | undefined): PeerState {
+    return { url, isDialing: false, lastDialMs: -Infinity, connections: [], waiting: [] };
+}
+
+function vmOf(connection: PeerConnection): string {
+    return connection.peer?.vm ?? "";
+}
--- /dev/null
+++ b/src/node/peer/defaultPeerLinkLimits.ts
@@ -0,0 +1,14 @@
+import type { PeerLinkLimits } from "./PeerLinkLimits.js";
+
+/** Limits for links between VMs whose availability zones lie within a few milliseconds. */
+export const defaultPeerLinkLimits: PeerLinkLimits = {
+    maxFrameBytes: 4 * 1024 * 1024,
+    maxSendBufferBytes: 8 * 1024 * 1024,
+    maxUnprovenConnections: 64,
+    handshakeTimeoutMs: 600,
+    pingAfterMs: 600,
+    silentAfterMs: 900,
+    closeAfterMs: 5000,
+    idleAfterMs: 60_000,
+    redialAfterMs: 400,
+};
--- /dev/null
+++ b/src/schema/peer/PeerHello.ts
@@ -0,0 +1,10 @@
+import { z } from "zod";
+
+/** First frame on a connection, sent by the VM that was dialled. Nothing in it is secret. */
+export const PeerHello = z.strictObject({
+    protocolVersion: z.int(),
+    vm: z.string().min(1).max(64),
+    incarnation: z.string().min(1).max(64),
+    nonce: z.string().length(32),
+});
+export type PeerHello = z.infer<typeof PeerHello>;
