--- a/src/node/logs/createLog.ts
+++ b/src/node/logs/createLog.ts
@@ -1,4 +1,5 @@
 import debug from "debug";
+import { format } from "node:util";
 import type { Log } from "./Log.js";
 import { logOutput } from "./logOutput.js";
 
@@ -13,7 +14,7 @@
     const name = `${prefix}:${part}`;
     const instance = debug(name);
     instance.log = (...parts: unknown[]) => {
-        logOutput.write(parts.join(" "));
+        logOutput.write(format(...parts));
     };
     return (message, fields = {}) => {
         if (!instance.enabled) {
