--- a/src/node/dispatch/EntryDispatch.ts
+++ b/src/node/dispatch/EntryDispatch.ts
@@ -69,6 +69,7 @@
                 this.onRefuse(from, message);
                 break;
             case "shardState":
+            case "ticketQueued":
                 this.routes.noteWait(message.shard, message.expectedWaitMs);
                 break;
             case "grantPreempt":
@@ -177,6 +178,7 @@
             return;
         }
         this.forget(waiting);
+        this.routes.noteWait(message.shard, message.expectedWaitMs);
         waiting.resolveGrant(this.running.add(from, message, waiting.ticket, upstream));
     }
 
