--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -175,6 +175,16 @@
         return this.decide(nowMs);
     }
 
+    /** An entry VM tells that these grants are still in use, whether or not tokens flow. */
+    keepAlive(grantIds: readonly string[], nowMs: number): void {
+        for (const grantId of grantIds) {
+            const grant = this.grants.get(grantId);
+            if (grant !== undefined) {
+                grant.lastSeenMs = nowMs;
+            }
+        }
+    }
+
     /** Does what falls due by the passing of time alone. */
     tick(nowMs: number): readonly DispatchAction[] {
         for (const grant of [...this.grants.values()]) {
@@ -194,6 +204,10 @@
         return Math.max(nowMs, Math.min(expiresMs, nowMs + tickPeriodMs));
     }
 
+    isWaiting(requestId: string): boolean {
+        return this.queue.get(requestId) !== undefined;
+    }
+
     queueState(): QueueState {
         const waitMsByTier: number[] = [];
         for (let tier = 0; tier < Math.max(1, this.queue.tierCount); tier++) {
--- a/src/core/dispatch/shardMap.ts
+++ b/src/core/dispatch/shardMap.ts
@@ -45,7 +45,14 @@
     ready: readonly Member[],
 ): Shard {
     const id = zone === undefined ? pool.name : `${pool.name}/${zone}/${index}`;
-    return { id, pool: pool.name, availabilityZone: zone, upstreams, dispatcherVm: rankDispatchers(id, zone, ready)[0] };
+    return {
+        id,
+        pool: pool.name,
+        availabilityZone: zone,
+        upstreams,
+        maxInFlight: pool.maxInFlight,
+        dispatcherVm: rankDispatchers(id, zone, ready)[0],
+    };
 }
 
 function highest<T>(items: readonly T[], score: (item: T) => number): T | undefined {
--- a/src/node/dispatch/EntryDispatch.ts
+++ b/src/node/dispatch/EntryDispatch.ts
@@ -17,6 +17,8 @@
 const refusalMs = 1_000;
 const tickMs = 50;
 const probePeriodMs = 200;
+/** Well below the time after which a dispatcher takes a grant as lost. */
+const keepAlivePeriodMs = 10_000;
 /** The entry VM refuses by itself when the dispatcher has not done so this long after the longest wait. */
 const queueTimeoutSlackMs = 500;
 
@@ -44,6 +46,9 @@
         this.scheduler.every(tickMs, () => {
             this.tick();
         }, signal);
+        this.scheduler.every(keepAlivePeriodMs, () => {
+            this.running.keepAlive();
+        }, signal);
     }
 
     acquire(ticket: Ticket, signal: AbortSignal): ResultAsync<Grant, DispatchRefusal> {
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -57,6 +57,8 @@
     }),
     z.object({ type: z.literal("grantPreempt"), shard: z.string(), grantId: z.string() }),
     z.object({ type: z.literal("grantProgress"), shard: z.string(), grantId: z.string(), outputTokens: z.int(), firstTokenMs: z.number() }),
+    /** Grants still in use; a dispatcher takes a grant that is not renewed as lost. */
+    z.object({ type: z.literal("grantKeepAlive"), shard: z.string(), grantIds: z.array(z.string()) }),
     z.object({ type: z.literal("grantEnd"), shard: z.string(), grantId: z.string(), end: GrantEnd }),
     z.object({ type: z.literal("configFetch"), fromOffset: z.int() }),
     z.object({
