--- /dev/null
+++ b/src/core/paths/prefixHashes.ts
@@ -0,0 +1,19 @@
+const blockCharacters = 1024;
+const maxBlocks = 64;
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** Hashes of successive prefixes of a prompt, for prefix-cache affinity. Prompts that begin alike share their first hashes. */
+export function prefixHashes(prompt: string): number[] {
+    const hashes: number[] = [];
+    const blocks = Math.min(maxBlocks, Math.floor(prompt.length / blockCharacters));
+    let hash = fnvOffset;
+    for (let block = 0; block < blocks; block++) {
+        const end = (block + 1) * blockCharacters;
+        for (let index = block * blockCharacters; index < end; index++) {
+            hash = Math.imul(hash ^ prompt.charCodeAt(index), fnvPrime);
+        }
+        hashes.push(hash >>> 0);
+    }
+    return hashes;
+}
