--- /dev/null
+++ b/src/node/upstream/parseEvents.ts
@@ -0,0 +1,28 @@
+const dataField = "data:";
+const doneData = "[DONE]";
+
+/** The JSON values of whole server-sent events, without the closing `[DONE]`. Events that are not JSON are left out. */
+export function parseEvents(events: Uint8Array): readonly Record<string, unknown>[] {
+    const values: Record<string, unknown>[] = [];
+    for (const line of Buffer.from(events.buffer, events.byteOffset, events.byteLength).toString("utf8").split("\n")) {
+        const data = line.startsWith(dataField) ? line.slice(dataField.length).trim() : "";
+        if (data === "" || data === doneData) {
+            continue;
+        }
+        const value = parseObject(data);
+        if (value !== undefined) {
+            values.push(value);
+        }
+    }
+    return values;
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+    try {
+        const value: unknown = JSON.parse(text);
+        return typeof value === "object" && value ? value as Record<string, unknown> : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
