--- /dev/null
+++ b/proof/edge/FakeBookings.ts
@@ -0,0 +1,41 @@
+import { err, ok, ResultAsync } from "neverthrow";
+import type { BookingAnswer } from "../../src/node/services/BookingAnswer.js";
+import type { BookingCall } from "../../src/node/services/BookingCall.js";
+import type { BookingError } from "../../src/node/services/BookingError.js";
+import type { BookingService } from "../../src/node/services/BookingService.js";
+import { SendFailure } from "../../src/node/services/SendFailure.js";
+
+interface Entry {
+    readonly digest: string;
+    readonly answer: Promise<BookingAnswer>;
+}
+
+/** Runs a key once, in memory; a key whose call did not run may be used again. */
+export class FakeBookings implements BookingService {
+    private readonly entries = new Map<string, Entry>();
+
+    run(call: BookingCall, send: () => Promise<BookingAnswer>): ResultAsync<BookingAnswer, BookingError> {
+        const name = `${call.customer}/${call.key}`;
+        let entry = this.entries.get(name);
+        if (entry === undefined) {
+            entry = { digest: call.digest, answer: send() };
+            this.entries.set(name, entry);
+        }
+        if (entry.digest !== call.digest) {
+            const reused: BookingError = { kind: "key-reused", outcome: "not-run", retryAfterMs: undefined, message: "use a new key" };
+            return new ResultAsync(Promise.resolve(err(reused)));
+        }
+        return new ResultAsync(entry.answer.then(answer => ok(answer), (error: unknown) => {
+            const failure = error instanceof SendFailure ? error : new SendFailure("unknown", "send failed");
+            if (failure.outcome === "not-run") {
+                this.entries.delete(name);
+            }
+            return err({
+                kind: "upstream-failed" as const,
+                outcome: failure.outcome,
+                retryAfterMs: failure.retryAfterMs,
+                message: failure.message,
+            });
+        }));
+    }
+}
--- /dev/null
+++ b/src/node/caller/CallerParts.ts
@@ -0,0 +1,9 @@
+import type { RetryBudget } from "../../core/retry/RetryBudget.js";
+import type { CallerLimits } from "./CallerLimits.js";
+import type { CallerServerOptions } from "./CallerServerOptions.js";
+
+/** What one call needs: the server's options, with limits filled in, and the retry budget that all calls share. */
+export interface CallerParts extends Omit<CallerServerOptions, "callerLimits"> {
+    readonly callerLimits: CallerLimits;
+    readonly retryBudget: RetryBudget;
+}
--- /dev/null
+++ b/src/node/caller/CallerServerError.ts
@@ -0,0 +1,6 @@
+/** Why the caller API does not listen. */
+export interface CallerServerError {
+    readonly kind: "not-listening" | "not-started";
+    /** Names the remedy. */
+    readonly message: string;
+}
--- /dev/null
+++ b/src/node/caller/CompletionCall.ts
@@ -0,0 +1,313 @@
+import { err, ok, type Result } from "neverthrow";
+import { choosePool } from "../../core/paths/choosePool.js";
+import { prefixHashes } from "../../core/paths/prefixHashes.js";
+import { mayRetry } from "../../core/retry/mayRetry.js";
+import type { Pool } from "../../schema/config/Pool.js";
+import type { GrantEnd } from "../../schema/peer/GrantEnd.js";
+import type { EngineError } from "../services/EngineError.js";
+import type { EngineRequest } from "../services/EngineRequest.js";
+import type { EngineStream } from "../services/EngineStream.js";
+import type { Grant } from "../services/Grant.js";
+import type { AnswerSink } from "./AnswerSink.js";
+import { CallerFault } from "./CallerFault.js";
+import type { CallerParts } from "./CallerParts.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { CallSummary } from "./CallSummary.js";
+import type { CompletionRequest } from "./CompletionRequest.js";
+import { faultOfEngineError } from "./faultOfEngineError.js";
+import { faultOfRefusal } from "./faultOfRefusal.js";
+import { promptText } from "./promptText.js";
+import { recordDecision } from "./recordDecision.js";
+import { ticketFor } from "./ticketFor.js";
+import { TokenTimes } from "./TokenTimes.js";
+
+const charactersPerToken = 4;
+const progressPeriodMs = 250;
+/** A stream that the caller has begun to read waits this long for a slot to go on. */
+const continuationQueueMs = 600_000;
+
+interface CompletionWork {
+    readonly endpoint: EngineRequest["endpoint"];
+    readonly body: CompletionRequest;
+    readonly sink: AnswerSink;
+}
+
+type AttemptEnd =
+    | { readonly kind: "whole"; }
+    | { readonly kind: "preempted"; }
+    | { readonly kind: "caller-gone"; }
+    | { readonly kind: "failed"; readonly error: EngineError; };
+
+/** One completion of a caller: grants, attempts, and the answer put together out of them with each token once. */
+export class CompletionCall {
+    private readonly promptTokens: number;
+    private readonly hashes: number[];
+    private readonly maxOutputTokens: number;
+    private readonly excludedUpstreams: string[] = [];
+    private readonly times = new TokenTimes();
+    private deliveredText = "";
+    private ticketAttempt = 0;
+    private mayHaveRun = false;
+
+    constructor(
+        private readonly parts: CallerParts,
+        private readonly request: CallerRequest,
+        private readonly work: CompletionWork,
+        private readonly summary: CallSummary,
+    ) {
+        const prompt = promptText(work.body);
+        this.promptTokens = Math.ceil(prompt.length / charactersPerToken);
+        this.hashes = prefixHashes(prompt);
+        this.maxOutputTokens = work.body.max_completion_tokens ?? work.body.max_tokens ?? request.serviceClass.defaultMaxOutputTokens;
+        summary.service = work.body.model;
+    }
+
+    /** Serves the call to its end; the caller has been answered when it resolves. */
+    async run(): Promise<void> {
+        const admitted = this.parts.limits.admit(this.request.customer, this.promptTokens + this.maxOutputTokens);
+        if (admitted.isErr()) {
+            const { kind, retryAfterMs } = admitted.error;
+            recordDecision(this.parts, this.request, "limited", { limit: kind, retryAfterMs });
+            this.fail(
+                new CallerFault(
+                    { status: 429, code: "customer_limit", outcome: "not-run", retryAfterMs },
+                    `over the limit of ${kind}; send less or ask the operator for more`,
+                ),
+            );
+            return;
+        }
+        const served = await this.serve();
+        this.noteTimes();
+        admitted.value.end(this.promptTokens + this.times.tokens);
+        if (served.isErr()) {
+            this.fail(served.error);
+            return;
+        }
+        this.work.sink.finish();
+        this.summary.status = 200;
+        this.summary.outcome = "ran";
+        this.summary.isComplete = true;
+    }
+
+    private async serve(): Promise<Result<void, CallerFault>> {
+        const pool = choosePool(this.request.view, {
+            kind: "engine",
+            service: this.work.body.model,
+            serviceClass: this.request.serviceClass.name,
+            customer: this.request.customer.name,
+            key: this.pathKey(),
+        });
+        if (pool === undefined) {
+            return err(
+                new CallerFault({ status: 404, code: "model_not_found", outcome: "not-run" }, "no pool serves this model; see /v1/models"),
+            );
+        }
+        this.summary.path = pool.path;
+        recordDecision(this.parts, this.request, "path", { path: pool.path, pool: pool.name });
+        this.parts.retryBudget.earn();
+        return this.serveFrom(pool);
+    }
+
+    private async serveFrom(pool: Pool): Promise<Result<void, CallerFault>> {
+        for (;;) {
+            const grant = await this.acquire(pool);
+            if (grant.isErr()) {
+                return err(grant.error);
+            }
+            const end = await this.attempt(grant.value);
+            if (end.kind === "whole") {
+                return ok();
+            }
+            if (end.kind === "caller-gone") {
+                return err(callerGone(this.mayHaveRun));
+            }
+            if (end.kind === "failed" && !this.goOnAfter(end.error, grant.value, pool)) {
+                return err(faultOfEngineError(end.error, this.mayHaveRun));
+            }
+        }
+    }
+
+    private async acquire(pool: Pool): Promise<Result<Grant, CallerFault>> {
+        const waitedFromMs = this.times.tokens === 0 ? this.request.arrivedMs : this.parts.scheduler.nowMs();
+        const ticket = ticketFor(this.parts, this.request, {
+            pool,
+            service: this.work.body.model,
+            promptTokens: this.promptTokens + this.times.tokens,
+            maxOutputTokens: Math.max(1, this.maxOutputTokens - this.times.tokens),
+            prefixHashes: this.hashes,
+            attempt: this.ticketAttempt++,
+            excludedUpstreams: this.excludedUpstreams.slice(-16),
+            waitedMs: this.parts.scheduler.nowMs() - waitedFromMs,
+            maxQueueMs: this.times.tokens === 0 ? this.request.serviceClass.maxQueueMs : continuationQueueMs,
+        });
+        recordDecision(this.parts, this.request, "queued", { pool: pool.name, attempt: ticket.attempt });
+        const grant = await this.parts.dispatch.acquire(ticket, this.request.gone);
+        if (grant.isErr()) {
+            recordDecision(this.parts, this.request, grant.error.kind === "shed" ? "shed" : "refused", { kind: grant.error.kind });
+            return err(this.request.gone.aborted ? callerGone(this.mayHaveRun) : this.withOutcome(faultOfRefusal(grant.error)));
+        }
+        this.summary.queueMs ??= this.parts.scheduler.nowMs() - this.request.arrivedMs;
+        this.summary.upstreamId = grant.value.upstream.id;
+        this.summary.attempts++;
+        recordDecision(this.parts, this.request, "granted", { upstream: grant.value.upstream.id, attempt: ticket.attempt });
+        return ok(grant.value);
+    }
+
+    /** A refusal of the dispatcher says nothing of what earlier attempts did. */
+    private withOutcome(fault: CallerFault): CallerFault {
+        if (!this.mayHaveRun) {
+            return fault;
+        }
+        const { status, code, retryAfterMs, message } = fault;
+        return new CallerFault({ status, code, retryAfterMs, outcome: "unknown" }, message);
+    }
+
+    private async attempt(grant: Grant): Promise<AttemptEnd> {
+        const sentMs = this.parts.scheduler.nowMs();
+        const attemptTimes = new TokenTimes();
+        recordDecision(this.parts, this.request, "sent", { upstream: grant.upstream.id, fromToken: this.times.tokens });
+        const signal = AbortSignal.any([this.request.gone, grant.preempted]);
+        const opened = await this.parts.engines.open(grant.upstream, this.engineRequest(grant), signal);
+        const end = opened.isOk()
+            ? await this.relay(opened.value, grant, sentMs, attemptTimes)
+            : this.endOf(opened.error, grant);
+        this.mayHaveRun ||= opened.isOk() || mayHaveDoneWork(opened.error);
+        grant.end(grantEnd(end, attemptTimes, sentMs));
+        return end;
+    }
+
+    private async relay(stream: EngineStream, grant: Grant, sentMs: number, attemptTimes: TokenTimes): Promise<AttemptEnd> {
+        let progressAtMs = sentMs;
+        try {
+            for await (const chunk of stream) {
+                const nowMs = this.parts.scheduler.nowMs();
+                if (chunk.tokenCount > 0) {
+                    if (this.times.tokens === 0) {
+                        this.noteFirstToken(grant, nowMs);
+                    }
+                    attemptTimes.add(nowMs, chunk.tokenCount);
+                    this.times.add(nowMs, chunk.tokenCount);
+                    this.deliveredText += chunk.text;
+                }
+                if (nowMs - progressAtMs >= progressPeriodMs) {
+                    progressAtMs = nowMs;
+                    grant.progress(attemptTimes.tokens, (attemptTimes.firstTokenAtMs ?? nowMs) - sentMs);
+                }
+                const pending = this.work.sink.write(chunk);
+                if (pending !== undefined) {
+                    await pending;
+                }
+            }
+        }
+        catch (error) {
+            return this.endOf(error as EngineError, grant);
+        }
+        finally {
+            this.summary.wastedTokens += stream.receivedTokens - this.times.tokens;
+        }
+        return { kind: "whole" };
+    }
+
+    private endOf(error: EngineError, grant: Grant): AttemptEnd {
+        if (this.request.gone.aborted) {
+            return { kind: "caller-gone" };
+        }
+        if (error.kind === "cancelled" && grant.preempted.aborted) {
+            recordDecision(this.parts, this.request, "preempted", { upstream: grant.upstream.id, tokens: this.times.tokens });
+            return { kind: "preempted" };
+        }
+        return { kind: "failed", error };
+    }
+
+    /** Decides whether a failed attempt is followed by another one. */
+    private goOnAfter(error: EngineError, grant: Grant, pool: Pool): boolean {
+        this.excludedUpstreams.push(grant.upstream.id);
+        const question = {
+            failure: { mayHaveRun: mayHaveDoneWork(error), isRequestFault: error.kind === "refused" && isRequestFault(error.status) },
+            isRepeatable: pool.repeatable,
+            attempts: this.summary.attempts,
+            maxAttempts: this.parts.callerLimits.maxAttempts,
+        };
+        const goesOn = mayRetry(question, this.parts.retryBudget);
+        if (goesOn) {
+            const kind = this.times.tokens > 0 ? "continued" : "retried";
+            recordDecision(this.parts, this.request, kind, {
+                after: error.kind,
+                upstream: grant.upstream.id,
+                fromToken: this.times.tokens,
+            });
+        }
+        return goesOn;
+    }
+
+    private engineRequest(grant: Grant): EngineRequest {
+        return {
+            requestId: this.request.requestId,
+            body: this.engineBody(),
+            endpoint: this.work.endpoint,
+            priority: grant.priority,
+            resumeFromToken: this.times.tokens,
+            prefixText: this.deliveredText,
+        };
+    }
+
+    /** A whole answer is put together out of a stream, and its usage is then wanted in any case. */
+    private engineBody(): Readonly<Record<string, unknown>> {
+        const { body } = this.work;
+        return body.stream === true ? body : { ...body, stream_options: { include_usage: true } };
+    }
+
+    private noteFirstToken(grant: Grant, nowMs: number): void {
+        recordDecision(this.parts, this.request, "first-token", {
+            upstream: grant.upstream.id,
+            afterMs: Math.round(nowMs - this.request.arrivedMs),
+        });
+    }
+
+    private noteTimes(): void {
+        const { firstTokenAtMs, maxGapMs, meanGapMs, tokens } = this.times;
+        this.summary.firstTokenMs = firstTokenAtMs === undefined ? undefined : firstTokenAtMs - this.request.arrivedMs;
+        this.summary.maxTokenGapMs = maxGapMs;
+        this.summary.meanTokenGapMs = meanGapMs;
+        this.summary.tokens = tokens;
+    }
+
+    private pathKey(): string {
+        const key = this.request.incoming.headers["idempotency-key"];
+        return typeof key === "string" ? key : this.request.requestId;
+    }
+
+    private fail(fault: CallerFault): void {
+        this.summary.status = fault.status;
+        this.summary.outcome = fault.outcome;
+        this.summary.errorCode = fault.code;
+        this.work.sink.fail(fault);
+    }
+}
+
+/** Only these kinds of failure are sure to have left the engine without work. */
+function mayHaveDoneWork(error: EngineError): boolean {
+    return error.kind === "broken" || error.kind === "silent" || error.kind === "cancelled";
+}
+
+function isRequestFault(status: number | undefined): boolean {
+    return status !== undefined && status >= 400 && status < 500;
+}
+
+function callerGone(mayHaveRun: boolean): CallerFault {
+    return new CallerFault(
+        { status: 499, code: "caller_gone", outcome: mayHaveRun ? "unknown" : "not-run" },
+        "the caller closed its connection",
+    );
+}
+
+function grantEnd(end: AttemptEnd, times: TokenTimes, sentMs: number): GrantEnd {
+    const results = { "whole": "completed", "preempted": "cancelled", "caller-gone": "cancelled", "failed": "failed" } as const;
+    return {
+        result: results[end.kind],
+        outputTokens: times.tokens,
+        firstTokenMs: times.firstTokenAtMs === undefined ? undefined : times.firstTokenAtMs - sentMs,
+        maxTokenGapMs: times.maxGapMs,
+        meanTokenGapMs: times.meanGapMs,
+    };
+}
--- /dev/null
+++ b/src/node/caller/PlainCall.ts
@@ -0,0 +1,348 @@
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import type { Readable } from "node:stream";
+import { pipeline } from "node:stream/promises";
+import { choosePool } from "../../core/paths/choosePool.js";
+import { mayRetry } from "../../core/retry/mayRetry.js";
+import type { Pool } from "../../schema/config/Pool.js";
+import type { BookingAnswer } from "../services/BookingAnswer.js";
+import type { BookingError } from "../services/BookingError.js";
+import type { EngineError } from "../services/EngineError.js";
+import type { Grant } from "../services/Grant.js";
+import type { PlainRequest } from "../services/PlainRequest.js";
+import type { PlainResponse } from "../services/PlainResponse.js";
+import { SendFailure } from "../services/SendFailure.js";
+import { CallerFault } from "./CallerFault.js";
+import type { CallerParts } from "./CallerParts.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { CallSummary } from "./CallSummary.js";
+import { faultOfEngineError } from "./faultOfEngineError.js";
+import { faultOfRefusal } from "./faultOfRefusal.js";
+import { LimitedBody } from "./LimitedBody.js";
+import { readHeldBody } from "./readHeldBody.js";
+import { recordDecision } from "./recordDecision.js";
+import { sendFault } from "./sendFault.js";
+import { ticketFor } from "./ticketFor.js";
+
+const plainCallTokens = 1;
+/** Set by the router or meant for it alone. */
+const ownHeaders: ReadonlySet<string> = new Set(["authorization", "x-orioleshelf-class", "x-request-id"]);
+/** Set by this server on every answer. */
+const ownAnswerHeaders: ReadonlySet<string> = new Set(["x-request-id", "x-orioleshelf-outcome", "date"]);
+
+interface PlainWork {
+    readonly service: string;
+    /** Path and query behind `/services/{service}`. */
+    readonly target: string;
+}
+
+interface Exchange {
+    readonly grant: Grant;
+    readonly response: PlainResponse;
+    readonly sentMs: number;
+}
+
+/** One call to a plain service. A keyed call that may not be repeated goes through the booking service. */
+export class PlainCall {
+    private readonly excludedUpstreams: string[] = [];
+    private mayHaveRun = false;
+    private ticketAttempt = 0;
+
+    constructor(
+        private readonly parts: CallerParts,
+        private readonly request: CallerRequest,
+        private readonly work: PlainWork,
+        private readonly summary: CallSummary,
+    ) {
+        summary.service = work.service;
+    }
+
+    /** Serves the call to its end; the caller has been answered when it resolves. */
+    async run(): Promise<void> {
+        const admitted = this.parts.limits.admit(this.request.customer, plainCallTokens);
+        if (admitted.isErr()) {
+            const { kind, retryAfterMs } = admitted.error;
+            recordDecision(this.parts, this.request, "limited", { limit: kind, retryAfterMs });
+            this.fail(
+                new CallerFault(
+                    { status: 429, code: "customer_limit", outcome: "not-run", retryAfterMs },
+                    `over the limit of ${kind}; send less or ask the operator for more`,
+                ),
+            );
+            return;
+        }
+        const served = await this.serve();
+        admitted.value.end(plainCallTokens);
+        if (served.isErr()) {
+            this.fail(served.error);
+        }
+    }
+
+    private async serve(): Promise<Result<void, CallerFault>> {
+        const pool = choosePool(this.request.view, {
+            kind: "plain",
+            service: this.work.service,
+            serviceClass: this.request.serviceClass.name,
+            customer: this.request.customer.name,
+            key: this.key ?? this.request.requestId,
+        });
+        if (pool === undefined) {
+            return err(
+                new CallerFault(
+                    { status: 404, code: "service_not_found", outcome: "not-run" },
+                    "no pool serves this service; check its name",
+                ),
+            );
+        }
+        this.summary.path = pool.path;
+        recordDecision(this.parts, this.request, "path", { path: pool.path, pool: pool.name });
+        this.parts.retryBudget.earn();
+        if (!pool.repeatable && this.key !== undefined) {
+            return this.serveBooking(pool, this.key);
+        }
+        return this.serveStreamed(pool);
+    }
+
+    private get key(): string | undefined {
+        const key = this.request.incoming.headers["idempotency-key"];
+        return typeof key === "string" && key !== "" ? key : undefined;
+    }
+
+    private async serveBooking(pool: Pool, key: string): Promise<Result<void, CallerFault>> {
+        const body = await readHeldBody(this.request.incoming, this.parts.callerLimits.maxHeldBodyBytes);
+        if (body.isErr()) {
+            return err(body.error);
+        }
+        const call = {
+            customer: this.request.customer.name,
+            key,
+            digest: this.digest(body.value),
+            upstreamDeduplicates: pool.deduplicatesByKey,
+        };
+        const answer = await this.parts.bookings.run(call, () => this.sendBooking(pool, body.value), this.request.gone);
+        if (answer.isErr()) {
+            return err(faultOfBooking(answer.error));
+        }
+        this.sendHeldAnswer(answer.value);
+        return ok();
+    }
+
+    /** Runs once the claim is won, and to its end even when the caller goes: others may have joined the call. */
+    private async sendBooking(pool: Pool, body: Buffer): Promise<BookingAnswer> {
+        const untilSent = new AbortController();
+        const exchange = await this.exchangeWithRetries(pool, body, false, untilSent.signal);
+        if (exchange.isErr()) {
+            const { outcome, message, retryAfterMs } = exchange.error;
+            throw new SendFailure(outcome, message, retryAfterMs);
+        }
+        const { response } = exchange.value;
+        const whole = await readAnswer(response.body);
+        this.endGrant(exchange.value, whole === undefined ? "failed" : "completed");
+        if (whole === undefined) {
+            throw new SendFailure("unknown", "the answer of the upstream broke off; look the booking up before sending it under a new key");
+        }
+        const contentType = response.headers["content-type"];
+        return {
+            status: response.status,
+            contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
+            body: whole,
+        };
+    }
+
+    private async serveStreamed(pool: Pool): Promise<Result<void, CallerFault>> {
+        const body = await this.streamedBody(pool);
+        if (body.isErr()) {
+            return err(body.error);
+        }
+        const exchange = await this.exchangeWithRetries(pool, body.value, pool.repeatable, this.request.gone);
+        if (exchange.isErr()) {
+            return err(exchange.error);
+        }
+        return this.streamAnswer(exchange.value);
+    }
+
+    /** A short body of a call that may be repeated is held; any other is streamed and can be sent only once. */
+    private async streamedBody(pool: Pool): Promise<Result<Buffer | Readable | undefined, CallerFault>> {
+        const { incoming } = this.request;
+        const lengthBytes = Number(incoming.headers["content-length"] ?? 0);
+        const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+        if (lengthBytes === 0 && !isChunked) {
+            return ok(undefined);
+        }
+        if (pool.repeatable && !isChunked && lengthBytes <= this.parts.callerLimits.maxRepeatableBodyBytes) {
+            return readHeldBody(incoming, lengthBytes);
+        }
+        const { maxStreamedBodyBytes } = this.parts.callerLimits;
+        if (lengthBytes > maxStreamedBodyBytes) {
+            return err(
+                new CallerFault(
+                    { status: 413, code: "body_too_large", outcome: "not-run" },
+                    `the body is larger than ${maxStreamedBodyBytes} bytes; send less`,
+                ),
+            );
+        }
+        return ok(incoming.pipe(new LimitedBody(maxStreamedBodyBytes)));
+    }
+
+    private async exchangeWithRetries(
+        pool: Pool,
+        body: Buffer | Readable | undefined,
+        isRepeatable: boolean,
+        signal: AbortSignal,
+    ): Promise<Result<Exchange, CallerFault>> {
+        for (;;) {
+            const grant = await this.acquire(pool, signal);
+            if (grant.isErr()) {
+                return err(grant.error);
+            }
+            const sentMs = this.parts.scheduler.nowMs();
+            recordDecision(this.parts, this.request, "sent", { upstream: grant.value.upstream.id });
+            const response = await this.parts.plain.send(grant.value.upstream, this.plainRequest(body), signal);
+            if (response.isOk()) {
+                this.mayHaveRun = true;
+                return ok({ grant: grant.value, response: response.value, sentMs });
+            }
+            grant.value.end({ result: signal.aborted ? "cancelled" : "failed", outputTokens: 0 });
+            if (!this.goOnAfter(response.error, grant.value, body, isRepeatable) || signal.aborted) {
+                return err(faultOfEngineError(response.error, this.mayHaveRun));
+            }
+        }
+    }
+
+    private async acquire(pool: Pool, signal: AbortSignal): Promise<Result<Grant, CallerFault>> {
+        const ticket = ticketFor(this.parts, this.request, {
+            pool,
+            service: this.work.service,
+            promptTokens: 0,
+            maxOutputTokens: plainCallTokens,
+            prefixHashes: [],
+            attempt: this.ticketAttempt++,
+            excludedUpstreams: this.excludedUpstreams.slice(-16),
+            waitedMs: this.parts.scheduler.nowMs() - this.request.arrivedMs,
+            maxQueueMs: this.request.serviceClass.maxQueueMs,
+        });
+        recordDecision(this.parts, this.request, "queued", { pool: pool.name, attempt: ticket.attempt });
+        const grant = await this.parts.dispatch.acquire(ticket, signal);
+        if (grant.isErr()) {
+            recordDecision(this.parts, this.request, grant.error.kind === "shed" ? "shed" : "refused", { kind: grant.error.kind });
+            const fault = faultOfRefusal(grant.error);
+            return err(this.mayHaveRun ? new CallerFault({ ...fault, outcome: "unknown" }, fault.message) : fault);
+        }
+        this.summary.queueMs ??= this.parts.scheduler.nowMs() - this.request.arrivedMs;
+        this.summary.upstreamId = grant.value.upstream.id;
+        this.summary.attempts++;
+        recordDecision(this.parts, this.request, "granted", { upstream: grant.value.upstream.id, attempt: ticket.attempt });
+        return ok(grant.value);
+    }
+
+    private goOnAfter(error: EngineError, grant: Grant, body: Buffer | Readable | undefined, isRepeatable: boolean): boolean {
+        const mayHaveRun = error.kind === "broken" || error.kind === "silent" || error.kind === "cancelled";
+        this.mayHaveRun ||= mayHaveRun;
+        this.excludedUpstreams.push(grant.upstream.id);
+        const canSendBodyAgain = body === undefined || Buffer.isBuffer(body);
+        const question = {
+            failure: { mayHaveRun, isRequestFault: false },
+            isRepeatable,
+            attempts: this.summary.attempts,
+            maxAttempts: this.parts.callerLimits.maxAttempts,
+        };
+        const goesOn = canSendBodyAgain && mayRetry(question, this.parts.retryBudget);
+        if (goesOn) {
+            recordDecision(this.parts, this.request, "retried", { after: error.kind, upstream: grant.upstream.id });
+        }
+        return goesOn;
+    }
+
+    private plainRequest(body: Buffer | Readable | undefined): PlainRequest {
+        const { headers, method } = this.request.incoming;
+        const kept = Object.entries(headers).filter(([name, value]) => value !== undefined && !ownHeaders.has(name));
+        return {
+            requestId: this.request.requestId,
+            method: method ?? "GET",
+            target: this.work.target,
+            headers: Object.fromEntries(kept) as Record<string, string | string[]>,
+            body,
+            silenceLimitMs: this.parts.callerLimits.plainSilenceLimitMs,
+            maxAnswerBytes: this.parts.callerLimits.maxStreamedBodyBytes,
+        };
+    }
+
+    private async streamAnswer(exchange: Exchange): Promise<Result<void, CallerFault>> {
+        const { response } = exchange;
+        const { outgoing } = this.request;
+        const kept = Object.entries(response.headers).filter(([name]) => !ownAnswerHeaders.has(name));
+        outgoing.writeHead(response.status, { ...Object.fromEntries(kept), ...this.answerHeaders() });
+        this.noteAnswer(response.status);
+        try {
+            await pipeline(response.body, outgoing);
+        }
+        catch {
+            // The head is out, so a broken connection is all that can tell the caller; it must not look like a whole answer.
+            outgoing.destroy();
+            this.endGrant(exchange, this.request.gone.aborted ? "cancelled" : "failed");
+            return err(new CallerFault({ status: response.status, code: "answer_broken", outcome: "ran" }, "the answer broke off"));
+        }
+        this.endGrant(exchange, "completed");
+        this.summary.isComplete = true;
+        return ok();
+    }
+
+    private sendHeldAnswer(answer: BookingAnswer): void {
+        this.request.outgoing.writeHead(answer.status, {
+            "content-type": answer.contentType,
+            "content-length": answer.body.length,
+            ...this.answerHeaders(),
+        });
+        this.request.outgoing.end(answer.body);
+        this.noteAnswer(answer.status);
+        this.summary.isComplete = true;
+    }
+
+    private noteAnswer(status: number): void {
+        this.summary.status = status;
+        this.summary.outcome = "ran";
+        this.summary.firstTokenMs = this.parts.scheduler.nowMs() - this.request.arrivedMs;
+    }
+
+    private answerHeaders(): Record<string, string> {
+        return { "x-request-id": this.request.requestId, "x-orioleshelf-outcome": "ran" };
+    }
+
+    private endGrant(exchange: Exchange, result: "completed" | "failed" | "cancelled"): void {
+        const firstTokenMs = this.parts.scheduler.nowMs() - exchange.sentMs;
+        exchange.grant.end({ result, outputTokens: 0, firstTokenMs });
+    }
+
+    private digest(body: Buffer): string {
+        const { method } = this.request.incoming;
+        return createHash("sha256").update(`${method} ${this.work.service} ${this.work.target}\n`).update(body).digest("hex");
+    }
+
+    private fail(fault: CallerFault): void {
+        this.summary.status = fault.status;
+        this.summary.outcome = fault.outcome;
+        this.summary.errorCode = fault.code;
+        sendFault(this.request.outgoing, fault, this.request.requestId, !this.request.incoming.complete);
+    }
+}
+
+function faultOfBooking(error: BookingError): CallerFault {
+    const statuses = { "key-reused": 422, "log-unavailable": 503, "outcome-unknown": 502, "upstream-failed": 502, "cancelled": 499 };
+    const code = error.kind.replaceAll("-", "_");
+    const status = error.kind === "upstream-failed" && error.outcome === "not-run" ? 503 : statuses[error.kind];
+    return new CallerFault({ status, code, outcome: error.outcome, retryAfterMs: error.retryAfterMs }, error.message);
+}
+
+/** The whole body; undefined when it broke off. */
+async function readAnswer(body: Readable): Promise<Buffer | undefined> {
+    const parts: Buffer[] = [];
+    try {
+        for await (const part of body as AsyncIterable<Buffer>) {
+            parts.push(part);
+        }
+        return Buffer.concat(parts);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/node/caller/readHeldBody.ts
@@ -0,0 +1,37 @@
+import { err, ok, type Result } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import { CallerFault } from "./CallerFault.js";
+
+/** Reads a body into memory, up to a limit. A body that declares itself too large is refused before it is read. */
+export async function readHeldBody(incoming: IncomingMessage, maxBytes: number): Promise<Result<Buffer, CallerFault>> {
+    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
+        return err(tooLarge(maxBytes));
+    }
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+        for await (const part of incoming as AsyncIterable<Buffer>) {
+            sizeBytes += part.length;
+            if (sizeBytes > maxBytes) {
+                return err(tooLarge(maxBytes));
+            }
+            parts.push(part);
+        }
+    }
+    catch {
+        return err(
+            new CallerFault(
+                { status: 400, code: "body_incomplete", outcome: "not-run" },
+                "the body ended early; send the whole request again",
+            ),
+        );
+    }
+    return ok(Buffer.concat(parts));
+}
+
+function tooLarge(maxBytes: number): CallerFault {
+    return new CallerFault(
+        { status: 413, code: "body_too_large", outcome: "not-run" },
+        `the body is larger than ${maxBytes} bytes; send less`,
+    );
+}
--- /dev/null
+++ b/src/node/caller/waitForDrain.ts
@@ -0,0 +1,23 @@
+import type { ServerResponse } from "node:http";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+
+/** Settles when the caller has taken what was written, or has gone. A caller that takes nothing for `stallLimitMs` is disconnected. */
+export function waitForDrain(response: ServerResponse, scheduler: Scheduler, stallLimitMs: number): Promise<void> {
+    return new Promise(resolve => {
+        const limit = new AbortController();
+        const settle = () => {
+            limit.abort();
+            response.off("drain", settle);
+            response.off("close", settle);
+            resolve();
+        };
+        response.on("drain", settle);
+        response.on("close", settle);
+        scheduler.after(stallLimitMs, () => {
+            response.destroy();
+        }, limit.signal);
+        if (response.destroyed) {
+            settle();
+        }
+    });
+}
