--- /dev/null
+++ b/src/node/platform/vmlist/LeavingList.ts
@@ -0,0 +1,6 @@
+/** Upstreams that the platform says are leaving. */
+export interface LeavingList {
+    isLeaving(upstreamId: string): boolean;
+    /** Calls `listener` with all ids that are leaving whenever the set changes. */
+    onChange(listener: (leaving: ReadonlySet<string>) => void, signal: AbortSignal): void;
+}
--- /dev/null
+++ b/src/node/platform/vmlist/VmListTask.ts
@@ -0,0 +1,72 @@
+import createDebug from "debug";
+import type { Scheduler } from "../../../core/util/Scheduler.js";
+import type { VmList } from "../../../schema/platform/VmList.js";
+import type { LeavingList } from "./LeavingList.js";
+import type { VmListClient } from "./VmListClient.js";
+
+const log = createDebug("orioleshelf:vmlist");
+
+interface VmListTaskOptions {
+    readonly client: VmListClient;
+    readonly scheduler: Scheduler;
+    readonly periodMs?: number;
+}
+
+/** Polls the platform's VM list and keeps the last answer; while the platform is away, the last answer stays in use. */
+export class VmListTask implements LeavingList {
+    /** VMs of the last answer. */
+    vms: VmList["vms"] = [];
+    private leaving: ReadonlySet<string> = new Set();
+    private readonly listeners = new Set<(leaving: ReadonlySet<string>) => void>();
+    private isPolling = false;
+    private isFailing = false;
+
+    constructor(private readonly options: VmListTaskOptions) {}
+
+    /** Polls at once and then every `periodMs`, until `signal` aborts. */
+    start(signal: AbortSignal): void {
+        const poll = () => void this.poll(signal);
+        poll();
+        this.options.scheduler.every(this.options.periodMs ?? 1000, poll, signal);
+    }
+
+    isLeaving(upstreamId: string): boolean {
+        return this.leaving.has(upstreamId);
+    }
+
+    onChange(listener: (leaving: ReadonlySet<string>) => void, signal: AbortSignal): void {
+        this.listeners.add(listener);
+        signal.addEventListener("abort", () => this.listeners.delete(listener), { once: true });
+    }
+
+    private async poll(signal: AbortSignal): Promise<void> {
+        if (this.isPolling || signal.aborted) {
+            return;
+        }
+        this.isPolling = true;
+        const answer = await this.options.client.fetch(signal);
+        this.isPolling = false;
+        if (answer.isErr()) {
+            if (!this.isFailing && !signal.aborted) {
+                log("%s", answer.error.message);
+            }
+            this.isFailing = true;
+            return;
+        }
+        this.isFailing = false;
+        this.vms = answer.value.vms;
+        this.setLeaving(new Set(answer.value.upstreams.filter(upstream => upstream.leaving).map(upstream => upstream.id)));
+    }
+
+    private setLeaving(leaving: ReadonlySet<string>): void {
+        const isSame = leaving.size === this.leaving.size && [...leaving].every(id => this.leaving.has(id));
+        if (isSame) {
+            return;
+        }
+        this.leaving = leaving;
+        log("leaving by the platform's list: %s", [...leaving].join(", ") || "none");
+        for (const listener of this.listeners) {
+            listener(leaving);
+        }
+    }
+}
