Add membership by heartbeats between neighbours, with zones cut off as a whole

A neighbour not heard both ways is asked after at other VMs before it is called gone; a zone that no representative hears is left out of the view.

--- /dev/null
+++ b/src/core/membership/MemberEntry.ts
@@ -0,0 +1,23 @@
+import type { MemberRecord } from "../../schema/peer/MemberRecord.js";
+
+/** What is known of one VM. Times are on the local monotonic clock. */
+export interface MemberEntry {
+    record: MemberRecord;
+    isGone: boolean;
+    goneAtMs: number;
+    /** When anything last came from it. */
+    heardAtMs: number;
+    /** When it last said that it hears this VM too. */
+    heardBothWaysAtMs: number;
+    /** When another VM last heard it both ways. */
+    vouchedAtMs: number;
+    /** Since when this VM watches it; -Infinity when it does not. */
+    watchedSinceMs: number;
+    lastProbeMs: number;
+    configOffset: number;
+    /** Values of the change counter when the record and the offset last changed. */
+    recordChange: number;
+    offsetChange: number;
+    /** The neighbour that told the last change, which need not be told again. */
+    toldBy: string;
+}
--- /dev/null
+++ b/src/core/membership/MemberStore.ts
@@ -0,0 +1,126 @@
+import type { GoneStatement } from "../../schema/peer/GoneStatement.js";
+import type { MemberRecord } from "../../schema/peer/MemberRecord.js";
+import { fnv1a } from "../util/fnv1a.js";
+import { mixHash } from "../util/mixHash.js";
+import type { MemberEntry } from "./MemberEntry.js";
+
+/** All VMs known, the own one included, and which record of each wins. */
+export class MemberStore {
+    /** Raised with every change; tells what a neighbour has not been sent yet. */
+    changes = 0;
+    /** Order-free hash over the records of members that are not gone. */
+    digest = 0;
+    private readonly entries = new Map<string, MemberEntry>();
+
+    get(vm: string): MemberEntry | undefined {
+        return this.entries.get(vm);
+    }
+
+    all(): Iterable<MemberEntry> {
+        return this.entries.values();
+    }
+
+    get size(): number {
+        return this.entries.size;
+    }
+
+    /** Takes a record over when it is newer than what is known; true when it was. */
+    put(record: MemberRecord, toldBy: string): boolean {
+        const entry = this.entries.get(record.vm);
+        if (entry !== undefined && !isNewer(record, entry.record)) {
+            return false;
+        }
+        if (entry === undefined || entry.record.incarnation !== record.incarnation) {
+            this.replace(entry, newEntry(record));
+        }
+        else {
+            this.toggleDigest(entry);
+            entry.record = record;
+            entry.watchedSinceMs = entry.isGone ? -Infinity : entry.watchedSinceMs;
+            entry.isGone = false;
+            this.toggleDigest(entry);
+        }
+        this.markRecord(record.vm, toldBy);
+        return true;
+    }
+
+    /** Marks a VM as gone unless a newer record is known; true when this changed something. */
+    markGone(statement: GoneStatement, nowMs: number, toldBy: string): boolean {
+        const entry = this.entries.get(statement.vm);
+        if (entry === undefined || entry.isGone || isNewer(entry.record, statement)) {
+            return false;
+        }
+        this.toggleDigest(entry);
+        entry.record = { ...entry.record, incarnation: statement.incarnation, version: statement.version };
+        entry.isGone = true;
+        entry.goneAtMs = nowMs - statement.ageMs;
+        this.markRecord(statement.vm, toldBy);
+        return true;
+    }
+
+    setOffset(vm: string, configOffset: number, toldBy: string): boolean {
+        const entry = this.entries.get(vm);
+        if (entry === undefined || configOffset <= entry.configOffset) {
+            return false;
+        }
+        entry.configOffset = configOffset;
+        entry.offsetChange = ++this.changes;
+        entry.toldBy = toldBy;
+        return true;
+    }
+
+    forget(vm: string): void {
+        const entry = this.entries.get(vm);
+        if (entry !== undefined) {
+            this.replace(entry, undefined);
+        }
+    }
+
+    private markRecord(vm: string, toldBy: string): void {
+        const entry = this.entries.get(vm);
+        if (entry !== undefined) {
+            entry.recordChange = ++this.changes;
+            entry.toldBy = toldBy;
+        }
+    }
+
+    private replace(old: MemberEntry | undefined, replacement: MemberEntry | undefined): void {
+        if (old !== undefined) {
+            this.toggleDigest(old);
+            this.entries.delete(old.record.vm);
+        }
+        if (replacement !== undefined) {
+            this.entries.set(replacement.record.vm, replacement);
+            this.toggleDigest(replacement);
+        }
+    }
+
+    /** Adds a live record to the digest, or takes it out again. */
+    private toggleDigest(entry: MemberEntry): void {
+        if (!entry.isGone) {
+            const { vm, incarnation, version } = entry.record;
+            this.digest = (this.digest ^ mixHash(fnv1a(`${vm} ${incarnation} ${version}`))) >>> 0;
+        }
+    }
+}
+
+function isNewer(left: { readonly incarnation: string; readonly version: number; }, right: typeof left): boolean {
+    return left.incarnation > right.incarnation || (left.incarnation === right.incarnation && left.version > right.version);
+}
+
+function newEntry(record: MemberRecord): MemberEntry {
+    return {
+        record,
+        isGone: false,
+        goneAtMs: -Infinity,
+        heardAtMs: -Infinity,
+        heardBothWaysAtMs: -Infinity,
+        vouchedAtMs: -Infinity,
+        watchedSinceMs: -Infinity,
+        lastProbeMs: -Infinity,
+        configOffset: -1,
+        recordChange: 0,
+        offsetChange: 0,
+        toldBy: "",
+    };
+}
--- /dev/null
+++ b/src/core/membership/MembershipSettings.ts
@@ -0,0 +1,19 @@
+/** Timing of membership. All durations in milliseconds. */
+export interface MembershipSettings {
+    readonly tickMs: number;
+    readonly heartbeatMs: number;
+    /** A neighbour not heard for this long is asked after at other VMs. */
+    readonly suspectAfterMs: number;
+    /** A neighbour that nobody has heard for this long is gone. */
+    readonly goneAfterMs: number;
+    readonly probeMs: number;
+    /** A statement that a VM is gone is checked before it is believed, once it is older than this. */
+    readonly freshStatementMs: number;
+    /** How long VMs that are gone are remembered, and dialled now and then in case they were only cut off. */
+    readonly rememberGoneMs: number;
+    /** How long a VM that is gone, and that the platform does not list, counts as possibly alive. */
+    readonly possiblyAliveMs: number;
+    readonly syncMs: number;
+    /** Heartbeats in a row with another digest before the members are compared. */
+    readonly mismatchesBeforeSync: number;
+}
--- /dev/null
+++ b/src/core/membership/MembershipTable.ts
@@ -0,0 +1,741 @@
+import type { GoneStatement } from "../../schema/peer/GoneStatement.js";
+import type { MemberRecord } from "../../schema/peer/MemberRecord.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import { defaultMembershipSettings } from "./defaultMembershipSettings.js";
+import type { Member } from "./Member.js";
+import type { MemberEntry } from "./MemberEntry.js";
+import type { MembershipSettings } from "./MembershipSettings.js";
+import { MemberStore } from "./MemberStore.js";
+import { ringNeighbours } from "./ringNeighbours.js";
+import { zoneRepresentatives } from "./zoneRepresentatives.js";
+
+type Heartbeat = Extract<PeerMessage, { type: "heartbeat"; }>;
+type MemberSync = Extract<PeerMessage, { type: "memberSync"; }>;
+type MemberProbe = Extract<PeerMessage, { type: "memberProbe"; }>;
+type MemberVouch = Extract<PeerMessage, { type: "memberVouch"; }>;
+
+/** A tick that comes later than this many periods means that this process itself was paused. */
+const pausedTicks = 4;
+/** How many members of another zone are tried at once when its representatives are not heard. */
+const triedMembers = 3;
+/** VMs outside the zone of a suspect that are asked after it. */
+const outsideHelpers = 2;
+/** Heartbeat periods for which a VM that sent a heartbeat is sent heartbeats in turn. */
+const guestPeriods = 3;
+
+interface Neighbour {
+    /** Change counters up to which it has been told all records and offsets. */
+    toldRecordChanges: number;
+    toldOffsetChanges: number;
+    mismatches: number;
+    lastSyncMs: number;
+    /** Heartbeats go to it until then even when it is not a neighbour by this VM's own view. */
+    guestUntilMs: number;
+}
+
+interface MembershipTableOptions {
+    readonly self: Omit<MemberRecord, "version" | "state" | "unreachableZones">;
+    /** Sends without waiting; false when the VM cannot be reached now. */
+    readonly send: (vm: string, message: PeerMessage) => boolean;
+    /** Told what changed, for the log. */
+    readonly onEvent?: (
+        event: { readonly kind: "joined" | "gone" | "zone-lost" | "zone-back" | "superseded"; readonly subject: string; },
+    ) => void;
+    readonly settings?: MembershipSettings;
+}
+
+/**
+ * Who is alive, without I/O. Each VM exchanges heartbeats with a few neighbours of its zone and, when it is a representative of its zone,
+ * with one of another zone; changes travel along the same links. A neighbour that is no longer heard both ways is asked after at other
+ * VMs before it is called gone. A zone of which no representative hears anything is left out of the view until it is heard again.
+ */
+export class MembershipTable {
+    private readonly settings: MembershipSettings;
+    private readonly store = new MemberStore();
+    private readonly neighbours = new Map<string, Neighbour>();
+    private readonly askers = new Map<string, Set<string>>();
+    /** Statements under check: when to believe them unless the VM is heard. */
+    private readonly checks = new Map<string, number>();
+    private readonly representativeSinceMs = new Map<string, number>();
+    private readonly lastTriedMs = new Map<string, number>();
+    private readonly zoneOffsets = new Map<string, { offset: number; change: number; }>();
+    private listed: ReadonlySet<string> = new Set();
+    private watched: readonly string[] = [];
+    private version = 0;
+    private state: MemberRecord["state"] = "starting";
+    private unreachableZones: readonly string[] = [];
+    private nowMs: number;
+    private nextHeartbeatMs: number;
+    private rotation = 0;
+    private hasLeft = false;
+    private isSuperseded = false;
+    private membersAt: { readonly changes: number; readonly members: readonly Member[]; } | undefined;
+
+    constructor(private readonly options: MembershipTableOptions, nowMs: number) {
+        this.settings = options.settings ?? defaultMembershipSettings;
+        this.nowMs = nowMs;
+        this.nextHeartbeatMs = nowMs;
+        this.publishSelf();
+    }
+
+    /** Differs after every change of what is known. */
+    get changeCount(): number {
+        return this.store.changes;
+    }
+
+    /** VMs in the view, the own one included, in order of their ids. The same array is returned until something changes. */
+    get members(): readonly Member[] {
+        if (this.membersAt?.changes !== this.store.changes) {
+            this.membersAt = { changes: this.store.changes, members: this.computeMembers() };
+        }
+        return this.membersAt.members;
+    }
+
+    /** VMs that may be alive: those in the view, and those that are only known not to be reachable from here. */
+    get possiblyAliveCount(): number {
+        let count = 0;
+        for (const entry of this.store.all()) {
+            const isListed = this.listed.has(entry.record.vm);
+            if (!entry.isGone || isListed || this.nowMs - entry.goneAtMs < this.settings.possiblyAliveMs) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Where each VM that is known can be dialled. */
+    get addresses(): ReadonlyMap<string, string> {
+        const addresses = new Map<string, string>();
+        for (const { record } of this.store.all()) {
+            if (record.vm !== this.options.self.vm) {
+                addresses.set(record.vm, record.peerUrl);
+            }
+        }
+        return addresses;
+    }
+
+    /** VMs that are known but not in the view, which are dialled now and then in case they can be reached again. */
+    get lostVms(): readonly string[] {
+        const visible = new Set(this.members.map(member => member.vm));
+        return [...this.store.all()].map(entry => entry.record.vm).filter(vm => !visible.has(vm));
+    }
+
+    /** Sets what this VM tells of itself; a new state is sent to the neighbours at once. */
+    setLocal(local: { readonly state?: MemberRecord["state"]; readonly configOffset?: number; }): void {
+        if (local.configOffset !== undefined) {
+            this.store.setOffset(this.options.self.vm, local.configOffset, "");
+        }
+        if (local.state !== undefined && local.state !== this.state) {
+            this.state = local.state;
+            this.publishSelf();
+            this.sendHeartbeats();
+        }
+    }
+
+    /** Tells the neighbours that this VM stops. */
+    leave(): void {
+        this.hasLeft = true;
+        const { vm, incarnation } = this.options.self;
+        const gone: GoneStatement = { vm, incarnation, version: this.version, ageMs: 0 };
+        for (const neighbour of this.targets()) {
+            this.options.send(neighbour, { ...this.bareHeartbeatTo(neighbour), gone: [gone] });
+        }
+    }
+
+    /** VMs that the platform's list gives as alive. */
+    setListed(vms: Iterable<string>): void {
+        this.listed = new Set(vms);
+    }
+
+    /** A link to `vm` has opened: whoever is new there, or was lost, is told what is known here. */
+    linkOpened(vm: string, nowMs: number): void {
+        this.nowMs = Math.max(this.nowMs, nowMs);
+        const entry = this.store.get(vm);
+        const neighbour = this.neighbourOf(vm);
+        neighbour.toldOffsetChanges = 0;
+        if (entry === undefined || !this.isVisible(entry)) {
+            neighbour.guestUntilMs = this.nowMs + guestPeriods * this.settings.heartbeatMs;
+            this.sync(vm, true);
+        }
+        if (this.targets().has(vm)) {
+            this.sendHeartbeat(vm);
+        }
+    }
+
+    /** Moves time on; to be called every `tickMs`. */
+    tick(nowMs: number): void {
+        const pausedMs = nowMs - this.nowMs;
+        this.nowMs = nowMs;
+        if (this.hasLeft) {
+            return;
+        }
+        if (pausedMs > pausedTicks * this.settings.tickMs) {
+            this.forgiveOwnPause(pausedMs);
+        }
+        this.updateWatched();
+        this.watchNeighbours();
+        this.watchZones();
+        this.endChecks();
+        this.forgetLongGone();
+        this.updateOwnZoneOffset();
+        if (nowMs >= this.nextHeartbeatMs) {
+            this.nextHeartbeatMs = nowMs + this.settings.heartbeatMs;
+            this.sendHeartbeats();
+        }
+        else {
+            this.sendNews();
+        }
+    }
+
+    receive(from: string, message: PeerMessage, nowMs: number): void {
+        if (this.hasLeft) {
+            return;
+        }
+        this.nowMs = Math.max(this.nowMs, nowMs);
+        switch (message.type) {
+            case "heartbeat":
+                this.receiveHeartbeat(from, message);
+                return;
+            case "memberSync":
+                this.receiveSync(from, message);
+                return;
+            case "memberProbe":
+                this.receiveProbe(from, message);
+                return;
+            case "memberVouch":
+                this.receiveVouch(message);
+                return;
+        }
+    }
+
+    private receiveHeartbeat(from: string, heartbeat: Heartbeat): void {
+        for (const record of heartbeat.records ?? []) {
+            this.receiveRecord(from, record);
+        }
+        for (const statement of heartbeat.gone ?? []) {
+            this.receiveGone(from, statement);
+        }
+        for (const [vm, offset] of heartbeat.offsets ?? []) {
+            this.store.setOffset(vm, offset, from);
+        }
+        for (const [zone, offset] of heartbeat.zoneOffsets ?? []) {
+            this.setZoneOffset(zone, offset);
+        }
+        this.noteHeard(from, heartbeat);
+        this.compareDigest(from, heartbeat.digest);
+    }
+
+    private noteHeard(from: string, heartbeat: Heartbeat): void {
+        const entry = this.store.get(from);
+        if (entry === undefined) {
+            this.sync(from, true);
+            return;
+        }
+        if (entry.record.incarnation !== heartbeat.incarnation) {
+            if (heartbeat.incarnation > entry.record.incarnation) {
+                this.sync(from, true);
+            }
+            return;
+        }
+        entry.heardAtMs = this.nowMs;
+        if (heartbeat.heardMs >= 0) {
+            this.noteHeardBothWays(entry, heartbeat.heardMs);
+        }
+        if (entry.isGone) {
+            this.tellGone(from, entry);
+        }
+        this.greetGuest(from);
+    }
+
+    /** Beyond one period without a heartbeat from here, the peer did not hear this VM; that time does not count as heard. */
+    private noteHeardBothWays(entry: MemberEntry, heardByPeerMs: number): void {
+        const unheardMs = Math.max(0, heardByPeerMs - this.settings.heartbeatMs);
+        entry.heardBothWaysAtMs = Math.max(entry.heardBothWaysAtMs, this.nowMs - unheardMs);
+        if (this.isHeard(entry)) {
+            this.checks.delete(entry.record.vm);
+            this.answerAskers(entry);
+        }
+    }
+
+    /** A VM that sends heartbeats gets them in turn, the first at once. */
+    private greetGuest(vm: string): void {
+        const neighbour = this.neighbourOf(vm);
+        const isNew = neighbour.guestUntilMs < this.nowMs && !this.watched.includes(vm);
+        neighbour.guestUntilMs = this.nowMs + guestPeriods * this.settings.heartbeatMs;
+        if (isNew) {
+            this.options.send(vm, this.bareHeartbeatTo(vm));
+        }
+    }
+
+    private receiveRecord(from: string, record: MemberRecord): void {
+        if (record.vm === this.options.self.vm) {
+            if (record.incarnation > this.options.self.incarnation && !this.isSuperseded) {
+                this.isSuperseded = true;
+                this.options.onEvent?.({ kind: "superseded", subject: record.incarnation });
+            }
+            return;
+        }
+        const before = this.store.get(record.vm);
+        const wasAlive = before !== undefined && !before.isGone;
+        if (this.store.put(record, from) && !wasAlive) {
+            this.options.onEvent?.({ kind: "joined", subject: record.vm });
+        }
+    }
+
+    private receiveGone(from: string, statement: GoneStatement): void {
+        if (statement.vm === this.options.self.vm) {
+            this.refute(statement);
+            return;
+        }
+        const entry = this.store.get(statement.vm);
+        if (entry === undefined || entry.isGone || entry.record.incarnation > statement.incarnation) {
+            return;
+        }
+        if (statement.vm !== from && this.isHeard(entry)) {
+            this.options.send(statement.vm, { ...this.bareHeartbeatTo(statement.vm), gone: [statement] });
+        }
+        else if (statement.vm === from || statement.ageMs < this.settings.freshStatementMs) {
+            this.markGone(statement, from);
+        }
+        else if (!this.checks.has(statement.vm)) {
+            this.checks.set(statement.vm, this.nowMs + this.settings.goneAfterMs);
+            this.options.send(statement.vm, this.bareHeartbeatTo(statement.vm));
+            this.probe(entry);
+        }
+    }
+
+    /** This VM is alive: a higher version overrides the statement everywhere. */
+    private refute(statement: GoneStatement): void {
+        if (statement.incarnation === this.options.self.incarnation && statement.version >= this.version) {
+            this.version = statement.version;
+            this.publishSelf();
+            this.sendNews();
+        }
+    }
+
+    private markGone(statement: GoneStatement, toldBy: string): void {
+        if (this.store.markGone(statement, this.nowMs, toldBy)) {
+            this.checks.delete(statement.vm);
+            this.options.onEvent?.({ kind: "gone", subject: statement.vm });
+            this.sendNews();
+        }
+    }
+
+    private receiveSync(from: string, sync: MemberSync): void {
+        const known = new Map(sync.known.map(([vm, incarnation, version]) => [vm, { incarnation, version }]));
+        const records: MemberRecord[] = [];
+        const gone: GoneStatement[] = [];
+        const offsets: [string, number][] = [];
+        for (const entry of this.store.all()) {
+            const other = known.get(entry.record.vm);
+            const isSame = other?.incarnation === entry.record.incarnation && other.version === entry.record.version;
+            if (entry.isGone && other !== undefined) {
+                gone.push(this.statementOf(entry));
+            }
+            else if (!entry.isGone && !isSame) {
+                records.push(entry.record);
+                offsets.push([entry.record.vm, entry.configOffset]);
+            }
+        }
+        const zoneOffsets = [...this.zoneOffsets].map(([zone, { offset }]): [string, number] => [zone, offset]);
+        this.options.send(from, { ...this.bareHeartbeatTo(from), records, gone, offsets, zoneOffsets });
+        if (sync.wantsList) {
+            this.sync(from, false);
+        }
+    }
+
+    private receiveProbe(from: string, probe: MemberProbe): void {
+        const entry = this.store.get(probe.vm);
+        if (probe.vm === this.options.self.vm || entry?.record.incarnation !== probe.incarnation) {
+            return;
+        }
+        if (this.nowMs - entry.heardBothWaysAtMs < this.settings.heartbeatMs) {
+            this.vouch(from, entry);
+            return;
+        }
+        const askers = this.askers.get(probe.vm) ?? new Set();
+        askers.add(from);
+        this.askers.set(probe.vm, askers);
+        this.options.send(probe.vm, this.bareHeartbeatTo(probe.vm));
+    }
+
+    private answerAskers(entry: MemberEntry): void {
+        const askers = this.askers.get(entry.record.vm);
+        if (askers !== undefined) {
+            this.askers.delete(entry.record.vm);
+            for (const asker of askers) {
+                this.vouch(asker, entry);
+            }
+        }
+    }
+
+    private vouch(asker: string, entry: MemberEntry): void {
+        const { vm, incarnation } = entry.record;
+        this.options.send(asker, { type: "memberVouch", vm, incarnation, heardMs: this.nowMs - entry.heardBothWaysAtMs });
+    }
+
+    private receiveVouch(vouch: MemberVouch): void {
+        const entry = this.store.get(vouch.vm);
+        if (entry?.record.incarnation === vouch.incarnation && vouch.heardMs < this.settings.goneAfterMs) {
+            entry.vouchedAtMs = Math.max(entry.vouchedAtMs, this.nowMs - vouch.heardMs);
+            this.checks.delete(vouch.vm);
+        }
+    }
+
+    private compareDigest(from: string, digest: number): void {
+        const neighbour = this.neighbourOf(from);
+        neighbour.mismatches = digest === this.store.digest ? 0 : neighbour.mismatches + 1;
+        if (neighbour.mismatches >= this.settings.mismatchesBeforeSync) {
+            this.sync(from, true);
+        }
+    }
+
+    /** Compares all members with one VM, not more often than every `syncMs`. */
+    private sync(vm: string, wantsList: boolean): void {
+        const neighbour = this.neighbourOf(vm);
+        if (wantsList && this.nowMs - neighbour.lastSyncMs < this.settings.syncMs) {
+            return;
+        }
+        const known = [...this.store.all()]
+            .filter(entry => !entry.isGone)
+            .map(({ record }): [string, string, number] => [record.vm, record.incarnation, record.version]);
+        if (this.options.send(vm, { type: "memberSync", known, wantsList })) {
+            neighbour.lastSyncMs = this.nowMs;
+            neighbour.mismatches = 0;
+        }
+    }
+
+    private updateWatched(): void {
+        const zones = this.vmsByZone();
+        const { vm, availabilityZone } = this.options.self;
+        const ownZone = zones.get(availabilityZone) ?? [];
+        const watched = new Set(ringNeighbours(vm, ownZone));
+        for (const entry of this.store.all()) {
+            if (entry.record.vm !== vm && entry.record.availabilityZone === availabilityZone) {
+                const isWatched = watched.has(entry.record.vm);
+                entry.watchedSinceMs = !isWatched ? -Infinity : Math.max(entry.watchedSinceMs, -1) < 0 ? this.nowMs : entry.watchedSinceMs;
+            }
+        }
+        for (const [zone, vms] of zones) {
+            if (zone !== availabilityZone) {
+                this.addPartners(watched, zone, vms, ownZone);
+            }
+        }
+        this.watched = [...watched];
+    }
+
+    /** Adds the VMs of another zone that this VM is linked to as a representative of its own. */
+    private addPartners(watched: Set<string>, zone: string, vms: readonly string[], ownZone: readonly string[]): void {
+        const { vm, availabilityZone } = this.options.self;
+        const own = zoneRepresentatives(availabilityZone, zone, ownZone);
+        const others = zoneRepresentatives(zone, availabilityZone, vms);
+        for (let index = 0; index < Math.max(own.length, others.length); index++) {
+            const partner = others[index % others.length];
+            if (own[index % own.length] === vm && partner !== undefined) {
+                watched.add(partner);
+            }
+        }
+        if (!own.includes(vm)) {
+            this.representativeSinceMs.delete(zone);
+        }
+        else if (!this.representativeSinceMs.has(zone)) {
+            this.representativeSinceMs.set(zone, this.nowMs);
+        }
+    }
+
+    private watchNeighbours(): void {
+        for (const entry of this.store.all()) {
+            if (entry.isGone || entry.watchedSinceMs < 0) {
+                continue;
+            }
+            const silentMs = this.nowMs - Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs, entry.watchedSinceMs);
+            if (silentMs > this.settings.goneAfterMs) {
+                this.markGone({ ...this.statementOf(entry), ageMs: 0 }, "");
+            }
+            else if (silentMs > this.settings.suspectAfterMs) {
+                this.probe(entry);
+            }
+        }
+    }
+
+    /** Asks other VMs whether they hear a VM. */
+    private probe(entry: MemberEntry): void {
+        if (this.nowMs - entry.lastProbeMs < this.settings.probeMs) {
+            return;
+        }
+        entry.lastProbeMs = this.nowMs;
+        const { vm, incarnation, availabilityZone } = entry.record;
+        const zones = this.vmsByZone();
+        const helpers = new Set(ringNeighbours(vm, zones.get(availabilityZone) ?? []));
+        const outside = this.members.map(member => member.vm).filter(other => !helpers.has(other) && other !== vm);
+        for (let index = 0; index < Math.min(outsideHelpers, outside.length); index++) {
+            helpers.add(outside[this.rotation++ % outside.length] as string);
+        }
+        helpers.delete(this.options.self.vm);
+        for (const helper of helpers) {
+            this.options.send(helper, { type: "memberProbe", vm, incarnation });
+        }
+    }
+
+    /** As a representative: notes which zones are heard, and tries other members of one that is not. */
+    private watchZones(): void {
+        const unreachable: string[] = [];
+        for (const [zone, sinceMs] of this.representativeSinceMs) {
+            const entries = [...this.store.all()].filter(entry => !entry.isGone && entry.record.availabilityZone === zone);
+            if (entries.length === 0) {
+                continue;
+            }
+            const heardAtMs = Math.max(sinceMs, ...entries.map(entry => entry.heardBothWaysAtMs));
+            const silentMs = this.nowMs - heardAtMs;
+            if (silentMs > this.settings.suspectAfterMs) {
+                this.tryZone(zone, entries);
+            }
+            if (silentMs > this.settings.goneAfterMs) {
+                unreachable.push(zone);
+            }
+        }
+        unreachable.sort();
+        if (unreachable.join() !== this.unreachableZones.join()) {
+            this.noteZones(unreachable);
+        }
+    }
+
+    private tryZone(zone: string, entries: readonly MemberEntry[]): void {
+        if (this.nowMs - (this.lastTriedMs.get(zone) ?? -Infinity) < this.settings.probeMs) {
+            return;
+        }
+        this.lastTriedMs.set(zone, this.nowMs);
+        for (let index = 0; index < Math.min(triedMembers, entries.length); index++) {
+            const entry = entries[this.rotation++ % entries.length] as MemberEntry;
+            this.options.send(entry.record.vm, this.bareHeartbeatTo(entry.record.vm));
+        }
+    }
+
+    private noteZones(unreachable: readonly string[]): void {
+        for (const zone of unreachable) {
+            if (!this.unreachableZones.includes(zone)) {
+                this.options.onEvent?.({ kind: "zone-lost", subject: zone });
+            }
+        }
+        for (const zone of this.unreachableZones) {
+            if (!unreachable.includes(zone)) {
+                this.options.onEvent?.({ kind: "zone-back", subject: zone });
+            }
+        }
+        this.unreachableZones = unreachable;
+        this.publishSelf();
+        this.sendNews();
+    }
+
+    private endChecks(): void {
+        for (const [vm, untilMs] of this.checks) {
+            const entry = this.store.get(vm);
+            if (entry === undefined || entry.isGone || this.isHeard(entry)) {
+                this.checks.delete(vm);
+            }
+            else if (this.nowMs >= untilMs) {
+                this.markGone({ ...this.statementOf(entry), ageMs: 0 }, "");
+            }
+            else {
+                this.probe(entry);
+            }
+        }
+    }
+
+    private forgetLongGone(): void {
+        for (const entry of [...this.store.all()]) {
+            if (entry.isGone && this.nowMs - entry.goneAtMs > this.settings.rememberGoneMs) {
+                this.store.forget(entry.record.vm);
+                this.neighbours.delete(entry.record.vm);
+            }
+        }
+    }
+
+    /** What was not heard while this process stood still is no sign of anything. */
+    private forgiveOwnPause(pausedMs: number): void {
+        for (const entry of this.store.all()) {
+            entry.heardBothWaysAtMs += pausedMs;
+            entry.heardAtMs += pausedMs;
+            entry.vouchedAtMs += pausedMs;
+            entry.watchedSinceMs += pausedMs;
+        }
+        for (const [zone, sinceMs] of this.representativeSinceMs) {
+            this.representativeSinceMs.set(zone, sinceMs + pausedMs);
+        }
+        for (const [vm, untilMs] of this.checks) {
+            this.checks.set(vm, untilMs + pausedMs);
+        }
+    }
+
+    private targets(): Set<string> {
+        const targets = new Set(this.watched);
+        for (const [vm, neighbour] of this.neighbours) {
+            if (neighbour.guestUntilMs >= this.nowMs) {
+                targets.add(vm);
+            }
+        }
+        return targets;
+    }
+
+    private sendHeartbeats(): void {
+        for (const vm of this.targets()) {
+            this.sendHeartbeat(vm);
+        }
+    }
+
+    /** Sends to those neighbours that have something to learn. */
+    private sendNews(): void {
+        for (const vm of this.targets()) {
+            const neighbour = this.neighbourOf(vm);
+            if (Math.min(neighbour.toldRecordChanges, neighbour.toldOffsetChanges) < this.store.changes) {
+                this.sendHeartbeat(vm, true);
+            }
+        }
+    }
+
+    /** Sends a heartbeat with what the neighbour has not been told yet; with `onlyNews`, only when there is something. */
+    private sendHeartbeat(vm: string, onlyNews = false): void {
+        const neighbour = this.neighbourOf(vm);
+        const news = this.newsFor(vm, neighbour);
+        const isSent = (onlyNews && Object.keys(news).length === 0) || this.options.send(vm, { ...this.bareHeartbeatTo(vm), ...news });
+        if (isSent) {
+            neighbour.toldRecordChanges = this.store.changes;
+            neighbour.toldOffsetChanges = this.store.changes;
+        }
+    }
+
+    private bareHeartbeatTo(vm: string): Heartbeat {
+        const heardAtMs = this.store.get(vm)?.heardAtMs ?? -Infinity;
+        return {
+            type: "heartbeat",
+            incarnation: this.options.self.incarnation,
+            heardMs: heardAtMs === -Infinity ? -1 : Math.max(0, Math.round(this.nowMs - heardAtMs)),
+            digest: this.store.digest,
+        };
+    }
+
+    /** What has changed since the neighbour was last told. Offsets of single VMs stay inside their zone. */
+    private newsFor(vm: string, neighbour: Neighbour): Partial<Heartbeat> {
+        const { toldRecordChanges, toldOffsetChanges } = neighbour;
+        if (Math.min(toldRecordChanges, toldOffsetChanges) >= this.store.changes) {
+            return {};
+        }
+        const zone = this.options.self.availabilityZone;
+        const isSameZone = this.store.get(vm)?.record.availabilityZone === zone;
+        const others = [...this.store.all()].filter(entry => entry.toldBy !== vm && entry.record.vm !== vm);
+        const changed = others.filter(entry => entry.recordChange > toldRecordChanges);
+        const records = changed.filter(entry => !entry.isGone).map(entry => entry.record);
+        const gone = changed.filter(entry => entry.isGone).map(entry => this.statementOf(entry));
+        const offsets = !isSameZone ? [] : others
+            .filter(entry => entry.offsetChange > toldOffsetChanges && entry.record.availabilityZone === zone)
+            .map((entry): [string, number] => [entry.record.vm, entry.configOffset]);
+        const zoneOffsets = [...this.zoneOffsets]
+            .filter(([, { change }]) => change > toldOffsetChanges)
+            .map(([name, { offset }]): [string, number] => [name, offset]);
+        return {
+            ...(records.length > 0 ? { records } : {}),
+            ...(gone.length > 0 ? { gone } : {}),
+            ...(offsets.length > 0 ? { offsets } : {}),
+            ...(zoneOffsets.length > 0 ? { zoneOffsets } : {}),
+        };
+    }
+
+    private tellGone(vm: string, entry: MemberEntry): void {
+        this.options.send(vm, { ...this.bareHeartbeatTo(vm), gone: [this.statementOf(entry)] });
+    }
+
+    private statementOf(entry: MemberEntry): GoneStatement {
+        const { vm, incarnation, version } = entry.record;
+        return { vm, incarnation, version, ageMs: entry.isGone ? Math.max(0, this.nowMs - entry.goneAtMs) : 0 };
+    }
+
+    private publishSelf(): void {
+        this.version++;
+        const record = { ...this.options.self, version: this.version, state: this.state, unreachableZones: [...this.unreachableZones] };
+        this.store.put(record, "");
+    }
+
+    private updateOwnZoneOffset(): void {
+        const zone = this.options.self.availabilityZone;
+        let least = Infinity;
+        for (const entry of this.store.all()) {
+            if (!entry.isGone && entry.record.availabilityZone === zone && entry.record.state !== "starting") {
+                least = Math.min(least, entry.configOffset);
+            }
+        }
+        if (least !== Infinity) {
+            this.setZoneOffset(zone, least);
+        }
+    }
+
+    private setZoneOffset(zone: string, offset: number): void {
+        if (offset > (this.zoneOffsets.get(zone)?.offset ?? -1)) {
+            this.zoneOffsets.set(zone, { offset, change: ++this.store.changes });
+        }
+    }
+
+    private isHeard(entry: MemberEntry): boolean {
+        return this.nowMs - Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs) < this.settings.suspectAfterMs;
+    }
+
+    private isVisible(entry: MemberEntry): boolean {
+        return !entry.isGone && !this.hiddenZones().has(entry.record.availabilityZone);
+    }
+
+    /** Zones that every representative of the own zone says it does not hear. */
+    private hiddenZones(): Set<string> {
+        const zones = this.vmsByZone();
+        const ownZone = this.options.self.availabilityZone;
+        const hidden = new Set<string>();
+        for (const zone of zones.keys()) {
+            const representatives = zoneRepresentatives(ownZone, zone, zones.get(ownZone) ?? []);
+            const isLost = representatives.every(vm => this.store.get(vm)?.record.unreachableZones.includes(zone));
+            if (zone !== ownZone && isLost) {
+                hidden.add(zone);
+            }
+        }
+        return hidden;
+    }
+
+    private vmsByZone(): Map<string, string[]> {
+        const zones = new Map<string, string[]>();
+        for (const { isGone, record } of this.store.all()) {
+            if (!isGone) {
+                const vms = zones.get(record.availabilityZone) ?? [];
+                vms.push(record.vm);
+                zones.set(record.availabilityZone, vms);
+            }
+        }
+        return zones;
+    }
+
+    private computeMembers(): Member[] {
+        const hidden = this.hiddenZones();
+        const members: Member[] = [];
+        for (const { isGone, record, configOffset } of this.store.all()) {
+            if (isGone || hidden.has(record.availabilityZone)) {
+                continue;
+            }
+            const isOwnZone = record.availabilityZone === this.options.self.availabilityZone;
+            const offset = isOwnZone ? configOffset : this.zoneOffsets.get(record.availabilityZone)?.offset ?? -1;
+            const { vm, incarnation, availabilityZone, region, peerUrl, state } = record;
+            members.push({ vm, incarnation, availabilityZone, region, peerUrl, state, configOffset: offset });
+        }
+        return members.sort((left, right) => left.vm < right.vm ? -1 : 1);
+    }
+
+    private neighbourOf(vm: string): Neighbour {
+        let neighbour = this.neighbours.get(vm);
+        if (neighbour === undefined) {
+            neighbour = {
+                toldRecordChanges: this.store.changes,
+                toldOffsetChanges: 0,
+                mismatches: 0,
+                lastSyncMs: -Infinity,
+                guestUntilMs: -Infinity,
+            };
+            this.neighbours.set(vm, neighbour);
+        }
+        return neighbour;
+    }
+}
--- /dev/null
+++ b/src/schema/peer/GoneStatement.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+
+/** A VM has left or crashed; a record of the same incarnation with a higher version refutes it. */
+export const GoneStatement = z.object({
+    vm: z.string().min(1).max(64),
+    incarnation: z.string().min(1).max(64),
+    version: z.int().min(0),
+    /** Time since a VM that watched it came to this. */
+    ageMs: z.number().min(0),
+});
+export type GoneStatement = z.infer<typeof GoneStatement>;
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -1,26 +1,36 @@
 import { z } from "zod";
+import { GoneStatement } from "./GoneStatement.js";
 import { GrantEnd } from "./GrantEnd.js";
+import { MemberRecord } from "./MemberRecord.js";
 import { Ticket } from "./Ticket.js";
 
 /** Every message between VMs. A new kind of message is one more entry here and one handler. */
 export const PeerMessage = z.discriminatedUnion("type", [
+    /** Sent to neighbours only; all but the first fields are left out when nothing has changed. */
     z.object({
         type: z.literal("heartbeat"),
-        vm: z.string(),
         incarnation: z.string(),
-        state: z.enum(["ready", "starting", "draining"]),
-        configOffset: z.int(),
-        /** Members that the sender has heard of, for discovery; only those changed since the last heartbeat to this peer. */
-        members: z.array(z.object({
-            vm: z.string(),
-            incarnation: z.string(),
-            availabilityZone: z.string(),
-            region: z.string(),
-            peerUrl: z.string(),
-            state: z.enum(["ready", "starting", "draining", "gone"]),
-            configOffset: z.int(),
-        })),
+        /** Time since the sender last heard from this peer; -1 when it never did. */
+        heardMs: z.int(),
+        /** Hash over the records of all members, by which two VMs find out that they know different ones. */
+        digest: z.int(),
+        records: z.array(MemberRecord).optional(),
+        gone: z.array(GoneStatement).optional(),
+        /** Offset of the configuration in force on VMs of the sender's zone. */
+        offsets: z.array(z.tuple([z.string(), z.int()])).optional(),
+        /** Least offset of the configuration in force in each zone. */
+        zoneOffsets: z.array(z.tuple([z.string(), z.int()])).optional(),
     }),
+    /** Lists what the sender knows (VM, incarnation, version); the peer answers with what is newer. */
+    z.object({
+        type: z.literal("memberSync"),
+        known: z.array(z.tuple([z.string(), z.string(), z.int()])),
+        /** Whether the peer should list what it knows in turn. */
+        wantsList: z.boolean(),
+    }),
+    /** Asks whether a VM that the sender no longer hears is heard elsewhere. */
+    z.object({ type: z.literal("memberProbe"), vm: z.string(), incarnation: z.string() }),
+    z.object({ type: z.literal("memberVouch"), vm: z.string(), incarnation: z.string(), heardMs: z.number().min(0) }),
     z.object({ type: z.literal("ticketOffer"), shard: z.string(), ticket: Ticket }),
     z.object({ type: z.literal("ticketWithdraw"), shard: z.string(), requestId: z.string(), attempt: z.int() }),
     z.object({
