Count service levels in mergeable cells and report burn over several windows

Histograms of one VM and interval merge exactly with those of others; a property test compares the merge with the histogram of all samples, and burn rates with a naive computation over random events on three VMs.

--- /dev/null
+++ b/src/core/servicelevel/CellCounter.ts
@@ -0,0 +1,97 @@
+import type { ServiceLevelCell } from "../../schema/report/ServiceLevelCell.js";
+import { LatencyHistogram } from "./LatencyHistogram.js";
+import type { Measure } from "./Measure.js";
+import { measures } from "./measures.js";
+import type { RequestSample } from "./RequestSample.js";
+import type { Verdict } from "./Verdict.js";
+
+/** An answer of at most this many tokens counts as short work. */
+const maxShortTokens = 128;
+const maxReasons = 16;
+const otherReason = "other";
+
+/** Adds up the requests of one class on one path. */
+export class CellCounter {
+    good = 0;
+    bad = 0;
+    outputTokens = 0;
+    wastedTokens = 0;
+    readonly badByReason = new Map<string, number>();
+    private readonly histograms = new Map<Measure, LatencyHistogram>();
+
+    constructor(readonly serviceClass: string, readonly path: "old" | "new") {}
+
+    /** Counts one request. Excluded requests add their tokens and times, but no event. */
+    add(sample: RequestSample, verdict: Verdict): void {
+        if (verdict.kind === "good") {
+            this.good++;
+        }
+        else if (verdict.kind === "bad") {
+            this.bad++;
+            this.addReason(verdict.reason, 1);
+        }
+        this.outputTokens += sample.tokens;
+        this.wastedTokens += sample.wastedTokens;
+        this.record("queue", sample.queueMs);
+        this.record("first-token", sample.firstTokenMs);
+        this.record("token-gap", sample.meanTokenGapMs);
+        this.record("total", sample.isComplete ? sample.totalMs : undefined);
+        this.record("short-queue", sample.isComplete && sample.tokens <= maxShortTokens ? sample.queueMs : undefined);
+    }
+
+    /** Adds a cell that was counted before, here or on another VM. */
+    merge(cell: ServiceLevelCell): void {
+        this.good += cell.good;
+        this.bad += cell.bad;
+        this.outputTokens += cell.outputTokens;
+        this.wastedTokens += cell.wastedTokens;
+        for (const [reason, count] of Object.entries(cell.badByReason)) {
+            this.addReason(reason, count);
+        }
+        for (const measure of measures) {
+            const encoded = cell.histograms[measure];
+            if (encoded !== undefined) {
+                this.histogram(measure).addEncoded(encoded);
+            }
+        }
+    }
+
+    /** The histogram of a measure; an empty one when nothing was recorded. */
+    histogram(measure: Measure): LatencyHistogram {
+        const known = this.histograms.get(measure);
+        if (known !== undefined) {
+            return known;
+        }
+        const histogram = new LatencyHistogram();
+        this.histograms.set(measure, histogram);
+        return histogram;
+    }
+
+    has(measure: Measure): boolean {
+        return this.histograms.has(measure);
+    }
+
+    toCell(): ServiceLevelCell {
+        return {
+            serviceClass: this.serviceClass,
+            path: this.path,
+            good: this.good,
+            bad: this.bad,
+            badByReason: Object.fromEntries(this.badByReason),
+            outputTokens: this.outputTokens,
+            wastedTokens: this.wastedTokens,
+            histograms: Object.fromEntries([...this.histograms].map(([measure, histogram]) => [measure, histogram.encode()])),
+        };
+    }
+
+    private record(measure: Measure, valueMs: number | undefined): void {
+        if (valueMs !== undefined) {
+            this.histogram(measure).record(valueMs);
+        }
+    }
+
+    private addReason(reason: string, count: number): void {
+        const name = this.badByReason.has(reason) || this.badByReason.size < maxReasons ? reason : otherReason;
+        this.badByReason.set(name, (this.badByReason.get(name) ?? 0) + count);
+    }
+}
--- /dev/null
+++ b/src/core/servicelevel/CellTable.ts
@@ -0,0 +1,34 @@
+import type { ServiceLevelCell } from "../../schema/report/ServiceLevelCell.js";
+import { CellCounter } from "./CellCounter.js";
+
+/** Counters by class and path. */
+export class CellTable {
+    private readonly cells = new Map<string, CellCounter>();
+
+    get size(): number {
+        return this.cells.size;
+    }
+
+    cell(serviceClass: string, path: "old" | "new"): CellCounter {
+        const name = `${path}/${serviceClass}`;
+        const known = this.cells.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const cell = new CellCounter(serviceClass, path);
+        this.cells.set(name, cell);
+        return cell;
+    }
+
+    merge(cell: ServiceLevelCell): void {
+        this.cell(cell.serviceClass, cell.path).merge(cell);
+    }
+
+    values(): Iterable<CellCounter> {
+        return this.cells.values();
+    }
+
+    toCells(): ServiceLevelCell[] {
+        return [...this.cells.values()].map(cell => cell.toCell());
+    }
+}
--- /dev/null
+++ b/src/core/servicelevel/LatencyHistogram.ts
@@ -0,0 +1,47 @@
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from "hdr-histogram-js";
+
+const unitsPerMs = 10;
+const maxUnits = 36_000_000;
+const counterBits = 32;
+
+/** Durations up to one hour, within 1%. Histograms merge exactly: merging equals recording all samples in one. */
+export class LatencyHistogram {
+    private readonly histogram: Histogram = build({
+        bitBucketSize: counterBits,
+        autoResize: false,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: maxUnits,
+        numberOfSignificantValueDigits: 2,
+    });
+
+    get count(): number {
+        return this.histogram.totalCount;
+    }
+
+    get maxMs(): number {
+        return this.count === 0 ? 0 : this.histogram.maxValue / unitsPerMs;
+    }
+
+    record(durationMs: number): void {
+        this.histogram.recordValue(Math.min(maxUnits, Math.max(0, Math.round(durationMs * unitsPerMs))));
+    }
+
+    /** Adds an encoded histogram; false, and nothing added, when the text is not one. */
+    addEncoded(encoded: string): boolean {
+        try {
+            this.histogram.add(decodeFromCompressedBase64(encoded, counterBits, false));
+            return true;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    percentileMs(percentile: number): number {
+        return this.count === 0 ? 0 : this.histogram.getValueAtPercentile(percentile) / unitsPerMs;
+    }
+
+    encode(): string {
+        return encodeIntoCompressedBase64(this.histogram);
+    }
+}
--- /dev/null
+++ b/src/core/servicelevel/buildReport.test.ts
@@ -0,0 +1,175 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { buildReport } from "./buildReport.js";
+import { burnWindows } from "./burnWindows.js";
+import { CellTable } from "./CellTable.js";
+import { IntervalStore } from "./IntervalStore.js";
+import { judgeRequest } from "./judgeRequest.js";
+import { LatencyHistogram } from "./LatencyHistogram.js";
+import type { RequestSample } from "./RequestSample.js";
+
+const minuteMs = 60_000;
+const hourMs = 60 * minuteMs;
+const nowMs = 1_000 * hourMs;
+const targets = { firstTokenTargetMs: 450, tokenGapTargetMs: 35 };
+const noPause = () => Promise.resolve();
+const latencyMs = fc.double({ min: 0, max: 100_000, noNaN: true });
+
+function sample(change: Partial<RequestSample>): RequestSample {
+    return {
+        status: 200,
+        errorCode: undefined,
+        queueMs: 1,
+        firstTokenMs: 100,
+        meanTokenGapMs: 10,
+        totalMs: 900,
+        tokens: 10,
+        wastedTokens: 0,
+        isComplete: true,
+        isAbandoned: false,
+        ...change,
+    };
+}
+
+test("a request is judged from the caller's side", () => {
+    const verdict = (change: Partial<RequestSample>, total?: number) => {
+        const judged = judgeRequest(sample(change), total === undefined ? targets : { ...targets, totalTargetMs: total });
+        return judged.kind === "bad" ? judged.reason : judged.kind;
+    };
+    expect(verdict({})).toEqual("good");
+    expect(verdict({ firstTokenMs: 451 })).toEqual("first-token");
+    expect(verdict({ meanTokenGapMs: 36 })).toEqual("token-gap");
+    expect(verdict({}, 899)).toEqual("total");
+    expect(verdict({ isComplete: false, status: 503, errorCode: "shed" })).toEqual("shed");
+    expect(verdict({ isComplete: false, status: 400, errorCode: "bad_request" })).toEqual("excluded");
+    expect(verdict({ isComplete: false, isAbandoned: true })).toEqual("excluded");
+    expect(verdict({ isComplete: false, isAbandoned: true, firstTokenMs: undefined, totalMs: 451 })).toEqual("first-token");
+});
+
+test("merged histograms equal the histogram of the merged samples", () => {
+    fc.assert(
+        fc.property(fc.array(fc.array(latencyMs, { maxLength: 50 }), { maxLength: 6 }), parts => {
+            const whole = new LatencyHistogram();
+            const merged = new LatencyHistogram();
+            for (const part of parts) {
+                const histogram = new LatencyHistogram();
+                part.forEach(value => {
+                    histogram.record(value);
+                    whole.record(value);
+                });
+                merged.addEncoded(histogram.encode());
+            }
+            return merged.encode() === whole.encode() && merged.count === parts.flat().length;
+        }),
+        { seed: 11, numRuns: 200 },
+    );
+});
+
+test("a histogram's percentiles lie within 1% of the sorted samples'", () => {
+    fc.assert(
+        fc.property(fc.array(latencyMs, { minLength: 1, maxLength: 200 }), fc.constantFrom(50, 95, 99), (values, percentile) => {
+            const histogram = new LatencyHistogram();
+            values.forEach(value => {
+                histogram.record(value);
+            });
+            const sorted = [...values].sort((left, right) => left - right);
+            const exact = sorted[Math.ceil(values.length * percentile / 100) - 1] ?? 0;
+            return Math.abs(histogram.percentileMs(percentile) - exact) <= exact * 0.01 + 0.1;
+        }),
+        { seed: 12, numRuns: 200 },
+    );
+});
+
+test("garbage in place of a histogram adds nothing", () => {
+    const histogram = new LatencyHistogram();
+    expect(histogram.addEncoded("garbage")).toEqual(false);
+    expect(histogram.count).toEqual(0);
+});
+
+/** A request that ended `ageMinutes` ago. */
+interface Event {
+    readonly ageMinutes: number;
+    readonly vm: number;
+    readonly isGood: boolean;
+    readonly queueMs: number;
+}
+
+const event: fc.Arbitrary<Event> = fc.record({
+    ageMinutes: fc.oneof(fc.integer({ min: 0, max: 70 }), fc.integer({ min: 0, max: 71 * 60 })),
+    vm: fc.integer({ min: 0, max: 2 }),
+    isGood: fc.boolean(),
+    queueMs: latencyMs,
+});
+
+function storesOf(events: readonly Event[], compactEveryMinutes: number): IntervalStore[] {
+    const stores = [0, 1, 2].map(() => new IntervalStore());
+    for (let age = 71 * 60; age >= 0; age--) {
+        for (const [vm, store] of stores.entries()) {
+            const ended = events.filter(candidate => candidate.vm === vm && candidate.ageMinutes === age);
+            if (ended.length > 0) {
+                const table = new CellTable();
+                for (const { isGood, queueMs } of ended) {
+                    table.cell("urgent", "new").add(sample({ queueMs }), isGood ? { kind: "good" } : { kind: "bad", reason: "shed" });
+                }
+                store.add({ startAtMs: nowMs - age * minuteMs, durationMs: minuteMs, cells: table.toCells() });
+            }
+            if (age % compactEveryMinutes === 0) {
+                store.compact(nowMs - age * minuteMs);
+            }
+        }
+    }
+    return stores;
+}
+
+test("burn rates, counts and percentiles over three VMs equal a naive computation, however often intervals were compacted", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            fc.array(event, { minLength: 1, maxLength: 60 }),
+            fc.constantFrom(1, 7, 300),
+            async (events, compactEveryMinutes) => {
+                const stores = storesOf(events, compactEveryMinutes);
+                const sinceAtMs = nowMs - 72 * hourMs;
+                const [level] = await buildReport(
+                    stores.flatMap(store => store.since(sinceAtMs)),
+                    { sinceAtMs, nowMs },
+                    () => 0.95,
+                    noPause,
+                );
+                const whole = new LatencyHistogram();
+                events.forEach(({ queueMs }) => {
+                    whole.record(queueMs);
+                });
+                const queue = level?.distributions.find(({ measure }) => measure === "queue");
+                expect([queue?.count, queue?.p50Ms, queue?.p99Ms]).toEqual([events.length, whole.percentileMs(50), whole.percentileMs(99)]);
+                for (const windowMs of burnWindows) {
+                    const inside = events.filter(({ ageMinutes }) => ageMinutes * minuteMs < windowMs + minuteMs);
+                    const bad = inside.filter(({ isGood }) => !isGood).length;
+                    const naive = inside.length === 0 ? undefined : (bad / inside.length) / (1 - 0.95);
+                    const told = level?.burn.find(window => window.windowMs === windowMs);
+                    expect([told?.good, told?.bad, told?.burnRate]).toEqual([inside.length - bad, bad, naive]);
+                }
+                const points = level?.points ?? [];
+                expect(points.reduce((sum, point) => sum + point.good + point.bad, 0)).toEqual(events.length);
+            },
+        ),
+        { seed: 13, numRuns: 60 },
+    );
+});
+
+test("a fast alert needs both windows and enough events", async () => {
+    const firing = async (badAges: readonly number[], goodAges: readonly number[]) => {
+        const events = [
+            ...badAges.map(ageMinutes => ({ ageMinutes, vm: 0, isGood: false, queueMs: 1 })),
+            ...goodAges.map(ageMinutes => ({ ageMinutes, vm: 0, isGood: true, queueMs: 1 })),
+        ];
+        const intervals = storesOf(events, 1).flatMap(store => store.since(0));
+        const [level] = await buildReport(intervals, { sinceAtMs: nowMs - 72 * hourMs, nowMs }, () => 0.95, noPause);
+        return level?.alerts.filter(alert => alert.firing).map(alert => `${alert.severity} ${alert.longWindowMs / hourMs}h`);
+    };
+    const now = Array<number>(20).fill(1);
+    const earlier = Array<number>(20).fill(40);
+    expect(await firing(now, [])).toEqual(["fast 1h", "fast 6h", "slow 72h"]);
+    expect(await firing(earlier, now)).toEqual(["slow 72h"]);
+    expect(await firing([1, 1, 1], [])).toEqual([]);
+});
--- /dev/null
+++ b/src/core/servicelevel/buildReport.ts
@@ -0,0 +1,137 @@
+import type { ServiceLevel } from "../../schema/report/ServiceLevel.js";
+import type { ServiceLevelInterval } from "../../schema/report/ServiceLevelInterval.js";
+import { alertRules } from "./alertRules.js";
+import { burnRate } from "./burnRate.js";
+import { burnWindows } from "./burnWindows.js";
+import type { CellCounter } from "./CellCounter.js";
+import { CellTable } from "./CellTable.js";
+import { measures } from "./measures.js";
+
+const minuteMs = 60_000;
+const hourMs = 60 * minuteMs;
+/** Fewer events than this in the long window say too little for an alert. */
+const minAlertEvents = 10;
+const intervalsPerStep = 20;
+
+interface ReportSpan {
+    readonly sinceAtMs: number;
+    readonly nowMs: number;
+}
+
+/**
+ * Sums intervals of all VMs to one service level for each class and path. `pause` is awaited after each small step, so that a
+ * large report does not hold up requests.
+ */
+export async function buildReport(
+    intervals: readonly ServiceLevelInterval[],
+    span: ReportSpan,
+    objectiveOf: (serviceClass: string) => number,
+    pause: () => Promise<void>,
+): Promise<ServiceLevel[]> {
+    const isByMinute = span.nowMs - span.sinceAtMs <= hourMs;
+    const pointMs = isByMinute ? minuteMs : hourMs;
+    const totals = new CellTable();
+    const points = new Map<number, CellTable>();
+    const windows = new Map(burnWindows.map(windowMs => [windowMs, new CellTable()]));
+    let steps = 0;
+    for (const interval of intervals) {
+        addToWindows(windows, interval, span.nowMs);
+        const isWanted = !isByMinute || interval.durationMs <= minuteMs;
+        if (isWanted && interval.startAtMs + interval.durationMs > span.sinceAtMs) {
+            const point = tableAt(points, interval.startAtMs - interval.startAtMs % pointMs);
+            for (const cell of interval.cells) {
+                totals.merge(cell);
+                point.merge({ ...cell, histograms: { "queue": cell.histograms.queue, "short-queue": cell.histograms["short-queue"] } });
+            }
+        }
+        if (++steps % intervalsPerStep === 0) {
+            await pause();
+        }
+    }
+    return [...totals.values()].map(total => toLevel(total, objectiveOf(total.serviceClass), windows, points)).sort(byName);
+}
+
+function addToWindows(windows: ReadonlyMap<number, CellTable>, interval: ServiceLevelInterval, nowMs: number): void {
+    for (const [windowMs, table] of windows) {
+        // Hours hold only what is older than the windows that are counted by the minute, so their start decides too.
+        if (interval.startAtMs + minuteMs > nowMs - windowMs) {
+            for (const cell of interval.cells) {
+                table.merge({ ...cell, histograms: {} });
+            }
+        }
+    }
+}
+
+function tableAt(points: Map<number, CellTable>, atMs: number): CellTable {
+    const table = points.get(atMs) ?? new CellTable();
+    points.set(atMs, table);
+    return table;
+}
+
+function toLevel(
+    total: CellCounter,
+    objective: number,
+    windows: ReadonlyMap<number, CellTable>,
+    points: ReadonlyMap<number, CellTable>,
+): ServiceLevel {
+    const { serviceClass, path, good, bad } = total;
+    const spent = burnRate(good, bad, objective);
+    const burn = [...windows].map(([windowMs, table]) => {
+        const cell = table.cell(serviceClass, path);
+        return { windowMs, good: cell.good, bad: cell.bad, burnRate: burnRate(cell.good, cell.bad, objective) };
+    });
+    return {
+        serviceClass,
+        path,
+        objective,
+        good,
+        bad,
+        attainment: good + bad === 0 ? undefined : good / (good + bad),
+        budgetLeft: spent === undefined ? undefined : 1 - spent,
+        burn,
+        alerts: toAlerts(burn),
+        badByReason: Object.fromEntries(total.badByReason),
+        distributions: measures.filter(measure => total.has(measure)).map(measure => {
+            const histogram = total.histogram(measure);
+            return {
+                measure,
+                count: histogram.count,
+                p50Ms: histogram.percentileMs(50),
+                p95Ms: histogram.percentileMs(95),
+                p99Ms: histogram.percentileMs(99),
+                maxMs: histogram.maxMs,
+            };
+        }),
+        outputTokens: total.outputTokens,
+        wastedTokens: total.wastedTokens,
+        points: [...points].sort(([left], [right]) => left - right).map(([atMs, table]) => toPoint(atMs, table.cell(serviceClass, path))),
+    };
+}
+
+function toAlerts(burn: ServiceLevel["burn"]): ServiceLevel["alerts"] {
+    return alertRules.map(rule => {
+        const long = burn.find(window => window.windowMs === rule.longWindowMs);
+        const short = burn.find(window => window.windowMs === rule.shortWindowMs);
+        const events = (long?.good ?? 0) + (long?.bad ?? 0);
+        const isBurning = (long?.burnRate ?? 0) >= rule.threshold && (short?.burnRate ?? 0) >= rule.threshold;
+        return { ...rule, firing: isBurning && events >= minAlertEvents };
+    });
+}
+
+function toPoint(atMs: number, cell: CellCounter): ServiceLevel["points"][number] {
+    return {
+        atMs,
+        good: cell.good,
+        bad: cell.bad,
+        queueP50Ms: cell.has("queue") ? cell.histogram("queue").percentileMs(50) : undefined,
+        queueP99Ms: cell.has("queue") ? cell.histogram("queue").percentileMs(99) : undefined,
+        shortQueueP99Ms: cell.has("short-queue") ? cell.histogram("short-queue").percentileMs(99) : undefined,
+        outputTokens: cell.outputTokens,
+        wastedTokens: cell.wastedTokens,
+    };
+}
+
+function byName(left: ServiceLevel, right: ServiceLevel): number {
+    const [a, b] = [`${left.serviceClass}/${left.path}`, `${right.serviceClass}/${right.path}`];
+    return a < b ? -1 : a > b ? 1 : 0;
+}
--- a/src/node/operator/testing/startOperator.ts
+++ b/src/node/operator/testing/startOperator.ts
@@ -20,7 +20,14 @@
         membership: { members: [], onChange: () => undefined },
         report: {
             report: sinceMs =>
-                Promise.resolve({ generatedAtMs: 5, sinceAtMs: 5 - sinceMs, vms: ["nadi-1"], silentVms: ["ba-1"], levels: [] }),
+                Promise.resolve({
+                    generatedAtMs: 5,
+                    sinceAtMs: 5 - sinceMs,
+                    vms: ["nadi-1"],
+                    silentVms: ["ba-1"],
+                    levels: [],
+                    logRead: true,
+                }),
         },
         explain: {
             explain: query =>
--- /dev/null
+++ b/src/schema/report/PublishedIntervals.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+import { ServiceLevelInterval } from "./ServiceLevelInterval.js";
+
+/** One record of the report stream. Records may land twice: an interval is known by VM, incarnation and start. */
+export const PublishedIntervals = z.object({
+    formatVersion: z.literal(1),
+    vm: z.string(),
+    incarnation: z.string(),
+    intervals: z.array(ServiceLevelInterval),
+});
+export type PublishedIntervals = z.infer<typeof PublishedIntervals>;
--- a/src/schema/report/ServiceLevel.ts
+++ b/src/schema/report/ServiceLevel.ts
@@ -29,7 +29,7 @@
     })),
     badByReason: z.record(z.string(), Count),
     distributions: z.array(z.object({
-        measure: z.enum(["queue", "first-token", "token-gap", "total", "short-behind-long"]),
+        measure: z.enum(["queue", "first-token", "token-gap", "total", "short-queue"]),
         count: Count,
         p50Ms: z.number(),
         p95Ms: z.number(),
@@ -44,7 +44,7 @@
         bad: Count,
         queueP50Ms: z.number().optional(),
         queueP99Ms: z.number().optional(),
-        shortBehindLongP99Ms: z.number().optional(),
+        shortQueueP99Ms: z.number().optional(),
         outputTokens: Count,
         wastedTokens: Count,
     })),
--- a/src/schema/report/ServiceLevelReport.ts
+++ b/src/schema/report/ServiceLevelReport.ts
@@ -9,5 +9,7 @@
     /** VMs that did not answer: theirs is in only as far as they had published it. */
     silentVms: z.array(z.string()),
     levels: z.array(ServiceLevel),
+    /** Everything published on the log has been read. When false, counts of VMs that are gone may be missing. */
+    logRead: z.boolean(),
 });
 export type ServiceLevelReport = z.infer<typeof ServiceLevelReport>;
