--- a/src/core/servicelevel/IntervalStore.ts
+++ b/src/core/servicelevel/IntervalStore.ts
@@ -15,16 +15,23 @@
 export class IntervalStore {
     private readonly minutes = new Map<number, ServiceLevelInterval>();
     private readonly hours = new Map<number, ServiceLevelInterval>();
+    /** Starts of all minutes that were added, so that a second copy is known also when the minute has moved to its hour. */
+    private readonly known = new Set<number>();
 
     /** Adds a closed interval of a minute; one with a start that is known already is dropped. False when dropped. */
     add(interval: ServiceLevelInterval): boolean {
-        if (this.minutes.has(interval.startAtMs)) {
+        if (this.known.has(interval.startAtMs)) {
             return false;
         }
+        this.known.add(interval.startAtMs);
         this.minutes.set(interval.startAtMs, interval);
         return true;
     }
 
+    get isEmpty(): boolean {
+        return this.minutes.size === 0 && this.hours.size === 0;
+    }
+
     /** Moves what has grown old from minutes to hours and drops what is past retention. */
     compact(nowMs: number): void {
         const byHour = new Map<number, ServiceLevelCell[]>();
@@ -48,9 +55,10 @@
         for (const [startAtMs, cells] of byHour) {
             this.mergeHour(startAtMs, cells);
         }
-        for (const startAtMs of this.hours.keys()) {
+        for (const startAtMs of [...this.hours.keys(), ...this.known]) {
             if (nowMs - startAtMs > retentionMs) {
                 this.hours.delete(startAtMs);
+                this.known.delete(startAtMs);
             }
         }
     }
--- /dev/null
+++ b/src/node/explain/FleetExplainer.ts
@@ -0,0 +1,106 @@
+import { isAboutVm } from "../../core/explain/isAboutVm.js";
+import { mergeReasons } from "../../core/explain/mergeReasons.js";
+import { sumReasons } from "../../core/explain/sumReasons.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { DecisionEvent } from "../../schema/explain/DecisionEvent.js";
+import type { ExplainQuery } from "../../schema/explain/ExplainQuery.js";
+import type { Explanation } from "../../schema/explain/Explanation.js";
+import type { ExplanationPart } from "../../schema/explain/ExplanationPart.js";
+import { askMembers } from "../operator/askMembers.js";
+import type { ConfigService } from "../services/ConfigService.js";
+import type { ExplainService } from "../services/ExplainService.js";
+import type { MembershipService } from "../services/MembershipService.js";
+import type { PeerLinks } from "../services/PeerLinks.js";
+import type { EventRing } from "./EventRing.js";
+
+const peerTimeoutMs = 2_000;
+const maxEvents = 500;
+const maxJudgedEvents = 100_000;
+
+interface ExplainerOptions {
+    readonly vm: string;
+    readonly ring: EventRing;
+    readonly config: ConfigService;
+    readonly membership: MembershipService;
+    readonly peers: PeerLinks;
+    readonly scheduler: Scheduler;
+}
+
+/** Finds decisions in the rings of all VMs. */
+export class FleetExplainer implements ExplainService {
+    private configSinceAtMs: number;
+
+    constructor(private readonly options: ExplainerOptions) {
+        this.configSinceAtMs = options.scheduler.wallMs();
+    }
+
+    /** Answers the other VMs until `signal` aborts. */
+    start(signal: AbortSignal): void {
+        const { config, peers, scheduler } = this.options;
+        config.onChange(() => {
+            this.configSinceAtMs = scheduler.wallMs();
+        }, signal);
+        peers.onMessage("explainQuery", (...[, { query }]) => ({ type: "explainAnswer", part: this.ownPart(query) }), signal);
+    }
+
+    async explain(query: ExplainQuery, signal: AbortSignal): Promise<Explanation> {
+        const { vm, membership, peers } = this.options;
+        const others = membership.members.filter(member => member.vm !== vm);
+        const own = { vm, part: this.ownPart(query) };
+        const { answers, silentVms } = await askMembers(
+            peers,
+            others,
+            { type: "explainQuery", query },
+            "explainAnswer",
+            peerTimeoutMs,
+            signal,
+        );
+        const parts = [own, ...answers.map(({ member, message }) => ({ vm: member.vm, part: message.part }))];
+        return {
+            events: parts.flatMap(({ part }) => part.events).sort((left, right) => left.atMs - right.atMs),
+            reasons: mergeReasons(parts.flatMap(({ part }) => part.reasons)),
+            askedVms: [vm, ...others.map(member => member.vm)],
+            silentVms: [...silentVms],
+            held: query.type === "config" ? this.held(parts) : [],
+        };
+    }
+
+    private ownPart(query: ExplainQuery): ExplanationPart {
+        const { config } = this.options;
+        const part = { events: [], reasons: [], configOffset: config.view.offset, configSinceAtMs: this.configSinceAtMs };
+        return { ...part, ...this.lookUp(query) };
+    }
+
+    private lookUp(query: ExplainQuery): Partial<ExplanationPart> {
+        const { ring, scheduler } = this.options;
+        switch (query.type) {
+            case "request":
+                return { events: ring.find(event => event.subject === query.requestId, maxEvents) };
+            case "class":
+                return {
+                    reasons: sumReasons(ring.find(isMissIn(query.serviceClass, scheduler.wallMs() - query.sinceMs), maxJudgedEvents)),
+                };
+            case "vm":
+                return { events: ring.find(event => isAboutVm(event, query.vm), maxEvents) };
+            case "config":
+                return { events: ring.find(event => event.kind === "config", maxEvents) };
+        }
+    }
+
+    private held(parts: readonly { vm: string; part: ExplanationPart; }[]): Explanation["held"] {
+        return this.options.membership.members.map(member => {
+            const part = parts.find(candidate => candidate.vm === member.vm)?.part;
+            return {
+                vm: member.vm,
+                availabilityZone: member.availabilityZone,
+                configOffset: part?.configOffset ?? member.configOffset,
+                sinceAtMs: part?.configSinceAtMs,
+            };
+        });
+    }
+}
+
+function isMissIn(serviceClass: string, sinceAtMs: number): (event: DecisionEvent) => boolean {
+    return event =>
+        event.kind === "judged" && event.serviceClass === serviceClass && event.atMs >= sinceAtMs && event.facts["missed"] !== undefined;
+}
--- a/src/node/peer/WebSocketPeerLinks.test.ts
+++ b/src/node/peer/WebSocketPeerLinks.test.ts
@@ -39,17 +39,30 @@
 }
 
 function query(subject: string): PeerMessage {
-    return { type: "explainQuery", subject };
+    return { type: "explainQuery", query: { type: "request", requestId: subject } };
+}
+
+function answerOf(...texts: string[]): PeerMessage {
+    const reasons = texts.map(reason => ({ reason, count: 1, exampleRequestIds: [] }));
+    return { type: "explainAnswer", part: { events: [], reasons, configOffset: 0, configSinceAtMs: 0 } };
+}
+
+function textsOf(answer: Extract<PeerMessage, { type: "explainAnswer"; }>): string[] {
+    return answer.part.reasons.map(({ reason }) => reason);
 }
 
 /** Answers each explain query with its own subject, so that the asker sees that the whole way works. */
 function echo(links: WebSocketPeerLinks): void {
-    links.onMessage("explainQuery", (from, message) => ({ type: "explainAnswer", events: [from, message.subject] }), stop.signal);
+    links.onMessage(
+        "explainQuery",
+        (from, { query }) => answerOf(from, query.type === "request" ? query.requestId : query.type),
+        stop.signal,
+    );
 }
 
 async function ask(links: WebSocketPeerLinks, vm: string, subject: string): Promise<unknown> {
     const answer = await links.request(vm, query(subject), 2000, stop.signal);
-    return answer.isOk() && answer.value.type === "explainAnswer" ? answer.value.events : answer;
+    return answer.isOk() && answer.value.type === "explainAnswer" ? textsOf(answer.value) : answer;
 }
 
 /** Waits for a state that must come; the test runner's timeout bounds it. */
@@ -137,7 +150,7 @@
     const old = await startLinks("vm-2", "shared", "1");
     const replacement = await startLinks("vm-2", "shared", "2");
     echo(old.links);
-    replacement.links.onMessage("explainQuery", () => ({ type: "explainAnswer", events: ["new"] }), stop.signal);
+    replacement.links.onMessage("explainQuery", () => answerOf("new"), stop.signal);
     old.links.setAddress("vm-1", urlOf(server.port));
     old.links.send("vm-1", query("hello"));
     await until(() => server.links.hasLink("vm-2"));
@@ -145,7 +158,7 @@
     replacement.links.send("vm-1", query("hello"));
     await until(async () => {
         const answer = await server.links.request("vm-2", query("who"), 200, stop.signal);
-        return answer.isOk() && answer.value.type === "explainAnswer" && answer.value.events[0] === "new";
+        return answer.isOk() && answer.value.type === "explainAnswer" && textsOf(answer.value)[0] === "new";
     });
 });
 
--- /dev/null
+++ b/src/node/report/testing/requestEnd.ts
@@ -0,0 +1,27 @@
+import type { RequestEnd } from "../../services/RequestEnd.js";
+
+/** The end of a whole answer that attained its class, with changes, for tests. */
+export function requestEnd(change: Partial<RequestEnd> = {}): RequestEnd {
+    return {
+        requestId: "r1",
+        customer: "van",
+        service: "model",
+        serviceClass: "urgent",
+        path: "new",
+        upstreamId: "e1",
+        status: 200,
+        outcome: "ran",
+        errorCode: undefined,
+        queueMs: 3,
+        firstTokenMs: 40,
+        maxTokenGapMs: 30,
+        meanTokenGapMs: 20,
+        totalMs: 900,
+        tokens: 30,
+        wastedTokens: 0,
+        attempts: 1,
+        isComplete: true,
+        isAbandoned: false,
+        ...change,
+    };
+}
--- a/src/schema/explain/DecisionEvent.ts
+++ b/src/schema/explain/DecisionEvent.ts
@@ -30,6 +30,7 @@
         "order",
         "upstream",
         "drain",
+        "judged",
     ]),
     subject: z.string(),
     /** Class of the request, where there is one. */
--- a/src/schema/explain/Explanation.ts
+++ b/src/schema/explain/Explanation.ts
@@ -1,10 +1,11 @@
 import { z } from "zod";
 import { DecisionEvent } from "./DecisionEvent.js";
+import { ReasonCount } from "./ReasonCount.js";
 
 /** Decisions found over the fleet, in the order of time, and what they sum to. */
 export const Explanation = z.object({
     events: z.array(DecisionEvent),
-    reasons: z.array(z.object({ reason: z.string(), count: z.int(), exampleRequestIds: z.array(z.string()) })),
+    reasons: z.array(ReasonCount),
     askedVms: z.array(z.string()),
     /** VMs that did not answer: what they decided is missing here. */
     silentVms: z.array(z.string()),
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -1,4 +1,7 @@
 import { z } from "zod";
+import { ExplainQuery } from "../explain/ExplainQuery.js";
+import { ExplanationPart } from "../explain/ExplanationPart.js";
+import { ServiceLevelInterval } from "../report/ServiceLevelInterval.js";
 import { GoneStatement } from "./GoneStatement.js";
 import { GrantEnd } from "./GrantEnd.js";
 import { MemberRecord } from "./MemberRecord.js";
@@ -86,9 +89,9 @@
         concurrent: z.int(),
         validMs: z.number(),
     }),
-    z.object({ type: z.literal("explainQuery"), subject: z.string() }),
-    z.object({ type: z.literal("explainAnswer"), events: z.array(z.unknown()) }),
+    z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
+    z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
     z.object({ type: z.literal("reportQuery"), sinceMs: z.number() }),
-    z.object({ type: z.literal("reportAnswer"), intervals: z.array(z.unknown()) }),
+    z.object({ type: z.literal("reportAnswer"), incarnation: z.string(), intervals: z.array(ServiceLevelInterval) }),
 ]);
 export type PeerMessage = z.infer<typeof PeerMessage>;
