--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -213,14 +213,15 @@
             if (entry.digest !== keyed.digest) {
                 return err(keyReused());
             }
-            if (entry.state !== "claimed") {
+            if (entry.state === "answered") {
                 return replay(entry);
             }
             if (keyed.signal.aborted) {
                 return err(cancelled("unknown"));
             }
-            if (scheduler.nowMs() >= deadlineMs || !this.isOwnerAlive(entry.owner)) {
-                return err(outcomeUnknown("another VM claimed the call and its outcome is not recorded; check whether it took effect"));
+            const isLost = entry.state === "lost" || scheduler.nowMs() >= deadlineMs || !this.isOwnerAlive(entry.owner);
+            if (isLost) {
+                return keyed.call.upstreamDeduplicates ? this.sendClaimed(keyed, this.newClaim(keyed)) : err(outcomeUnknown());
             }
             await this.waiters.wait(keyed.key, Math.min(ownerCheckMs, deadlineMs - scheduler.nowMs()), keyed.signal);
         }
@@ -236,6 +237,16 @@
     }
 
     private addClaim(keyed: KeyedCall): LocalClaim {
+        const claim = this.newClaim(keyed);
+        this.pendingKeys.add(claim.key);
+        this.commit.add({
+            record: claimRecord(claim),
+            isWanted: () => claim.status === "pending" && this.claims.has(claim.nonce),
+        });
+        return claim;
+    }
+
+    private newClaim(keyed: KeyedCall): LocalClaim {
         const { scheduler } = this.options;
         const claim: LocalClaim = {
             key: keyed.key,
@@ -247,11 +258,6 @@
             status: "pending",
         };
         this.claims.set(claim.nonce, claim);
-        this.pendingKeys.add(claim.key);
-        this.commit.add({
-            record: claimRecord(claim),
-            isWanted: () => claim.status === "pending" && this.claims.has(claim.nonce),
-        });
         return claim;
     }
 
@@ -344,9 +350,6 @@
 }
 
 function replay(entry: ClaimEntry): RunResult {
-    if (entry.state === "lost") {
-        return err(outcomeUnknown("the call was sent and its answer lost; check whether it took effect"));
-    }
     if (entry.answer?.body === undefined) {
         return err({
             kind: "outcome-unknown",
@@ -367,7 +370,8 @@
     return { kind: "log-unavailable", outcome: "not-run", retryAfterMs, message };
 }
 
-function outcomeUnknown(message: string): BookingError {
+function outcomeUnknown(): BookingError {
+    const message = "the call was claimed and its answer is not recorded; check whether it took effect before using a new key";
     return { kind: "outcome-unknown", outcome: "unknown", retryAfterMs: undefined, message };
 }
 
