Judge keyed calls by recorded histories under random fault schedules

The checker reads only what was seen from outside: calls, sends, runs, what callers were told, and raw log records. Fifteen planted faults, at least one for each invariant, are each noticed within 3,000 schedules.

--- /dev/null
+++ b/proof/bookings/BookingStep.ts
@@ -0,0 +1,28 @@
+import type { AppendFault } from "../fakes/AppendFault.js";
+
+/** What the upstream does with one call. `lose`: takes effect, its answer never comes. */
+type UpstreamBehaviour = { readonly kind: "answer" | "lose" | "refuse"; readonly tookMs: number; };
+
+/** One step of a fault schedule of keyed calls. VMs are named by index. */
+export type BookingStep =
+    | {
+        readonly kind: "call";
+        readonly vm: number;
+        readonly key: number;
+        readonly digest: number;
+        readonly upstream: UpstreamBehaviour;
+        readonly cancelAfterMs: number | undefined;
+    }
+    | { readonly kind: "crash" | "start" | "pause" | "logDown" | "logUp" | "suspect"; readonly vm: number; }
+    | { readonly kind: "resume"; readonly vm: number; readonly isNewestFirst: boolean; readonly wasSuspended: boolean; }
+    /** Pauses the VM, lets time pass for the others, and wakes it. */
+    | {
+        readonly kind: "stall";
+        readonly vm: number;
+        readonly durationMs: number;
+        readonly isNewestFirst: boolean;
+        readonly wasSuspended: boolean;
+    }
+    | { readonly kind: "logDelay"; readonly vm: number; readonly delayMs: number; }
+    | { readonly kind: "appendFault"; readonly vm: number; readonly fault: AppendFault; }
+    | { readonly kind: "advance"; readonly durationMs: number; };
--- /dev/null
+++ b/proof/bookings/bookingSchedules.ts
@@ -0,0 +1,28 @@
+import fc from "fast-check";
+import type { LogBookingService } from "../../src/node/booking/LogBookingService.js";
+import { checkBookings } from "../checker/checkBookings.js";
+import type { Violation } from "../checker/Violation.js";
+import { BookingCommand } from "./BookingCommand.js";
+import { BookingFleet } from "./BookingFleet.js";
+import { bookingStepArbitrary } from "./bookingStepArbitrary.js";
+
+const maxSteps = 30;
+
+/** The property that random fault schedules over the booking service break no promise; `isFailure` narrows what counts. */
+export function bookingSchedules(
+    plant?: (service: LogBookingService) => void,
+    onViolations: (violations: readonly Violation[]) => void = () => undefined,
+    isFailure: (violations: readonly Violation[]) => boolean = violations => violations.length > 0,
+): fc.IAsyncProperty<[Iterable<fc.AsyncCommand<object, BookingFleet>>]> {
+    const commands = fc.commands([bookingStepArbitrary.map(step => new BookingCommand(step))], { maxCommands: maxSteps });
+    return fc.asyncProperty(commands, async steps => {
+        const fleet = new BookingFleet(plant);
+        await fc.asyncModelRun(() => ({ model: {}, real: fleet }), steps);
+        await fleet.finish();
+        const violations = checkBookings(fleet.history, BookingFleet.settings);
+        onViolations(violations);
+        if (isFailure(violations)) {
+            throw new Error(violations.map(({ invariant, detail }) => `${invariant}: ${detail}`).join("; "));
+        }
+    });
+}
--- /dev/null
+++ b/proof/bookings/plantedBookingFaults.test.ts
@@ -0,0 +1,21 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { bookingSchedules } from "./bookingSchedules.js";
+import { plantedBookingFaults } from "./plantedBookingFaults.js";
+
+const seed = 5;
+const scheduleCount = 3_000;
+
+for (const { name, invariant, plant } of plantedBookingFaults) {
+    test(`the checker notices "${name}" as ${invariant}`, async () => {
+        const noticed = new Set<string>();
+        const property = bookingSchedules(plant, violations => {
+            for (const violation of violations) {
+                noticed.add(violation.invariant);
+            }
+        }, found => found.some(violation => violation.invariant === invariant));
+        await fc.check(property, { seed, numRuns: scheduleCount, endOnFailure: true });
+        expect([...noticed]).toInclude(invariant);
+    });
+}
--- /dev/null
+++ b/proof/bookings/plantedBookingFaults.ts
@@ -0,0 +1,193 @@
+import type { BookingRecord } from "../../src/core/booking/BookingRecord.js";
+import type { ClaimEntry } from "../../src/core/booking/ClaimEntry.js";
+import type { LogBookingService } from "../../src/node/booking/LogBookingService.js";
+import type { PlantedBookingFault } from "./PlantedBookingFault.js";
+
+interface Claim {
+    readonly key: string;
+    readonly nonce: number;
+    status: string;
+    isConfirmed: boolean;
+}
+
+interface Keyed {
+    readonly digest: string;
+    readonly key: string;
+    readonly send: () => Promise<unknown>;
+    readonly call: { upstreamDeduplicates: boolean; };
+}
+
+/** The private members that the planted faults replace. */
+interface Insides {
+    readonly table: { entries: Map<string, ClaimEntry>; abandoned: Map<string, number>; touch: unknown; fold: unknown; };
+    readonly claims: Map<number, Claim>;
+    addClaim(keyed: Keyed): Claim;
+    abandon(claim: Claim): void;
+    appendAbandon(key: string, nonce: number): void;
+    end(claim: Claim, record: BookingRecord): void;
+    isValid(claim: Claim): boolean;
+    decideClaim(keyed: Keyed, claim: Claim): Promise<unknown>;
+    sendAndRecord(keyed: Keyed, claim: Claim): Promise<{ isErr(): boolean; error: { outcome: string; }; }>;
+    useEntry(keyed: Keyed, entry: ClaimEntry): Promise<unknown>;
+    runCall(keyed: Keyed): Promise<unknown>;
+}
+
+function insides(service: LogBookingService): Insides {
+    return service as unknown as Insides;
+}
+
+/** One planted fault for each invariant of keyed calls, and some more. */
+export const plantedBookingFaults: readonly PlantedBookingFault[] = [
+    {
+        name: "send before the claim is read back",
+        invariant: "sent-unclaimed",
+        plant: service => {
+            const inner = insides(service);
+            const addClaim = inner.addClaim.bind(service);
+            inner.addClaim = keyed => Object.assign(addClaim(keyed), { status: "won" });
+        },
+    },
+    {
+        name: "send before the claim is read back, judged by the runs",
+        invariant: "doubled",
+        plant: service => {
+            const inner = insides(service);
+            const addClaim = inner.addClaim.bind(service);
+            inner.addClaim = keyed => Object.assign(addClaim(keyed), { status: "won" });
+        },
+    },
+    {
+        name: "send also when the claim has lost",
+        invariant: "doubled",
+        plant: service => {
+            const inner = insides(service);
+            const decideClaim = inner.decideClaim.bind(service);
+            inner.decideClaim = (keyed, claim) => {
+                claim.status = claim.status === "lost" ? "won" : claim.status;
+                return decideClaim(keyed, claim);
+            };
+        },
+    },
+    {
+        name: "send under a claim that has grown old in a pause",
+        invariant: "sent-late",
+        plant: service => {
+            insides(service).isValid = () => true;
+        },
+    },
+    {
+        name: "forget to abandon",
+        invariant: "key-blocked",
+        plant: service => {
+            insides(service).appendAbandon = () => undefined;
+        },
+    },
+    {
+        name: "abandon only once, so that a claim repeated late holds the key",
+        invariant: "key-blocked",
+        plant: service => {
+            const inner = insides(service);
+            inner.table.abandoned.set = () => inner.table.abandoned;
+            const appendAbandon = inner.appendAbandon.bind(service);
+            const done = new Set<number>();
+            inner.appendAbandon = (key, nonce) => {
+                if (!done.has(nonce)) {
+                    done.add(nonce);
+                    appendAbandon(key, nonce);
+                }
+            };
+        },
+    },
+    {
+        name: "abandon a claim under which the call was sent",
+        invariant: "doubled",
+        plant: service => {
+            const inner = insides(service);
+            inner.end = claim => {
+                inner.abandon(claim);
+            };
+        },
+    },
+    {
+        name: "tell not-run when the answer was lost",
+        invariant: "false-not-run",
+        plant: service => {
+            const inner = insides(service);
+            const sendAndRecord = inner.sendAndRecord.bind(service);
+            inner.sendAndRecord = async (keyed, claim) => {
+                const result = await sendAndRecord(keyed, claim);
+                return result.isErr() ? Object.assign(result, { error: { ...result.error, outcome: "not-run" } }) : result;
+            };
+        },
+    },
+    {
+        name: "replay another key's answer",
+        invariant: "wrong-answer",
+        plant: service => {
+            const inner = insides(service);
+            const useEntry = inner.useEntry.bind(service);
+            inner.useEntry = (keyed, entry) => {
+                const other = [...inner.table.entries.values()].find(candidate =>
+                    candidate.state === "answered" && candidate.key !== keyed.key
+                );
+                return useEntry(keyed, other === undefined ? entry : { ...other, digest: keyed.digest });
+            };
+        },
+    },
+    {
+        name: "replay without comparing digests",
+        invariant: "key-reuse",
+        plant: service => {
+            const inner = insides(service);
+            const useEntry = inner.useEntry.bind(service);
+            inner.useEntry = (keyed, entry) => useEntry({ ...keyed, digest: entry.digest }, entry);
+        },
+    },
+    {
+        name: "do not append the outcome",
+        invariant: "answer-lost",
+        plant: service => {
+            insides(service).end = () => undefined;
+        },
+    },
+    {
+        name: "send once more when the upstream fails",
+        invariant: "sent-twice",
+        plant: service => {
+            const inner = insides(service);
+            const runCall = inner.runCall.bind(service);
+            inner.runCall = keyed => runCall({ ...keyed, send: () => keyed.send().catch(() => keyed.send()) });
+        },
+    },
+    {
+        name: "send after the caller was told",
+        invariant: "sent-after-told",
+        plant: service => {
+            const inner = insides(service);
+            const runCall = inner.runCall.bind(service);
+            inner.runCall = async keyed => {
+                const result = await runCall(keyed);
+                setImmediate(() => {
+                    keyed.send().catch(() => undefined);
+                });
+                return result;
+            };
+        },
+    },
+    {
+        name: "treat every upstream as deduplicating, so that callers of one key get different answers",
+        invariant: "two-answers",
+        plant: service => {
+            const inner = insides(service);
+            const runCall = inner.runCall.bind(service);
+            inner.runCall = keyed => runCall({ ...keyed, call: { ...keyed.call, upstreamDeduplicates: true } });
+        },
+    },
+    {
+        name: "never answer a joined call",
+        invariant: "never-told",
+        plant: service => {
+            insides(service).useEntry = () => new Promise(() => undefined);
+        },
+    },
+];
--- a/proof/fakes/FakeLog.ts
+++ b/proof/fakes/FakeLog.ts
@@ -9,6 +9,7 @@
     readonly clients: FakeLogClient[] = [];
     appendCount = 0;
     appendedBytes = 0;
+    onLanded: (stream: string, offset: number, payload: Uint8Array) => void = () => undefined;
 
     constructor(readonly scheduler: Scheduler = new VirtualScheduler()) {}
 
@@ -34,6 +35,7 @@
         stream.records.push({ offset, payload });
         this.appendCount++;
         this.appendedBytes += payload.length;
+        this.onLanded(name, offset, payload);
         for (const client of this.clients) {
             client.wake();
         }
--- a/proof/fakes/FakeLogClient.ts
+++ b/proof/fakes/FakeLogClient.ts
@@ -19,16 +19,28 @@
     readonly appendFaults: AppendFault[] = [];
     /** Hears what this VM has read. */
     onRead: (stream: string, records: readonly LogRecord[]) => void = () => undefined;
+    /** Hears what this VM hands to the log. */
+    onAppend: (stream: string, payload: Uint8Array) => void = () => undefined;
+    /** Holds answers back while the VM is paused. */
+    gate: () => Promise<void> = () => Promise.resolve();
     private readonly sleepers = new Set<() => void>();
 
     constructor(private readonly log: FakeLog) {}
 
     append(stream: string, payload: Uint8Array, signal: AbortSignal): ResultAsync<number, LogError> {
-        return new ResultAsync(this.appendOnce(stream, payload, signal));
+        this.onAppend(stream, payload);
+        return new ResultAsync(this.gated(this.appendOnce(stream, payload, signal)));
     }
 
     read(stream: string, offset: number, waitMs: number, signal: AbortSignal): ResultAsync<readonly LogRecord[], LogError> {
-        return new ResultAsync(this.readOnce(stream, offset, waitMs, signal));
+        return new ResultAsync(
+            this.gated(this.readOnce(stream, offset, waitMs, signal)).then(read => {
+                if (read.isOk()) {
+                    this.onRead(stream, read.value);
+                }
+                return read;
+            }),
+        );
     }
 
     wake(): void {
@@ -37,6 +49,12 @@
         }
     }
 
+    private async gated<T>(call: Promise<T>): Promise<T> {
+        const result = await call;
+        await this.gate();
+        return result;
+    }
+
     private async appendOnce(stream: string, payload: Uint8Array, signal: AbortSignal): Promise<Result<number, LogError>> {
         const fault = this.isDown ? { kind: "refuse" } as const : this.appendFaults.shift() ?? { kind: "answer" };
         await this.sleep(this.delayMs);
@@ -84,9 +102,7 @@
             return err({ kind: "forgotten", firstOffset: stream.first, message: "forgotten" });
         }
         const start = offset - stream.first;
-        const records = stream.records.slice(start, start + maxReadRecords);
-        this.onRead(name, records);
-        return ok(records);
+        return ok(stream.records.slice(start, start + maxReadRecords));
     }
 
     private sleep(durationMs: number): Promise<void> {
