--- /dev/null
+++ b/src/cli/quickstart/exampleZones.ts
@@ -0,0 +1,2 @@
+/** Availability zones of the embedded fleet. */
+export const exampleZones = ["lautoka", "nadi", "ba"] as const;
