Join the parts of a VM and run an embedded fleet by quickstart (thin)

startVm opens peer links, membership, configuration, bookings, dispatch, the callers' API and the operator RPC; drain hands duties over and cuts nothing off. Customer limits and orders are not joined yet, and the weight store's stand-in is a plain service until its own lands.

--- a/src/cli/commands/quickstart.ts
+++ b/src/cli/commands/quickstart.ts
@@ -1,8 +1,47 @@
 import type { CommandContext } from "../CommandContext.js";
 import { ExitCode } from "../ExitCode.js";
+import { parseOptions } from "../parseOptions.js";
+import { applyExample } from "../quickstart/applyExample.js";
+import { EmbeddedFleet } from "../quickstart/EmbeddedFleet.js";
+import { formatCalls } from "../quickstart/formatCalls.js";
+import { holdLine } from "../quickstart/holdLine.js";
+import { sendExampleCalls } from "../quickstart/sendExampleCalls.js";
+import { waitForAbort } from "../waitForAbort.js";
 
-/** Runs an embedded fleet and its example job. */
+const usage = "orioleshelf quickstart [--hold] [--json]";
+
+/** Runs an embedded fleet and its example job; with `--hold` the fleet stays up until SIGTERM and no job is run. */
 export async function quickstart(args: readonly string[], context: CommandContext): Promise<ExitCode> {
-    context.complain(`orioleshelf quickstart ${args.join(" ")}: this build has no fleet in it yet; use a later build`);
-    return ExitCode.failed;
+    const options = { hold: { type: "boolean", default: false }, json: { type: "boolean", default: false } } as const;
+    const { values } = parseOptions(args, options, usage);
+    const fleet = await EmbeddedFleet.start();
+    try {
+        await applyExample(fleet);
+        return values.hold ? await hold(fleet, values.json, context) : await runJob(fleet, values.json, context);
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+async function hold(fleet: EmbeddedFleet, json: boolean, context: CommandContext): Promise<ExitCode> {
+    if (json) {
+        context.print(holdLine(fleet));
+    }
+    else {
+        fleet.vms.forEach(vm => {
+            context.print(`${vm.id}: callers ${vm.callerUrl}, operators ${vm.operatorUrl}`);
+        });
+        context.print("Stop with Ctrl-C.");
+    }
+    await waitForAbort(context.signal);
+    return ExitCode.ok;
+}
+
+async function runJob(fleet: EmbeddedFleet, json: boolean, context: CommandContext): Promise<ExitCode> {
+    const calls = await sendExampleCalls(fleet.vms);
+    const lines = json ? calls.map(call => JSON.stringify(call)) : formatCalls(calls);
+    lines.forEach(context.print);
+    const isWhole = calls.every(call => call.status === 200);
+    return isWhole ? ExitCode.ok : ExitCode.failed;
 }
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,27 +1,52 @@
+import { startVm } from "../../node/fleet/startVm.js";
+import type { VmSecrets } from "../../node/fleet/VmSecrets.js";
+import { configureLogs } from "../../node/logs/configureLogs.js";
 import { loadSettings } from "../../node/settings/loadSettings.js";
+import { readSecret } from "../../node/settings/readSecret.js";
+import type { Settings } from "../../schema/settings/Settings.js";
 import type { CommandContext } from "../CommandContext.js";
 import { ExitCode } from "../ExitCode.js";
 import { parseOptions } from "../parseOptions.js";
 import { settingsErrorLines } from "../settingsErrorLines.js";
 import { UsageError } from "../UsageError.js";
+import { version } from "../version.js";
+import { waitForAbort } from "../waitForAbort.js";
 
 const usage = "orioleshelf serve --settings FILE";
 
-/** Runs one VM until SIGTERM. */
+/** Runs one VM until SIGTERM or SIGINT, then drains it: no request in flight is cut off. */
 export async function serve(args: readonly string[], context: CommandContext): Promise<ExitCode> {
     const { values } = parseOptions(args, { settings: { type: "string" } }, usage);
     const file = values.settings;
     if (file === undefined) {
         throw new UsageError(`give the settings file; usage: ${usage}`);
     }
-    return loadSettings(file, context.environment).match(
-        () => {
-            context.complain("orioleshelf serve: this build has no fleet in it yet; use a later build");
-            return ExitCode.failed;
-        },
-        errors => {
-            settingsErrorLines(file, errors).forEach(context.complain);
-            return ExitCode.usage;
-        },
-    );
+    const settings = loadSettings(file, context.environment);
+    if (settings.isErr()) {
+        settingsErrorLines(file, settings.error).forEach(context.complain);
+        return ExitCode.usage;
+    }
+    configureLogs(settings.value.logs);
+    return run(settings.value, context);
+}
+
+async function run(settings: Settings, context: CommandContext): Promise<ExitCode> {
+    const started = await startVm(settings, readSecrets(settings, context), version, new AbortController().signal);
+    if (started.isErr()) {
+        context.complain(`orioleshelf serve: ${started.error.message}`);
+        return ExitCode.failed;
+    }
+    const { id, availabilityZone, callerUrl, operatorUrl, peerUrl } = started.value;
+    context.print(JSON.stringify({ vm: id, availabilityZone, callerUrl, operatorUrl, peerUrl }));
+    await waitForAbort(context.signal);
+    await started.value.drain();
+    return ExitCode.ok;
+}
+
+/** The sources were checked with the settings. */
+function readSecrets(settings: Settings, context: CommandContext): VmSecrets {
+    return {
+        peerKey: readSecret(settings.peers.key, context.environment)._unsafeUnwrap(),
+        operatorToken: readSecret(settings.operator.token, context.environment)._unsafeUnwrap(),
+    };
 }
--- /dev/null
+++ b/src/cli/quickstart/EmbeddedFleet.ts
@@ -0,0 +1,54 @@
+import { randomBytes } from "node:crypto";
+import type { RunningVm } from "../../node/fleet/RunningVm.js";
+import { startVm } from "../../node/fleet/startVm.js";
+import { Settings } from "../../schema/settings/Settings.js";
+import { version } from "../version.js";
+import { exampleZones } from "./exampleZones.js";
+import type { StandinUrls } from "./StandinUrls.js";
+import { startStandins } from "./startStandins.js";
+
+const secretBytes = 24;
+
+/** Stand-ins and one VM in each of three availability zones, all in this process on loopback. */
+export class EmbeddedFleet {
+    private constructor(
+        readonly vms: readonly RunningVm[],
+        readonly standins: StandinUrls,
+        readonly operatorToken: string,
+        private readonly controller: AbortController,
+    ) {}
+
+    /** Starts everything. Throws when a port cannot be opened. */
+    static async start(): Promise<EmbeddedFleet> {
+        const controller = new AbortController();
+        const standins = await startStandins(controller.signal);
+        const secrets = { peerKey: randomBytes(secretBytes).toString("hex"), operatorToken: randomBytes(secretBytes).toString("hex") };
+        const vms: RunningVm[] = [];
+        for (const availabilityZone of exampleZones) {
+            const settings = vmSettings(availabilityZone, standins, vms.map(vm => vm.peerUrl));
+            const started = await startVm(settings, secrets, version, controller.signal);
+            if (started.isErr()) {
+                controller.abort();
+                throw new Error(started.error.message);
+            }
+            vms.push(started.value);
+        }
+        return new EmbeddedFleet(vms, standins, secrets.operatorToken, controller);
+    }
+
+    /** Drains every VM, then stops the stand-ins. */
+    async stop(): Promise<void> {
+        await Promise.all(this.vms.map(vm => vm.drain()));
+        this.controller.abort();
+    }
+}
+
+function vmSettings(availabilityZone: string, standins: StandinUrls, seeds: readonly string[]): Settings {
+    return Settings.parse({
+        vm: { id: `${availabilityZone}-1`, availabilityZone, region: "fiji-west" },
+        listen: { caller: { port: 0 }, operator: { port: 0 }, peer: { port: 0 } },
+        peers: { seeds, key: { env: "UNUSED" } },
+        operator: { token: { env: "UNUSED" } },
+        platform: { log: { url: standins.log }, vmList: { url: standins.vmList }, weightStore: { url: standins.weightStore } },
+    });
+}
--- a/src/cli/quickstart/StandinUrls.ts
+++ b/src/cli/quickstart/StandinUrls.ts
@@ -3,6 +3,16 @@
     readonly log: string;
     readonly vmList: string;
     readonly weightStore: string;
-    readonly engines: readonly { readonly id: string; readonly url: string; readonly availabilityZone: string; readonly path: "old" | "new" }[];
-    readonly services: readonly { readonly id: string; readonly url: string; readonly availabilityZone: string; readonly path: "old" | "new" }[];
+    readonly engines: readonly {
+        readonly id: string;
+        readonly url: string;
+        readonly availabilityZone: string;
+        readonly path: "old" | "new";
+    }[];
+    readonly services: readonly {
+        readonly id: string;
+        readonly url: string;
+        readonly availabilityZone: string;
+        readonly path: "old" | "new";
+    }[];
 }
--- a/src/cli/quickstart/exampleObjects.ts
+++ b/src/cli/quickstart/exampleObjects.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import type { ConfigObject } from "../../schema/config/ConfigObject.js";
 import { Customer } from "../../schema/config/Customer.js";
-import { PathShare } from "../../schema/config/PathShare.js";
+import type { PathShare } from "../../schema/config/PathShare.js";
 import { Pool } from "../../schema/config/Pool.js";
 import { ServiceClass } from "../../schema/config/ServiceClass.js";
 import { exampleCustomers } from "./exampleCustomers.js";
@@ -24,7 +24,14 @@
     return [
         ServiceClass.parse({ name: "urgent", tier: 0, firstTokenTargetMs: 450, tokenGapTargetMs: 35 }),
         ServiceClass.parse({ name: "standard", tier: 1, firstTokenTargetMs: 1_000, tokenGapTargetMs: 60, floorShare: 0.05 }),
-        ServiceClass.parse({ name: "bulk", tier: 2, firstTokenTargetMs: 5_000, tokenGapTargetMs: 200, maxQueueMs: 60_000, floorShare: 0.05 }),
+        ServiceClass.parse({
+            name: "bulk",
+            tier: 2,
+            firstTokenTargetMs: 5_000,
+            tokenGapTargetMs: 200,
+            maxQueueMs: 60_000,
+            floorShare: 0.05,
+        }),
     ];
 }
 
@@ -62,7 +69,7 @@
     });
 }
 
-function toUpstream({ id, url, availabilityZone }: StandinUrls["engines"][number]): { id: string; url: string; availabilityZone: string } {
+function toUpstream({ id, url, availabilityZone }: StandinUrls["engines"][number]): { id: string; url: string; availabilityZone: string; } {
     return { id, url, availabilityZone };
 }
 
--- /dev/null
+++ b/src/cli/quickstart/holdLine.ts
@@ -0,0 +1,21 @@
+import type { EmbeddedFleet } from "./EmbeddedFleet.js";
+import { exampleCustomers } from "./exampleCustomers.js";
+
+/** The JSON line by which `quickstart --hold --json` tells scripts where everything is. */
+export function holdLine(fleet: EmbeddedFleet): string {
+    const { standins, operatorToken } = fleet;
+    const place = ({ id, url }: { readonly id: string; readonly url: string; }) => ({ id, url });
+    return JSON.stringify({
+        vms: fleet.vms.map(({ id, availabilityZone, callerUrl, operatorUrl }) => ({ id, availabilityZone, callerUrl, operatorUrl })),
+        customers: exampleCustomers.map(({ name, key, classes }) => ({ id: name, key, classes })),
+        operatorToken,
+        services: { bookings: ["pumpline-jobs"], models: ["pumpline-model"] },
+        standins: {
+            log: standins.log,
+            vmList: standins.vmList,
+            weightStore: standins.weightStore,
+            engines: standins.engines.map(place),
+            services: standins.services.map(place),
+        },
+    });
+}
--- a/src/cli/quickstart/sendExampleCalls.ts
+++ b/src/cli/quickstart/sendExampleCalls.ts
@@ -16,7 +16,9 @@
 
 /** Sends streamed chat requests of two classes over all VMs, then two bookings, one of them repeated with its key through another VM. */
 export async function sendExampleCalls(vms: readonly RunningVm[]): Promise<ExampleCall[]> {
-    const chats = vms.flatMap(vm => ["urgent", "standard"].flatMap(serviceClass => [chatPlan(vm, serviceClass, 1), chatPlan(vm, serviceClass, 2)]));
+    const chats = vms.flatMap(vm =>
+        ["urgent", "standard"].flatMap(serviceClass => [chatPlan(vm, serviceClass, 1), chatPlan(vm, serviceClass, 2)])
+    );
     const chatCalls = await Promise.all(chats.map(send));
     const [first, second = first] = vms as [RunningVm, ...RunningVm[]];
     const bookingCalls: ExampleCall[] = [];
@@ -68,7 +70,7 @@
     return stream
         .split("\n")
         .filter(line => line.startsWith("data: {"))
-        .map(line => JSON.parse(line.slice("data: ".length)) as { choices?: { delta?: { content?: string } }[] })
+        .map(line => JSON.parse(line.slice("data: ".length)) as { choices?: { delta?: { content?: string; }; }[]; })
         .map(chunk => chunk.choices?.[0]?.delta?.content ?? "")
         .join("");
 }
--- /dev/null
+++ b/src/node/fleet/Vm.ts
@@ -0,0 +1,268 @@
+import { ok } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { Settings } from "../../schema/settings/Settings.js";
+import { BookingSettings } from "../booking/BookingSettings.js";
+import { LogBookingService } from "../booking/LogBookingService.js";
+import { CallerServer } from "../caller/CallerServer.js";
+import { ConfigSettings } from "../config/ConfigSettings.js";
+import { LogConfigService } from "../config/LogConfigService.js";
+import { DispatchTask } from "../dispatch/DispatchTask.js";
+import { EventRing } from "../explain/EventRing.js";
+import { FleetExplainer } from "../explain/FleetExplainer.js";
+import { createLog } from "../logs/createLog.js";
+import { GossipMembership } from "../membership/GossipMembership.js";
+import { Metrics } from "../metrics/Metrics.js";
+import { OperatorServer } from "../operator/OperatorServer.js";
+import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import { HttpLogClient } from "../platform/log/HttpLogClient.js";
+import { HttpVmListClient } from "../platform/vmlist/HttpVmListClient.js";
+import { VmListTask } from "../platform/vmlist/VmListTask.js";
+import { FleetReporter } from "../report/FleetReporter.js";
+import { ReportPublisher } from "../report/ReportPublisher.js";
+import { ServiceLevelRecorder } from "../report/ServiceLevelRecorder.js";
+import { HttpEngineClient } from "../upstream/HttpEngineClient.js";
+import { HttpPlainClient } from "../upstream/HttpPlainClient.js";
+import { readTls } from "./readTls.js";
+import type { VmSecrets } from "./VmSecrets.js";
+
+const log = createLog("vm");
+const drainPollMs = 50;
+const readinessPollMs = 50;
+const reportFlushMs = 2_000;
+/** Lets the last messages to peers leave before their links close. */
+const farewellMs = 200;
+
+interface VmOptions {
+    readonly settings: Settings;
+    readonly secrets: VmSecrets;
+    readonly incarnation: string;
+    readonly links: WebSocketPeerLinks;
+    readonly peerUrl: string;
+    readonly scheduler: Scheduler;
+    readonly version: string;
+}
+
+/** All tasks of one VM, joined to each other. */
+export class Vm {
+    readonly membership: GossipMembership;
+    readonly config: LogConfigService;
+    readonly bookings: LogBookingService;
+    readonly dispatch: DispatchTask;
+    readonly caller: CallerServer;
+    readonly operator: OperatorServer;
+    private readonly vmList: VmListTask;
+    private readonly logClient: HttpLogClient;
+    private readonly engines: HttpEngineClient;
+    private readonly plain: HttpPlainClient;
+    private readonly metrics = new Metrics();
+    private readonly events: EventRing;
+    private readonly explainer: FleetExplainer;
+    private readonly levels: ServiceLevelRecorder;
+    private readonly publisher: ReportPublisher;
+    private readonly reporter: FleetReporter;
+    private isServing = false;
+
+    constructor(private readonly options: VmOptions) {
+        const { settings, scheduler } = options;
+        this.events = new EventRing(settings.explain.ringBytes);
+        this.logClient = new HttpLogClient({
+            url: settings.platform.log.url,
+            availabilityZone: settings.vm.availabilityZone,
+            scheduler,
+            appendTimeoutMs: settings.timeouts.platformRequestMs,
+        });
+        this.vmList = new VmListTask({
+            client: new HttpVmListClient(settings.platform.vmList.url, settings.timeouts.platformRequestMs),
+            scheduler,
+        });
+        this.membership = this.createMembership();
+        this.config = this.createConfig();
+        this.bookings = this.createBookings();
+        this.dispatch = this.createDispatch();
+        this.engines = new HttpEngineClient(scheduler, { silenceLimitMs: settings.timeouts.upstreamGapMs });
+        this.plain = new HttpPlainClient(scheduler);
+        const report = this.reportOptions();
+        this.levels = new ServiceLevelRecorder({ vm: settings.vm.id, config: this.config, events: this.events, scheduler });
+        this.publisher = new ReportPublisher({ ...report, recorder: this.levels, publishIntervalMs: settings.report.publishIntervalMs });
+        this.reporter = new FleetReporter({ ...report, recorder: this.levels });
+        this.explainer = new FleetExplainer({ ...report, ring: this.events });
+        this.caller = this.createCaller();
+        this.operator = this.createOperator();
+    }
+
+    /** Starts every task but the listeners for callers and operators. */
+    startTasks(signal: AbortSignal): void {
+        this.vmList.start(signal);
+        this.membership.start(signal);
+        this.config.onChange(view => {
+            this.membership.setLocal({ configOffset: view.offset });
+        }, signal);
+        this.vmList.onChange(leaving => {
+            this.dispatch.setLeaving(leaving);
+        }, signal);
+        this.dispatch.start(signal);
+        this.engines.start(signal);
+        this.plain.start(signal);
+        this.levels.start(signal);
+        this.publisher.start(signal);
+        this.reporter.start(signal);
+        this.explainer.start(signal);
+        this.runTask("config", this.config.start(signal));
+        this.runTask("booking", this.bookings.start(signal));
+        this.options.scheduler.every(readinessPollMs, () => {
+            this.announceReadiness();
+        }, signal);
+    }
+
+    /** Callers are served and configuration is loaded. */
+    isReady(): boolean {
+        return this.isServing && this.config.isReady;
+    }
+
+    /** To be called once the listeners are open. */
+    serve(): void {
+        this.isServing = true;
+        this.announceReadiness();
+    }
+
+    /** Resolves when no request and no booking of this VM is unfinished. Cuts none off. */
+    async drain(): Promise<void> {
+        this.isServing = false;
+        this.membership.setLocal({ state: "draining" });
+        this.dispatch.drain();
+        await this.caller.drain();
+        while (this.bookings.unfinishedCount > 0) {
+            await this.pause(drainPollMs);
+        }
+        await this.publisher.flush(AbortSignal.timeout(reportFlushMs));
+        this.membership.leave();
+        await this.pause(farewellMs);
+    }
+
+    private announceReadiness(): void {
+        const self = this.membership.members.find(member => member.vm === this.options.settings.vm.id);
+        if (self?.state === "starting" && this.isReady()) {
+            this.membership.setLocal({ state: "ready" });
+            log("ready", { vm: self.vm, configOffset: this.config.view.offset });
+        }
+    }
+
+    private reportOptions() {
+        const { settings, incarnation, links, scheduler } = this.options;
+        const { config, membership, logClient } = this;
+        return { vm: settings.vm.id, incarnation, config, membership, peers: links, log: logClient, scheduler };
+    }
+
+    private createMembership(): GossipMembership {
+        const { settings, incarnation, peerUrl, links, scheduler } = this.options;
+        const { id: vm, availabilityZone, region } = settings.vm;
+        return new GossipMembership({
+            self: { vm, incarnation, availabilityZone, region, peerUrl },
+            seeds: settings.peers.seeds,
+            links,
+            scheduler,
+            listedVms: () => this.vmList.vms,
+        });
+    }
+
+    private createConfig(): LogConfigService {
+        const { settings, links, scheduler } = this.options;
+        return new LogConfigService({
+            log: this.logClient,
+            scheduler,
+            settings: ConfigSettings.parse({}),
+            vm: settings.vm.id,
+            membership: this.membership,
+            links,
+            uniqueId: randomUUID,
+        });
+    }
+
+    private createBookings(): LogBookingService {
+        const { settings, incarnation, scheduler } = this.options;
+        return new LogBookingService({
+            log: this.logClient,
+            scheduler,
+            settings: BookingSettings.parse({ claimWaitMs: settings.timeouts.bookingLogMs }),
+            vm: settings.vm.id,
+            incarnation,
+            isAlive: (vm, other) => this.membership.members.some(member => member.vm === vm && member.incarnation === other),
+        });
+    }
+
+    private createDispatch(): DispatchTask {
+        const { settings, incarnation, links, scheduler } = this.options;
+        return new DispatchTask({
+            vm: settings.vm.id,
+            incarnation,
+            scheduler,
+            random: Math.random,
+            links,
+            config: this.config,
+            membership: this.membership,
+            recorder: this.events,
+        });
+    }
+
+    private createCaller(): CallerServer {
+        const { settings, scheduler } = this.options;
+        const { host, port } = settings.listen.caller;
+        return new CallerServer({
+            vm: settings.vm.id,
+            availabilityZone: settings.vm.availabilityZone,
+            host,
+            port,
+            tls: readTls(settings.listen.caller),
+            config: this.config,
+            dispatch: this.dispatch,
+            limits: { admit: () => ok({ end: () => undefined }) },
+            bookings: this.bookings,
+            engines: this.engines,
+            plain: this.plain,
+            recorder: this.events,
+            observer: {
+                requestEnded: end => {
+                    this.metrics.requestEnded(end);
+                    this.levels.requestEnded(end);
+                },
+            },
+            scheduler,
+            isReady: () => this.isReady(),
+            newRequestId: randomUUID,
+            callerLimits: {
+                maxHeaderBytes: settings.limits.maxHeaderBytes,
+                maxHeldBodyBytes: settings.limits.maxBodyBytes,
+                headersTimeoutMs: settings.timeouts.callerHeadersMs,
+                requestTimeoutMs: settings.timeouts.callerBodyMs,
+                plainSilenceLimitMs: settings.timeouts.plainCallMs,
+            },
+        });
+    }
+
+    private createOperator(): OperatorServer {
+        const { settings, secrets, version } = this.options;
+        return new OperatorServer({
+            vm: settings.vm.id,
+            availabilityZone: settings.vm.availabilityZone,
+            version,
+            token: secrets.operatorToken,
+            config: this.config,
+            membership: this.membership,
+            report: this.reporter,
+            explain: this.explainer,
+        });
+    }
+
+    private runTask(name: string, task: Promise<void>): void {
+        task.catch((error: unknown) => {
+            log("task failed", { task: name, reason: String(error) });
+        });
+    }
+
+    private pause(durationMs: number): Promise<void> {
+        return new Promise(resolve => {
+            this.options.scheduler.after(durationMs, resolve, new AbortController().signal);
+        });
+    }
+}
--- /dev/null
+++ b/src/node/fleet/startVm.ts
@@ -0,0 +1,91 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Settings } from "../../schema/settings/Settings.js";
+import { createLog } from "../logs/createLog.js";
+import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import { SystemScheduler } from "../timers/SystemScheduler.js";
+import { newIncarnation } from "./newIncarnation.js";
+import { readTls } from "./readTls.js";
+import type { RunningVm } from "./RunningVm.js";
+import type { StartError } from "./StartError.js";
+import { Vm } from "./Vm.js";
+import type { VmSecrets } from "./VmSecrets.js";
+
+const log = createLog("vm");
+
+/** Starts one VM: peers first, then callers and operators. Everything is released when `signal` aborts or the VM has drained. */
+export async function startVm(
+    settings: Settings,
+    secrets: VmSecrets,
+    version: string,
+    signal: AbortSignal,
+): Promise<Result<RunningVm, StartError>> {
+    const controller = new AbortController();
+    const running = AbortSignal.any([signal, controller.signal]);
+    const started = await start(settings, secrets, version, running);
+    if (started.isErr()) {
+        controller.abort();
+        return err(started.error);
+    }
+    const { vm, urls } = started.value;
+    vm.serve();
+    log("serving", { vm: settings.vm.id, callerUrl: urls.callerUrl, operatorUrl: urls.operatorUrl });
+    return ok({
+        id: settings.vm.id,
+        availabilityZone: settings.vm.availabilityZone,
+        ...urls,
+        isReady: () => vm.isReady(),
+        drain: async () => {
+            log("draining", { vm: settings.vm.id });
+            await vm.drain();
+            controller.abort();
+        },
+    });
+}
+
+interface Started {
+    readonly vm: Vm;
+    readonly urls: Pick<RunningVm, "callerUrl" | "operatorUrl" | "peerUrl">;
+}
+
+async function start(settings: Settings, secrets: VmSecrets, version: string, signal: AbortSignal): Promise<Result<Started, StartError>> {
+    const scheduler = new SystemScheduler();
+    const incarnation = newIncarnation(scheduler.wallMs());
+    const links = createLinks(settings, secrets, incarnation, scheduler);
+    const peerPort = await links.start(signal);
+    if (peerPort.isErr()) {
+        return err({ kind: "not-listening", message: peerPort.error.message });
+    }
+    const peerUrl = settings.peers.advertiseUrl ??
+        urlOf(settings.listen.peer.tls ? "wss" : "ws", settings.listen.peer.host, peerPort.value);
+    const vm = new Vm({ settings, secrets, incarnation, links, peerUrl, scheduler, version });
+    vm.startTasks(signal);
+    const callerUrl = await vm.caller.start(signal);
+    if (callerUrl.isErr()) {
+        return err({ kind: "not-listening", message: callerUrl.error.message });
+    }
+    const { operator } = settings.listen;
+    const operatorPort = await vm.operator.start(operator, signal);
+    if (operatorPort.isErr()) {
+        return err({ kind: "not-listening", message: operatorPort.error });
+    }
+    const operatorUrl = urlOf(operator.tls ? "https" : "http", operator.host, operatorPort.value);
+    return ok({ vm, urls: { callerUrl: callerUrl.value, operatorUrl, peerUrl } });
+}
+
+function createLinks(settings: Settings, secrets: VmSecrets, incarnation: string, scheduler: SystemScheduler): WebSocketPeerLinks {
+    const { host, port } = settings.listen.peer;
+    const tls = readTls(settings.listen.peer);
+    return new WebSocketPeerLinks({
+        self: { vm: settings.vm.id, incarnation },
+        listenHost: host,
+        listenPort: port,
+        sharedKey: secrets.peerKey,
+        scheduler,
+        tls: tls &&
+            { certificate: tls.certificate, privateKey: tls.key, certificateAuthority: tls.certificateAuthority ?? tls.certificate },
+    });
+}
+
+function urlOf(scheme: string, host: string, port: number): string {
+    return `${scheme}://${host.includes(":") ? `[${host}]` : host}:${port}`;
+}
