--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -13,6 +13,14 @@
 const blob = `${workFolder}/orioleshelf.blob`;
 const executable = "dist/orioleshelf";
 
+/** Files that the program reads from inside itself. */
+const assets = {
+    "page.css": "src/cli/page/assets/page.css",
+    "page.js": "src/cli/page/assets/page.js",
+    "uPlot.js": "node_modules/uplot/dist/uPlot.iife.min.js",
+    "uPlot.css": "node_modules/uplot/dist/uPlot.min.css",
+};
+
 mkdirSync(workFolder, { recursive: true });
 await build({
     entryPoints: ["src/cli/main.ts"],
@@ -29,7 +37,7 @@
     logLevel: "warning",
 });
 const config = `${workFolder}/sea.json`;
-writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true }));
+writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, assets }));
 runQuietly(["--experimental-sea-config", config]);
 
 // A running copy of the old executable cannot be overwritten, but its name can be taken away.
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,13 +1,16 @@
-import { type MessageInitShape, toJsonString } from "@bufbuild/protobuf";
-import { type ExplainRequestSchema, ExplainResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { explanationFromProto } from "../../node/operator/explanationFromProto.js";
+import type { ExplainRequestSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
 import { callOperator } from "../callOperator.js";
 import type { CommandContext } from "../CommandContext.js";
 import { connectOperator } from "../connectOperator.js";
 import { ExitCode } from "../ExitCode.js";
+import { formatExplanation } from "../explain/formatExplanation.js";
 import { operatorOptions } from "../operatorOptions.js";
 import { parseOptions } from "../parseOptions.js";
 import { readDuration } from "../readDuration.js";
 import { UsageError } from "../UsageError.js";
+import { withProgress } from "../withProgress.js";
 
 const usage = "orioleshelf explain REQUEST_ID | --class CLASS [--since 1h] | --vm VM | --config  [--json]";
 const options = {
@@ -39,8 +42,9 @@
     }
     const client = connectOperator(values, context);
     return callOperator(context, async () => {
-        const answer = await client.explain({ query }, { signal: context.signal });
-        context.print(toJsonString(ExplainResponseSchema, answer));
+        const asked = client.explain({ query }, { signal: context.signal });
+        const answer = explanationFromProto(await withProgress(context, "asking the fleet", asked));
+        (values.json ? [JSON.stringify(answer)] : formatExplanation(answer)).forEach(context.print);
         return ExitCode.ok;
     });
 }
--- a/src/cli/commands/report.ts
+++ b/src/cli/commands/report.ts
@@ -1,17 +1,24 @@
-import { toJsonString } from "@bufbuild/protobuf";
-import { ReportResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { writeFileSync } from "node:fs";
+import { reportFromProto } from "../../node/operator/reportFromProto.js";
+import type { ServiceLevelReport } from "../../schema/report/ServiceLevelReport.js";
 import { callOperator } from "../callOperator.js";
 import type { CommandContext } from "../CommandContext.js";
 import { connectOperator } from "../connectOperator.js";
 import { ExitCode } from "../ExitCode.js";
 import { operatorOptions } from "../operatorOptions.js";
+import { renderPage } from "../page/renderPage.js";
 import { parseOptions } from "../parseOptions.js";
 import { readDuration } from "../readDuration.js";
+import { formatReport } from "../report/formatReport.js";
+import { reportPage } from "../report/reportPage.js";
+import { withProgress } from "../withProgress.js";
 
-const usage = "orioleshelf report [--since 3d] [--json]";
+const usage = "orioleshelf report [--since 3d] [--json | --html FILE] [--check]";
 const options = {
     ...operatorOptions,
     json: { type: "boolean", default: false },
+    html: { type: "string" },
+    check: { type: "boolean", default: false },
     since: { type: "string", default: "3d" },
 } as const;
 
@@ -21,8 +28,22 @@
     const sinceMs = readDuration(values.since);
     const client = connectOperator(values, context);
     return callOperator(context, async () => {
-        const answer = await client.report({ sinceMs }, { signal: context.signal });
-        context.print(toJsonString(ReportResponseSchema, answer));
-        return ExitCode.ok;
+        const asked = client.report({ sinceMs }, { signal: context.signal });
+        const answer = reportFromProto(await withProgress(context, "asking the fleet", asked));
+        if (values.html !== undefined) {
+            writeFileSync(values.html, renderPage(reportPage(answer)));
+            context.print(`wrote ${values.html}`);
+        }
+        else if (values.json) {
+            context.print(JSON.stringify(answer));
+        }
+        else {
+            formatReport(answer).forEach(context.print);
+        }
+        return values.check && isAlerting(answer) ? ExitCode.alert : ExitCode.ok;
     });
 }
+
+function isAlerting(answer: ServiceLevelReport): boolean {
+    return answer.levels.some(level => level.alerts.some(alert => alert.firing));
+}
--- /dev/null
+++ b/src/cli/report/formatReport.ts
@@ -0,0 +1,64 @@
+import type { ServiceLevel } from "../../schema/report/ServiceLevel.js";
+import type { ServiceLevelReport } from "../../schema/report/ServiceLevelReport.js";
+import { alignColumns } from "./alignColumns.js";
+import { formatNumber } from "./formatNumber.js";
+import { reportNotes } from "./reportNotes.js";
+
+const firstTokenPercentile = "p95Ms";
+
+/** The report as lines for a terminal. */
+export function formatReport(report: ServiceLevelReport): string[] {
+    const span = formatNumber.span(report.generatedAtMs - report.sinceAtMs);
+    const lines = [`service levels over ${span}, ${report.vms.length} VMs, ${new Date(report.generatedAtMs).toISOString()}`];
+    if (report.levels.length === 0) {
+        return [...lines, ...reportNotes(report), "no requests in this span"];
+    }
+    const windows = report.levels[0]?.burn.map(({ windowMs }) => `burn ${formatNumber.span(windowMs)}`) ?? [];
+    const head = [
+        "class/path",
+        "events",
+        "objective",
+        "attained",
+        "budget left",
+        ...windows,
+        "queue p99",
+        "short p99",
+        "token p95",
+        "wasted",
+        "alerts",
+    ];
+    return [...lines, ...reportNotes(report), "", ...alignColumns([head, ...report.levels.map(rowOf)]), ...badLines(report.levels)];
+}
+
+function rowOf(level: ServiceLevel): string[] {
+    const distribution = (measure: string) => level.distributions.find(candidate => candidate.measure === measure);
+    const produced = level.outputTokens + level.wastedTokens;
+    return [
+        `${level.serviceClass}/${level.path}`,
+        formatNumber.count(level.good + level.bad),
+        formatNumber.percent(level.objective),
+        formatNumber.percent(level.attainment, 2),
+        formatNumber.percent(level.budgetLeft, 0),
+        ...level.burn.map(({ burnRate }) => formatNumber.rate(burnRate)),
+        formatNumber.duration(distribution("queue")?.p99Ms),
+        formatNumber.duration(distribution("short-queue")?.p99Ms),
+        formatNumber.duration(distribution("first-token")?.[firstTokenPercentile]),
+        formatNumber.percent(produced === 0 ? undefined : level.wastedTokens / produced),
+        alertsOf(level),
+    ];
+}
+
+function alertsOf(level: ServiceLevel): string {
+    const firing = level.alerts.filter(alert => alert.firing).map(alert => `${alert.severity} ${formatNumber.span(alert.longWindowMs)}`);
+    return firing.length === 0 ? "none" : firing.join(", ");
+}
+
+function badLines(levels: readonly ServiceLevel[]): string[] {
+    const missed = levels.filter(level => level.bad > 0).map(level => {
+        const reasons = Object.entries(level.badByReason).sort(([, left], [, right]) => right - left);
+        return `  ${level.serviceClass}/${level.path}: ${
+            reasons.map(([reason, count]) => `${reason} ${formatNumber.count(count)}`).join(", ")
+        }`;
+    });
+    return missed.length === 0 ? [] : ["", "why requests missed their class:", ...missed];
+}
