--- /dev/null
+++ b/src/core/limits/QuotaAmounts.ts
@@ -0,0 +1,8 @@
+/** Limits of one customer; Infinity where none is set. */
+export interface QuotaAmounts {
+    /** A minute. */
+    readonly requests: number;
+    /** A minute. */
+    readonly tokens: number;
+    readonly concurrent: number;
+}
--- /dev/null
+++ b/src/core/limits/quotaAmountsOf.ts
@@ -0,0 +1,15 @@
+import type { Customer } from "../../schema/config/Customer.js";
+import type { QuotaAmounts } from "./QuotaAmounts.js";
+
+/** The limits of a customer; undefined when it has none. */
+export function quotaAmountsOf(customer: Customer): QuotaAmounts | undefined {
+    const { requestsPerMinute, tokensPerMinute, concurrentRequests } = customer;
+    if (requestsPerMinute === undefined && tokensPerMinute === undefined && concurrentRequests === undefined) {
+        return undefined;
+    }
+    return {
+        requests: requestsPerMinute ?? Infinity,
+        tokens: tokensPerMinute ?? Infinity,
+        concurrent: concurrentRequests ?? Infinity,
+    };
+}
--- /dev/null
+++ b/src/node/limits/FleetView.ts
@@ -0,0 +1,6 @@
+import type { MembershipService } from "../services/MembershipService.js";
+
+/** The members, and how many VMs may be alive in all. */
+export interface FleetView extends MembershipService {
+    readonly possiblyAliveCount: number;
+}
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -5,6 +5,8 @@
 import { GoneStatement } from "./GoneStatement.js";
 import { GrantEnd } from "./GrantEnd.js";
 import { MemberRecord } from "./MemberRecord.js";
+import { QuotaLoan } from "./QuotaLoan.js";
+import { QuotaReport } from "./QuotaReport.js";
 import { Ticket } from "./Ticket.js";
 
 /** Every message between VMs. A new kind of message is one more entry here and one handler. */
@@ -80,17 +82,10 @@
         /** A snapshot of the fold, when the sender no longer has the records asked for. */
         snapshot: z.instanceof(Uint8Array).optional(),
     }),
-    z.object({ type: z.literal("quotaBorrow"), customer: z.string(), requests: z.number(), tokens: z.number(), concurrent: z.int() }),
-    z.object({
-        type: z.literal("quotaLend"),
-        customer: z.string(),
-        requests: z.number(),
-        tokens: z.number(),
-        concurrent: z.int(),
-        validMs: z.number(),
-    }),
     z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
     z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
+    z.object({ type: z.literal("quotaBorrow"), customer: z.string(), report: QuotaReport }),
+    z.object({ type: z.literal("quotaLend"), customer: z.string(), loan: QuotaLoan }),
     z.object({ type: z.literal("reportQuery"), sinceMs: z.number() }),
     z.object({ type: z.literal("reportAnswer"), incarnation: z.string(), intervals: z.array(ServiceLevelInterval) }),
 ]);
--- /dev/null
+++ b/src/schema/peer/QuotaLoan.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+
+/** What a VM may let through for one customer until the loan ends. It replaces the VM's earlier loan. */
+export const QuotaLoan = z.object({
+    requests: z.number().min(0),
+    tokens: z.number().min(0),
+    concurrent: z.int().min(0),
+    validMs: z.number().min(0),
+    /** Share of each limit that the whole fleet has used in the last minute. */
+    fleetUsedRequests: z.number().min(0),
+    fleetUsedTokens: z.number().min(0),
+});
+export type QuotaLoan = z.infer<typeof QuotaLoan>;
