--- a/src/cli/commandTable.ts
+++ b/src/cli/commandTable.ts
@@ -23,7 +23,15 @@
         summary: "tell why a request, class, VM or the configuration is as it is",
         run: explain,
     },
-    load: { usage: "load --plan FILE | --compare A B", summary: "drive the fleet with open-loop load and report by class", run: load },
-    standin: { usage: "standin KIND --port N", summary: "run a stand-in for a platform service, engine or plain service", run: standin },
+    load: {
+        usage: "load PLAN [--out FILE] [--html FILE] | load --compare A B [--html FILE]",
+        summary: "drive the fleet with open-loop load and report by class",
+        run: load,
+    },
+    standin: {
+        usage: "standin engine|service|log|vm-list [--port N] [--model NAME]... [--name NAME] [--seed N]",
+        summary: "run a stand-in for a platform service, engine or plain service",
+        run: standin,
+    },
     quickstart: { usage: "quickstart [--hold] [--json]", summary: "run an embedded fleet with an example job", run: quickstart },
 };
--- a/src/cli/commands/load.ts
+++ b/src/cli/commands/load.ts
@@ -1,8 +1,99 @@
+import { once } from "node:events";
+import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
+import { parse } from "yaml";
+import { LoadPlan } from "../../load/LoadPlan.js";
+import type { LoadRun } from "../../load/LoadRun.js";
+import type { LoadRunHead } from "../../load/LoadRunHead.js";
+import type { LoadSample } from "../../load/LoadSample.js";
+import { readLoadRun } from "../../load/readLoadRun.js";
+import { runLoad } from "../../load/runLoad.js";
+import { readSecret } from "../../node/settings/readSecret.js";
 import type { CommandContext } from "../CommandContext.js";
 import { ExitCode } from "../ExitCode.js";
+import { formatLoad } from "../load/formatLoad.js";
+import { loadPage } from "../load/loadPage.js";
+import { renderPage } from "../page/renderPage.js";
+import { parseOptions } from "../parseOptions.js";
+import { UsageError } from "../UsageError.js";
 
-/** Drives the fleet with open-loop load. */
+const usage = "orioleshelf load PLAN [--out FILE] [--html FILE] | load --compare A B [--html FILE]";
+const options = {
+    out: { type: "string" },
+    html: { type: "string" },
+    compare: { type: "boolean", default: false },
+} as const;
+
+/** Drives the fleet with the open-loop load of a plan, or compares the results of two runs. */
 export async function load(args: readonly string[], context: CommandContext): Promise<ExitCode> {
-    context.complain(`orioleshelf load ${args.join(" ")}: this build has no load tool in it yet; use a later build`);
-    return ExitCode.failed;
+    const { values, positionals } = parseOptions(args, options, usage);
+    if (positionals.length !== (values.compare ? 2 : 1)) {
+        throw new UsageError(`give ${values.compare ? "two results files" : "one plan"}; usage: ${usage}`);
+    }
+    const runs = values.compare ? positionals.map(readRun) : [await drive(positionals[0] ?? "", values.out, context)];
+    formatLoad(runs).forEach(context.print);
+    if (values.html !== undefined) {
+        writeFileSync(values.html, renderPage(loadPage(runs)));
+        context.print(`wrote ${values.html}`);
+    }
+    return context.signal.aborted ? ExitCode.failed : ExitCode.ok;
+}
+
+function readRun(file: string): LoadRun {
+    return readLoadRun(file).match(run => run, message => {
+        throw new UsageError(message);
+    });
+}
+
+async function drive(planFile: string, outFile: string | undefined, context: CommandContext): Promise<LoadRun> {
+    const plan = readPlan(planFile);
+    const customerKeys = readKeys(plan, context);
+    const head: LoadRunHead = { type: "run", startedAtMs: Date.now(), durationMs: plan.durationMs, seed: plan.seed, targets: plan.targets };
+    const samples: LoadSample[] = [];
+    const out = outFile === undefined ? undefined : createWriteStream(outFile);
+    out?.write(JSON.stringify(head) + "\n");
+    await runLoad({
+        plan,
+        customerKeys,
+        signal: context.signal,
+        onSample: sample => {
+            samples.push(sample);
+            out?.write(JSON.stringify(sample) + "\n");
+        },
+        onProgress: (sent, open, planned) => {
+            if (context.isTerminal) {
+                context.complain(`${sent} of ${planned} requests sent, ${open} open`);
+            }
+        },
+    });
+    if (out !== undefined) {
+        out.end();
+        await once(out, "finish");
+    }
+    return { name: planFile, head, samples };
+}
+
+function readPlan(file: string): LoadPlan {
+    const parsed = LoadPlan.safeParse(readYaml(file));
+    if (!parsed.success) {
+        throw new UsageError(parsed.error.issues.map(issue => `${file}: ${issue.path.map(String).join(".")}: ${issue.message}`).join("\n"));
+    }
+    return parsed.data;
+}
+
+function readYaml(file: string): unknown {
+    try {
+        return parse(readFileSync(file, "utf8"));
+    }
+    catch (error) {
+        throw new UsageError(`${file}: ${(error as Error).message}; give a readable YAML file with a load plan`);
+    }
+}
+
+function readKeys(plan: LoadPlan, context: CommandContext): Map<string, string> {
+    return new Map(plan.streams.map(stream => {
+        const key = readSecret(stream.customerKey, context.environment).match(read => read, message => {
+            throw new UsageError(`stream ${stream.name}: ${message}; put the customer's key there`);
+        });
+        return [stream.name, key];
+    }));
 }
--- /dev/null
+++ b/src/cli/load/formatLoad.ts
@@ -0,0 +1,36 @@
+import type { LoadRun } from "../../load/LoadRun.js";
+import type { LoadSummary } from "../../load/LoadSummary.js";
+import { summarizeLoad } from "../../load/summarizeLoad.js";
+import { alignColumns } from "../report/alignColumns.js";
+import { formatNumber } from "../report/formatNumber.js";
+
+const head = ["class", "requests", "whole", "attained", "token/s", "first p50", "p95", "p99", "max", "gap p50", "p99", "whole p50", "p99"];
+
+/** One or more load runs as lines for a terminal, classes of several runs beside each other. */
+export function formatLoad(runs: readonly LoadRun[]): string[] {
+    const rows = runs.flatMap(run => summarizeLoad(run.samples, run.head.targets).map(summary => ({ run, summary }))).sort((left, right) =>
+        left.summary.serviceClass < right.summary.serviceClass ? -1 : left.summary.serviceClass > right.summary.serviceClass ? 1 : 0
+    );
+    const label = (run: LoadRun, summary: LoadSummary) => runs.length > 1 ? `${summary.serviceClass} ${run.name}` : summary.serviceClass;
+    const errors = rows.filter(({ summary }) => summary.errors.length > 0)
+        .map(({ run, summary }) => `  ${label(run, summary)}: ${summary.errors.map(([code, count]) => `${code} ${count}`).join(", ")}`);
+    return [
+        ...alignColumns([head, ...rows.map(({ run, summary }) => [label(run, summary), ...cells(run, summary)])]),
+        ...errors.length > 0 ? ["without a whole answer:", ...errors] : [],
+    ];
+}
+
+function cells(run: LoadRun, summary: LoadSummary): string[] {
+    const { firstToken, tokenGap, total } = summary;
+    return [
+        formatNumber.count(summary.requests),
+        formatNumber.percent(summary.complete / Math.max(1, summary.requests), 2),
+        formatNumber.percent(summary.attainment, 2),
+        formatNumber.count(Math.round(summary.tokens / (run.head.durationMs / 1_000))),
+        ...[firstToken.percentileMs(50), firstToken.percentileMs(95), firstToken.percentileMs(99), firstToken.maxMs].map(
+            formatNumber.duration,
+        ),
+        ...[tokenGap.percentileMs(50), tokenGap.percentileMs(99)].map(formatNumber.duration),
+        ...[total.percentileMs(50), total.percentileMs(99)].map(formatNumber.duration),
+    ];
+}
--- /dev/null
+++ b/src/load/LoadRunHead.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+import { LoadPlan } from "./LoadPlan.js";
+
+/** The first line of a results file; a line for each request follows. */
+export const LoadRunHead = z.object({
+    type: z.literal("run"),
+    startedAtMs: z.number(),
+    durationMs: z.number(),
+    seed: z.int(),
+    targets: LoadPlan.shape.targets,
+});
+export type LoadRunHead = z.infer<typeof LoadRunHead>;
