Judge the configuration by recorded histories under random fault schedules

A change whose read revision was not before its own record was applied twice when the log repeated it; the fold now refuses such revisions.

--- /dev/null
+++ b/proof/checker/checkConfig.ts
@@ -0,0 +1,115 @@
+import type { ConfigEvent } from "./ConfigEvent.js";
+import { NaiveConfig } from "./NaiveConfig.js";
+import type { Violation } from "./Violation.js";
+
+type EventOf<T extends ConfigEvent["type"]> = Extract<ConfigEvent, { type: T; }>;
+
+const emptyContent = "[]";
+
+/** Every broken promise about the configuration in a recorded history. */
+export function checkConfig(events: readonly ConfigEvent[]): Violation[] {
+    const naive = new NaiveConfig();
+    for (const event of events) {
+        if (event.type === "landed") {
+            naive.take(event.offset, event.payload);
+        }
+    }
+    return [
+        ...checkAppliedOnce(naive),
+        ...checkViews(events, naive),
+        ...checkTold(events, naive),
+        ...checkAcceptedStays(events),
+        ...checkSpread(events, naive),
+    ];
+}
+
+/** `applied-twice`: one change took effect at two offsets. */
+function checkAppliedOnce(naive: NaiveConfig): Violation[] {
+    return [...naive.applied]
+        .filter(([, offsets]) => offsets.length > 1)
+        .map(([author, offsets]) => ({ invariant: "applied-twice", detail: `change of ${author} at ${offsets.join(", ")}` }));
+}
+
+/** `moved-back`: a VM's configuration went back; `split`: a VM holds another state than the stream gives for its offset. */
+function checkViews(events: readonly ConfigEvent[], naive: NaiveConfig): Violation[] {
+    const violations: Violation[] = [];
+    const last = new Map<string, number>();
+    for (const event of events) {
+        if (event.type !== "view") {
+            continue;
+        }
+        const id = `${event.vm}/${event.incarnation}`;
+        if (event.offset < (last.get(id) ?? -1)) {
+            violations.push({ invariant: "moved-back", detail: `${id} went from ${last.get(id)} to ${event.offset}` });
+        }
+        last.set(id, event.offset);
+        const expected = event.offset < 0 ? emptyContent : naive.contents[event.offset];
+        if (event.content !== expected) {
+            violations.push({
+                invariant: "split",
+                detail: `${id} holds ${event.content} at ${event.offset}, the stream gives ${expected}`,
+            });
+        }
+    }
+    return violations;
+}
+
+/** `false-accept`, `false-pending`, `false-refusal` and `never-told`: what operators were told against what took effect. */
+function checkTold(events: readonly ConfigEvent[], naive: NaiveConfig): Violation[] {
+    const violations: Violation[] = [];
+    const told = new Map(events.filter(event => event.type === "told").map(event => [event.author, event]));
+    for (const event of told.values()) {
+        const offset = naive.applied.get(event.author)?.[0];
+        if (event.told.status === "accepted") {
+            const behind = event.fleet.filter(vm => vm.isReady && vm.offset < (offset ?? Infinity));
+            if (offset !== event.told.offset || behind.length > 0) {
+                const names = behind.map(vm => vm.vm).join(", ");
+                violations.push({
+                    invariant: "false-accept",
+                    detail: `${event.author} accepted at ${event.told.offset}, behind: ${names}`,
+                });
+            }
+        }
+        else if (event.told.status === "pending") {
+            if (offset !== event.told.offset || event.told.pendingZones.length === 0) {
+                violations.push({ invariant: "false-pending", detail: `${event.author} pending at ${event.told.offset}` });
+            }
+        }
+        else if (event.told.status !== "unknown" && offset !== undefined) {
+            violations.push({
+                invariant: "false-refusal",
+                detail: `${event.author} was told ${event.told.status} and applied at ${offset}`,
+            });
+        }
+    }
+    return violations;
+}
+
+/** `accepted-reverted`: a ready VM is below an offset that an operator has seen accepted. */
+function checkAcceptedStays(events: readonly ConfigEvent[]): Violation[] {
+    const violations: Violation[] = [];
+    let accepted = -1;
+    for (const event of events) {
+        if (event.type === "told" && event.told.status === "accepted") {
+            accepted = Math.max(accepted, event.told.offset);
+        }
+        if (event.type === "view" && event.isReady && event.offset < accepted) {
+            violations.push({
+                invariant: "accepted-reverted",
+                detail: `${event.vm} is ready at ${event.offset} after ${accepted} was accepted`,
+            });
+        }
+    }
+    return violations;
+}
+
+/** `not-spread`: after the faults a VM is not ready or not at the end of the stream; `never-told`: an operator got no answer. */
+function checkSpread(events: readonly ConfigEvent[], naive: NaiveConfig): Violation[] {
+    const settled = events.find((event): event is EventOf<"settled"> => event.type === "settled");
+    if (settled === undefined) {
+        return [];
+    }
+    const end = naive.contents.length - 1;
+    const behind = settled.fleet.filter(vm => !vm.isReady || vm.offset !== end);
+    return behind.map(vm => ({ invariant: "not-spread", detail: `${vm.vm} is at ${vm.offset} of ${end}, ready: ${vm.isReady}` }));
+}
--- /dev/null
+++ b/proof/config/configSchedules.test.ts
@@ -0,0 +1,10 @@
+import fc from "fast-check";
+import { test } from "node:test";
+import { configSchedules } from "./configSchedules.js";
+
+const seed = Number(process.env["PROOF_SEED"] ?? 20_261_204);
+const scheduleCount = Number(process.env["PROOF_SCHEDULES"] ?? 500);
+
+test(`the configuration keeps every promise over ${scheduleCount} fault schedules, seed ${seed}`, async () => {
+    await fc.assert(configSchedules(), { seed, numRuns: scheduleCount });
+});
--- a/proof/fakes/FakePeers.ts
+++ b/proof/fakes/FakePeers.ts
@@ -14,6 +14,8 @@
     readonly configOffset: () => number;
     readonly isReady: () => boolean;
     readonly handlers: Map<string, Handler>;
+    /** Holds messages back while the VM is paused. */
+    readonly gate: () => Promise<void>;
     isUp: boolean;
 }
 
@@ -26,9 +28,16 @@
     constructor(private readonly scheduler: Scheduler) {}
 
     /** Adds a VM, or replaces the one of the same name. */
-    add(vm: string, availabilityZone: string, incarnation: string, configOffset: () => number, isReady: () => boolean): void {
+    add(
+        vm: string,
+        availabilityZone: string,
+        incarnation: string,
+        configOffset: () => number,
+        isReady: () => boolean,
+        gate: () => Promise<void> = () => Promise.resolve(),
+    ): void {
         const member = { vm, incarnation, availabilityZone, region: "fiji-west", peerUrl: `fake:${vm}` };
-        this.vms.set(vm, { member, configOffset, isReady, handlers: new Map(), isUp: true });
+        this.vms.set(vm, { member, configOffset, isReady, handlers: new Map(), gate, isUp: true });
     }
 
     crash(vm: string): void {
@@ -94,8 +103,10 @@
         if (peer === undefined || !peer.isUp || handler === undefined || !this.isLinked(from, to)) {
             return err({ kind: "no-link", message: `no link to ${to}` });
         }
+        await peer.gate();
         const reply = await handler(from, message as never);
         await this.sleep();
+        await this.vms.get(from)?.gate();
         return reply === undefined || !this.isLinked(from, to) ? err({ kind: "timeout", message: `no answer of ${to}` }) : ok(reply);
     }
 
--- a/src/core/config/ConfigFold.ts
+++ b/src/core/config/ConfigFold.ts
@@ -11,6 +11,8 @@
 type Operation = ConfigChange["operations"][number];
 
 const maxDeletions = 10_000;
+const maxInvalidIds = 1_000;
+const refusedBefore = { verdict: "invalid", message: "the change was refused before; publish a corrected one" } as const;
 const kinds: readonly ConfigKind[] = ["serviceClass", "customer", "pool", "pathShare"];
 
 /**
@@ -23,6 +25,11 @@
     /** Offsets of deletions by `kind/name`, oldest first. */
     private readonly deletions = new Map<string, number>();
     private deletionFloor = -1;
+    /**
+     * Ids of the last invalid changes, oldest first. A change that was invalid once stays so when its record lands again, as its
+     * author has been told. One that met a conflict needs no such memory: its read revision stays too old for good.
+     */
+    private readonly invalidIds = new Set<string>();
     private cachedView: ConfigView | undefined;
 
     constructor() {
@@ -45,8 +52,9 @@
             return { offset, changeId: undefined, verdict: "skipped", message: decoded.error };
         }
         const change = decoded.value;
-        const refusal = this.refuse(change);
+        const refusal = this.invalidIds.has(change.changeId) ? refusedBefore : this.refuse(change, offset);
         if (refusal !== undefined) {
+            this.rememberInvalid(change.changeId, refusal.verdict);
             return { offset, changeId: change.changeId, ...refusal };
         }
         for (const operation of change.operations) {
@@ -55,8 +63,11 @@
         return { offset, changeId: change.changeId, verdict: "applied", message: "" };
     }
 
-    /** Why a change would not be applied now; undefined when it would. */
-    refuse(change: Pick<ConfigChange, "operations">): { verdict: "conflict" | "invalid"; message: string; } | undefined {
+    /** Why a change would not be applied if it stood at `offset`; undefined when it would. */
+    refuse(change: Pick<ConfigChange, "operations">, offset: number): { verdict: "conflict" | "invalid"; message: string; } | undefined {
+        if (change.operations.some(operation => (operation.readRevision ?? -1) >= offset)) {
+            return { verdict: "invalid", message: "a read revision is not before the change itself; read the objects again" };
+        }
         const conflict = change.operations.find(operation => this.isStale(operation));
         if (conflict !== undefined) {
             const { kind, name } = targetOf(conflict);
@@ -94,7 +105,15 @@
             return stored.sort((left, right) => compareText(left.object.value.name, right.object.value.name));
         });
         const deletions = [...this.deletions].map(([id, revision]) => ({ ...parseId(id), revision }));
-        return { type: "snapshot", formatVersion: 1, offset: this.lastOffset, objects, deletions, deletionFloor: this.deletionFloor };
+        return {
+            type: "snapshot",
+            formatVersion: 1,
+            offset: this.lastOffset,
+            objects,
+            deletions,
+            deletionFloor: this.deletionFloor,
+            invalidIds: [...this.invalidIds],
+        };
     }
 
     /** Replaces the state by a snapshot that is ahead of it; an older one is refused, as state never moves back. */
@@ -106,6 +125,10 @@
             this.objects.get(kind)?.clear();
         }
         this.deletions.clear();
+        this.invalidIds.clear();
+        for (const id of snapshot.invalidIds) {
+            this.invalidIds.add(id);
+        }
         for (const stored of snapshot.objects) {
             this.objects.get(stored.object.kind)?.set(stored.object.value.name, stored);
         }
@@ -174,6 +197,17 @@
         this.forgetDeletions();
     }
 
+    private rememberInvalid(changeId: string, verdict: FoldResult["verdict"]): void {
+        if (verdict !== "invalid") {
+            return;
+        }
+        this.invalidIds.add(changeId);
+        const [oldest] = this.invalidIds;
+        if (this.invalidIds.size > maxInvalidIds && oldest !== undefined) {
+            this.invalidIds.delete(oldest);
+        }
+    }
+
     private forgetDeletions(): void {
         for (const [id, revision] of this.deletions) {
             if (this.deletions.size <= maxDeletions) {
--- a/src/core/config/ConfigSnapshot.ts
+++ b/src/core/config/ConfigSnapshot.ts
@@ -12,6 +12,8 @@
     deletions: z.array(z.strictObject({ kind: ConfigKind, name: z.string(), revision: z.int() })),
     /** Deletions up to this offset are no longer known one by one. */
     deletionFloor: z.int(),
+    /** Ids of the last invalid changes, oldest first. */
+    invalidIds: z.array(z.string()),
     /** Wall-clock milliseconds since the epoch at which it was written; tells its age, nothing else. */
     writtenAtMs: z.number().optional(),
 });
--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -122,7 +122,7 @@
         if (!change.success) {
             return err({ kind: "invalid", message: change.error.issues[0]?.message ?? "the change is malformed" });
         }
-        const refusal = this.fold.refuse(change.data);
+        const refusal = this.fold.refuse(change.data, Infinity);
         if (refusal !== undefined) {
             return err({ kind: refusal.verdict, message: refusal.message });
         }
