Let a change be accepted only when every zone of the settings has confirmed it

Settings now name the zones; zones that are not named are remembered from sight, as before. A zone without any serving VM counts as pending.

--- a/src/core/config/ZoneConfirmations.ts
+++ b/src/core/config/ZoneConfirmations.ts
@@ -1,6 +1,6 @@
 import type { Member } from "../membership/Member.js";
 
-interface KnownZone {
+interface SeenZone {
     /** When a member of the zone was last seen. */
     seenMs: number;
     /** Every member that was seen last was draining, so the zone left on purpose. */
@@ -9,38 +9,32 @@
 
 /** Tells which availability zones have not confirmed a configuration offset, zones that are cut off included. */
 export class ZoneConfirmations {
-    private readonly zones = new Map<string, KnownZone>();
+    private readonly seen = new Map<string, SeenZone>();
 
-    /** A zone that vanished is remembered for `memoryMs`. */
-    constructor(private readonly memoryMs: number) {}
+    /**
+     * `zones` must always confirm. Another zone must confirm from when it was seen until it has left on purpose or has been out of
+     * sight for `memoryMs`.
+     */
+    constructor(private readonly zones: readonly string[], private readonly memoryMs: number) {}
 
     /** Takes the members seen now. */
     observe(members: readonly Member[], nowMs: number): void {
-        for (const zone of new Set(members.map(member => member.availabilityZone))) {
-            const isLeaving = members.every(member => member.availabilityZone !== zone || member.state === "draining");
-            this.zones.set(zone, { seenMs: nowMs, isLeaving });
+        const present = Map.groupBy(members, member => member.availabilityZone);
+        for (const [zone, zoneMembers] of present) {
+            this.seen.set(zone, { seenMs: nowMs, isLeaving: zoneMembers.every(member => member.state === "draining") });
         }
-        for (const [zone, known] of this.zones) {
-            const isGone = !members.some(member => member.availabilityZone === zone);
-            if (isGone && (known.isLeaving || nowMs - known.seenMs >= this.memoryMs)) {
-                this.zones.delete(zone);
+        for (const [zone, { seenMs, isLeaving }] of this.seen) {
+            if (!present.has(zone) && (isLeaving || nowMs - seenMs >= this.memoryMs)) {
+                this.seen.delete(zone);
             }
         }
     }
 
-    /** Zones with a serving member below `offset`, or with no member in sight, in order of name. */
+    /** Zones without a serving member in sight, or with one below `offset`, in order of name. */
     pending(members: readonly Member[], offset: number): string[] {
-        const pending = new Set<string>();
-        for (const zone of this.zones.keys()) {
-            if (!members.some(member => member.availabilityZone === zone)) {
-                pending.add(zone);
-            }
-        }
-        for (const member of members) {
-            if (member.state !== "starting" && member.configOffset < offset) {
-                pending.add(member.availabilityZone);
-            }
-        }
-        return [...pending].sort();
+        const serving = Map.groupBy(members.filter(member => member.state !== "starting"), member => member.availabilityZone);
+        const wanted = new Set([...this.zones, ...this.seen.keys()]);
+        const isConfirmed = (zone: string) => serving.get(zone)?.every(member => member.configOffset >= offset) ?? false;
+        return [...wanted].filter(zone => !isConfirmed(zone)).sort();
     }
 }
--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -31,7 +31,7 @@
 const readBackMs = 500;
 const confirmCheckMs = 50;
 const snapshotCheckMs = 5_000;
-const snapshotRankDelayMs = 30_000;
+const snapshotRankDelayMs = 10_000;
 
 type ChangeRequest = Omit<ConfigChange, "type" | "formatVersion" | "changeId">;
 
@@ -59,11 +59,12 @@
     private nextSnapshotRecord = 0;
     private lastSnapshotOffset = -1;
     private lastSnapshotWallMs = 0;
+    private snapshotDueSinceMs: number | undefined;
     private skipped = 0;
     private signal: AbortSignal | undefined;
 
     constructor(private readonly options: LogConfigServiceOptions) {
-        this.zones = new ZoneConfirmations(options.settings.zoneMemoryMs);
+        this.zones = new ZoneConfirmations(options.settings.zones, options.settings.zoneMemoryMs);
     }
 
     get view(): ConfigView {
@@ -202,7 +203,9 @@
     }
 
     private withOwnOffset(member: Member): Member {
-        return member.vm === this.options.vm ? { ...member, configOffset: this.fold.offset } : member;
+        return member.vm === this.options.vm
+            ? { ...member, configOffset: this.fold.offset, state: member.state === "starting" && this.ready ? "ready" : member.state }
+            : member;
     }
 
     private async tailChanges(signal: AbortSignal): Promise<void> {
@@ -383,19 +386,27 @@
     /** The first VM by name writes a snapshot that is due; the others follow one after another while it is still missing. */
     private async writeSnapshotIfDue(signal: AbortSignal): Promise<void> {
         const { membership, scheduler, settings, vm } = this.options;
-        if (!this.ready || this.fold.offset < 0) {
+        if (!this.isSnapshotDue()) {
+            this.snapshotDueSinceMs = undefined;
             return;
         }
+        this.snapshotDueSinceMs ??= scheduler.nowMs();
         const rank = membership.members.filter(member => member.state === "ready" && member.vm < vm).length;
-        const ageMs = scheduler.wallMs() - this.lastSnapshotWallMs;
-        const isDueByCount = this.fold.offset - this.lastSnapshotOffset >= settings.snapshotEveryRecords * (1 + rank);
-        const isDueByAge = ageMs >= settings.snapshotPeriodMs + rank * snapshotRankDelayMs;
-        if (isDueByCount || isDueByAge) {
+        if (scheduler.nowMs() - this.snapshotDueSinceMs >= rank * snapshotRankDelayMs) {
             const snapshot = { ...this.fold.snapshot(), writtenAtMs: scheduler.wallMs() };
             await this.options.log.append(settings.snapshotStream, encodeSnapshot(snapshot), signal);
         }
     }
 
+    private isSnapshotDue(): boolean {
+        const { scheduler, settings } = this.options;
+        if (!this.ready || this.fold.offset < 0) {
+            return false;
+        }
+        const isDueByCount = this.fold.offset - this.lastSnapshotOffset >= settings.snapshotEveryRecords;
+        return isDueByCount || scheduler.wallMs() - this.lastSnapshotWallMs >= settings.snapshotPeriodMs;
+    }
+
     private append(stream: string, payload: Uint8Array): ResultAsync<number, { kind: string; }> {
         return this.options.log.append(stream, payload, this.signal ?? AbortSignal.abort());
     }
