--- a/proof/bookings/bookingSchedules.ts
+++ b/proof/bookings/bookingSchedules.ts
@@ -14,7 +14,7 @@
     onViolations: (violations: readonly Violation[]) => void = () => undefined,
     isFailure: (violations: readonly Violation[]) => boolean = violations => violations.length > 0,
 ): fc.IAsyncProperty<[Iterable<fc.AsyncCommand<object, BookingFleet>>]> {
-    const commands = fc.commands([bookingStepArbitrary.map(step => new BookingCommand(step))], { maxCommands: maxSteps });
+    const commands = fc.commands([bookingStepArbitrary.map(step => new BookingCommand(step))], { maxCommands: maxSteps, size: "max" });
     return fc.asyncProperty(commands, async steps => {
         const fleet = new BookingFleet(plant);
         await fc.asyncModelRun(() => ({ model: {}, real: fleet }), steps);
--- a/proof/bookings/plantedBookingFaults.test.ts
+++ b/proof/bookings/plantedBookingFaults.test.ts
@@ -4,8 +4,8 @@
 import { bookingSchedules } from "./bookingSchedules.js";
 import { plantedBookingFaults } from "./plantedBookingFaults.js";
 
-const seed = 5;
-const scheduleCount = 3_000;
+const seed = 1;
+const scheduleCount = 500;
 
 for (const { name, invariant, plant } of plantedBookingFaults) {
     test(`the checker notices "${name}" as ${invariant}`, async () => {
--- a/proof/config/ConfigFleet.ts
+++ b/proof/config/ConfigFleet.ts
@@ -13,7 +13,7 @@
 
 const zones = ["lautoka", "nadi", "ba"];
 const vmCount = 4;
-const settings = ConfigSettings.parse({ snapshotEveryRecords: 3 });
+const settings = ConfigSettings.parse({ snapshotEveryRecords: 2, zones });
 const settleMs = 20_000;
 const startMs = 500;
 
@@ -48,9 +48,13 @@
         }
     }
 
-    /** Lets the first VMs start without a fault. */
+    /** Lets the first VMs start without a fault and creates the classes. */
     async begin(): Promise<void> {
         await this.scheduler.advanceAsync(startMs);
+        for (const object of ["class-a", "class-b"] as const) {
+            this.apply({ kind: "apply", vm: 0, object, op: "put", value: 0, revision: "none", waitMs: startMs });
+            await this.scheduler.advanceAsync(startMs);
+        }
     }
 
     async perform(step: ConfigStep): Promise<void> {
@@ -106,6 +110,10 @@
             case "start":
                 this.restart(step.vm);
                 break;
+            case "replace":
+                vm.process.crash();
+                this.startVm(step.vm);
+                break;
             case "pause":
                 vm.process.pause();
                 break;
--- a/proof/config/ConfigStep.ts
+++ b/proof/config/ConfigStep.ts
@@ -12,7 +12,8 @@
         readonly revision: "read" | "old" | "none";
         readonly waitMs: number;
     }
-    | { readonly kind: "crash" | "start" | "pause" | "logDown" | "logUp"; readonly vm: number; }
+    /** `replace`: crash, and start again at once under the same name. */
+    | { readonly kind: "crash" | "start" | "replace" | "pause" | "logDown" | "logUp"; readonly vm: number; }
     | { readonly kind: "resume"; readonly vm: number; readonly isNewestFirst: boolean; }
     | { readonly kind: "logDelay"; readonly vm: number; readonly delayMs: number; }
     | { readonly kind: "appendFault"; readonly vm: number; readonly fault: AppendFault; }
--- a/proof/config/configSchedules.test.ts
+++ b/proof/config/configSchedules.test.ts
@@ -3,7 +3,7 @@
 import { configSchedules } from "./configSchedules.js";
 
 const seed = Number(process.env["PROOF_SEED"] ?? 20_261_204);
-const scheduleCount = Number(process.env["PROOF_SCHEDULES"] ?? 500);
+const scheduleCount = Number(process.env["PROOF_SCHEDULES"] ?? 700);
 
 test(`the configuration keeps every promise over ${scheduleCount} fault schedules, seed ${seed}`, async () => {
     await fc.assert(configSchedules(), { seed, numRuns: scheduleCount });
--- a/proof/config/configSchedules.ts
+++ b/proof/config/configSchedules.ts
@@ -14,7 +14,7 @@
     onViolations: (violations: readonly Violation[]) => void = () => undefined,
     isFailure: (violations: readonly Violation[]) => boolean = violations => violations.length > 0,
 ): fc.IAsyncProperty<[Iterable<fc.AsyncCommand<object, ConfigFleet>>]> {
-    const commands = fc.commands([configStepArbitrary.map(step => new ConfigCommand(step))], { maxCommands: maxSteps });
+    const commands = fc.commands([configStepArbitrary.map(step => new ConfigCommand(step))], { maxCommands: maxSteps, size: "max" });
     return fc.asyncProperty(commands, async steps => {
         const fleet = new ConfigFleet(plant);
         await fleet.begin();
--- a/proof/config/configStepArbitrary.ts
+++ b/proof/config/configStepArbitrary.ts
@@ -25,7 +25,10 @@
     { weight: 8, arbitrary: apply },
     {
         weight: 7,
-        arbitrary: fc.record({ kind: fc.constant("advance" as const), durationMs: fc.constantFrom(1, 5, 20, 100, 300, 1_000, 5_000) }),
+        arbitrary: fc.record({
+            kind: fc.constant("advance" as const),
+            durationMs: fc.constantFrom(1, 5, 20, 100, 300, 1_000, 5_000, 5_000),
+        }),
     },
     { weight: 3, arbitrary: fc.record({ kind: fc.constant("appendFault" as const), vm, fault }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom("logDown" as const, "logUp" as const), vm }) },
@@ -41,5 +44,6 @@
             content: fc.constantFrom("{", "", `{"type":"change","formatVersion":2}`, `{"type":"order","formatVersion":1}`),
         }),
     },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant("forget" as const), kept: fc.constantFrom(1, 3) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("replace" as const), vm }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("forget" as const), kept: fc.constantFrom(1, 3) }) },
 );
--- /dev/null
+++ b/proof/config/plantedConfigFaults.test.ts
@@ -0,0 +1,21 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { configSchedules } from "./configSchedules.js";
+import { plantedConfigFaults } from "./plantedConfigFaults.js";
+
+const seed = 1;
+const scheduleCount = 500;
+
+for (const { name, invariant, plant } of plantedConfigFaults) {
+    test(`the checker notices "${name}" as ${invariant}`, async () => {
+        const noticed = new Set<string>();
+        const property = configSchedules(plant, violations => {
+            for (const violation of violations) {
+                noticed.add(violation.invariant);
+            }
+        }, found => found.some(violation => violation.invariant === invariant));
+        await fc.check(property, { seed, numRuns: scheduleCount, endOnFailure: true });
+        expect([...noticed]).toInclude(invariant);
+    });
+}
