Let the engine fake pause less urgent streams for more urgent ones

Engines honour priorities; the fake now pauses the least urgent running stream when a more urgent one waits and the batch is full, and keeps the paused one's memory while it fits.

--- a/bench/policy/ClairvoyantPolicy.ts
+++ b/bench/policy/ClairvoyantPolicy.ts
@@ -7,6 +7,8 @@
 const maxSends = 4;
 /** Waiting jobs that are looked at in one go. */
 const maxLookedAt = 64;
+/** Most calls that an engine is made to pause. */
+const maxPaused = 8;
 
 interface Placement {
     readonly engine: EngineFake;
@@ -82,13 +84,14 @@
     }
 }
 
-/** Keeps one slot of each engine for the top tier, and no more than one long prompt being read. */
+/** A job of a tier may take the place of lower ones, which the engine pauses; one long prompt is read at a time. */
 function hasRoom(engine: EngineFake, job: Job): boolean {
-    const slots = tierOf(job) === 0 ? engineProfile.maxBatch : engineProfile.maxBatch - 1;
-    if (engine.load + engine.expected >= slots) {
+    const tier = tierOf(job);
+    const mine = engine.calls.filter(call => tierOf(call.job) <= tier).length;
+    if (mine + engine.expected >= engineProfile.maxBatch || engine.load + engine.expected >= engineProfile.maxBatch + maxPaused) {
         return false;
     }
-    return tierOf(job) === 0 || engine.unreadTokens < 2 * engineProfile.prefillChunkTokens;
+    return tier === 0 || engine.unreadTokens < 2 * engineProfile.prefillChunkTokens;
 }
 
 function predict(engine: EngineFake, job: Job): Placement {
--- a/bench/policy/EngineCall.ts
+++ b/bench/policy/EngineCall.ts
@@ -12,5 +12,9 @@
     /** Prompt tokens still to read; set when the engine admits the call. */
     unreadTokens: number;
     readTokens: number;
+    /** Tokens read a second time, as a pause had cost the call its memory. */
+    rereadTokens: number;
+    /** Was admitted to the batch before, and its memory is still held. */
+    isPaused: boolean;
     givenTokens: number;
 }
--- a/bench/policy/EngineFake.ts
+++ b/bench/policy/EngineFake.ts
@@ -99,24 +99,58 @@
         });
     }
 
+    /** Fills the batch by priority; a more urgent call takes the place of the least urgent running one, which is paused. */
     private admit(): void {
-        while (this.running.length < engineProfile.maxBatch && this.waiting.length > 0) {
-            const call = this.takeMostUrgent();
+        while (this.waiting.length > 0) {
+            const call = mostUrgent(this.waiting);
+            if (this.running.length >= engineProfile.maxBatch && !this.pauseBelow(call.priority)) {
+                return;
+            }
+            this.waiting = this.waiting.filter(other => other !== call);
+            this.running.push(call);
+            this.prepare(call);
+        }
+    }
+
+    private pauseBelow(priority: number): boolean {
+        const victim = leastUrgent(this.running);
+        if (victim === undefined || victim.priority <= priority) {
+            return false;
+        }
+        this.running = this.running.filter(other => other !== victim);
+        victim.isPaused = true;
+        this.waiting.push(victim);
+        return true;
+    }
+
+    /** A call that was paused goes on where it stood, unless memory ran out meanwhile. */
+    private prepare(call: EngineCall): void {
+        if (!call.isPaused) {
             const cached = this.cachedTokens(call.job.prefixHashes);
             call.unreadTokens = Math.max(1, call.job.promptTokens - cached + call.resumeFrom);
-            call.readTokens = 0;
-            this.running.push(call);
         }
+        call.isPaused = false;
+        this.freeMemory();
     }
 
-    private takeMostUrgent(): EngineCall {
-        let best = 0;
-        for (let index = 1; index < this.waiting.length; index++) {
-            if ((this.waiting[index] as EngineCall).priority < (this.waiting[best] as EngineCall).priority) {
-                best = index;
+    /** Drops cached blocks, then the memory of paused calls, until what is held fits. */
+    private freeMemory(): void {
+        const heldTokens = () => {
+            const paused = this.waiting.filter(call => call.isPaused);
+            return [...this.running, ...paused].reduce((sum, call) => sum + heldBy(call), 0);
+        };
+        let held = heldTokens();
+        while (this.cache.size > 0 && held + this.cache.size * engineProfile.blockTokens > engineProfile.memoryTokens) {
+            this.cache.delete(this.cache.keys().next().value as number);
+        }
+        for (const call of this.waiting.filter(candidate => candidate.isPaused)) {
+            if (held <= engineProfile.memoryTokens) {
+                return;
             }
+            call.isPaused = false;
+            call.rereadTokens += heldBy(call);
+            held = heldTokens();
         }
-        return this.waiting.splice(best, 1)[0] as EngineCall;
     }
 
     /** Reads up to one chunk of prompts, most urgent first; gives the tokens read. */
@@ -140,9 +174,7 @@
             this.cache.delete(hash);
             this.cache.set(hash, true);
         }
-        while (this.cache.size > engineProfile.cacheBlocks) {
-            this.cache.delete(this.cache.keys().next().value as number);
-        }
+        this.freeMemory();
     }
 
     private finishStep(decoding: readonly EngineCall[]): void {
@@ -159,3 +191,23 @@
         }
     }
 }
+
+function heldBy(call: EngineCall): number {
+    return call.job.promptTokens - call.unreadTokens + call.resumeFrom + call.givenTokens;
+}
+
+/** The first of the most urgent; a paused call goes before one of the same priority that has not begun. */
+function mostUrgent(calls: readonly EngineCall[]): EngineCall {
+    return calls.reduce((best, call) => {
+        const isBefore = call.priority < best.priority || (call.priority === best.priority && call.isPaused && !best.isPaused);
+        return isBefore ? call : best;
+    });
+}
+
+/** The last come of the least urgent. */
+function leastUrgent(calls: readonly EngineCall[]): EngineCall | undefined {
+    return calls.reduce<EngineCall | undefined>(
+        (worst, call) => (worst === undefined || call.priority >= worst.priority ? call : worst),
+        undefined,
+    );
+}
--- a/bench/policy/World.ts
+++ b/bench/policy/World.ts
@@ -57,6 +57,8 @@
             resumeFrom: job.receivedTokens,
             unreadTokens: 0,
             readTokens: 0,
+            rereadTokens: 0,
+            isPaused: false,
             givenTokens: 0,
             onToken,
             onEnd: result => {
@@ -92,6 +94,7 @@
     /** Work of a stream; reading a prompt again for a stream that was cut off is waste. */
     private count(call: EngineCall): void {
         this.workedTokens += call.readTokens + call.givenTokens;
+        this.wastedTokens += call.rereadTokens;
         if (call.job.sends > 1 && call.resumeFrom > 0) {
             this.wastedTokens += call.readTokens;
         }
--- a/bench/policy/engineProfile.ts
+++ b/bench/policy/engineProfile.ts
@@ -7,8 +7,8 @@
     /** Prompt tokens read in one step, beside the decoding. */
     prefillChunkTokens: 512,
     blockTokens: 256,
-    /** Prompt blocks that fit in the cache. */
-    cacheBlocks: 600,
+    /** Tokens whose keys and values fit in memory: of running and paused requests first, cached prompt blocks in the rest. */
+    memoryTokens: 200_000,
     reportPeriodMs: 1_000,
     reportLagMs: 500,
     /** Between VMs, and between a VM and an engine, one way. */
