--- a/bench/policy/DispatchPolicy.ts
+++ b/bench/policy/DispatchPolicy.ts
@@ -217,6 +217,7 @@
             waitedMs: this.nowMs - entry.waitingSinceMs,
             firstTokenTargetMs: serviceClass.firstTokenTargetMs,
             maxQueueMs: isResumed ? resumedMaxQueueMs : serviceClass.maxQueueMs,
+            isResumed: isResumed ? true : undefined,
             excludedUpstreams: [...entry.excluded],
         };
     }
--- a/src/core/dispatch/DispatchOptions.ts
+++ b/src/core/dispatch/DispatchOptions.ts
@@ -10,10 +10,14 @@
     readonly shortSlotShare: number;
     /** Work predicted to hold its slot longer than this is long. */
     readonly longWorkMs: number;
+    /** Requests beyond its slots that an engine is given for a higher tier; it pauses as many lower-tier streams meanwhile. */
+    readonly pausedSlots: number;
+    /** Share of a higher-tier stream's spare time between tokens, in [0, 1], that reading lower-tier prompts may take; Infinity for no limit. */
+    readonly gapBudgetShare: number;
     /** Cancel and resume lower-tier streams when a higher tier would miss its target. */
     readonly preemption: boolean;
-    /** Most times that one request is preempted. */
-    readonly maxPreemptions: number;
+    /** Share of the tokens worked on, in [0, 1), that cancelling and moving streams may make engines read again. */
+    readonly wasteShare: number;
     /** Share of grants, in [0, 1), that hedging may add. */
     readonly hedgeShare: number;
     /** Judge engines by what is seen of them. */
--- a/src/core/dispatch/Engine.ts
+++ b/src/core/dispatch/Engine.ts
@@ -3,52 +3,104 @@
 
 /** One engine and the exact work that it has been granted. */
 export class Engine {
-    readonly running = new Map<string, RunningGrant>();
+    readonly running: RunningGrant[] = [];
+    private readonly countByTier: number[] = [];
     private longCount = 0;
-    /** Prompt tokens granted and not yet read, as far as first tokens tell. */
-    private unreadTokens = 0;
+    private batchMs = 0;
+    private batchSinceMs = 0;
+    private readTokens = 0;
 
     constructor(public upstream: DispatchUpstream) {}
 
     get inFlight(): number {
-        return this.running.size;
+        return this.running.length;
     }
 
-    get pendingPrefillTokens(): number {
-        return this.unreadTokens;
+    /** Work of this tier and those above it. */
+    inFlightUpTo(tier: number): number {
+        let count = 0;
+        for (let above = 0; above <= tier && above < this.countByTier.length; above++) {
+            count += this.countByTier[above] as number;
+        }
+        return count;
+    }
+
+    /** Requests that make up the batch; those beyond it are paused. */
+    get batchSize(): number {
+        return Math.min(this.inFlight, this.upstream.maxInFlight);
+    }
+
+    /** Long work beyond this many slots has to wait. */
+    hasLongRoom(shortSlotShare: number): boolean {
+        return this.longCount < this.upstream.maxInFlight - Math.floor(this.upstream.maxInFlight * shortSlotShare);
     }
 
-    /** Slots that short work, or long work, may still take. */
-    freeSlots(isLong: boolean, shortSlotShare: number): number {
-        const free = this.upstream.maxInFlight - this.inFlight;
-        if (!isLong) {
-            return free;
+    /** Prompt tokens that the engine still has to read before those of a new request of this tier. */
+    unreadTokensUpTo(tier: number): number {
+        let tokens = 0;
+        for (const grant of this.running) {
+            tokens += grant.firstTokenMs === undefined && grant.ticket.tier <= tier ? grant.uncachedTokens : 0;
         }
-        const longSlots = this.upstream.maxInFlight - Math.floor(this.upstream.maxInFlight * shortSlotShare);
-        return Math.min(free, longSlots - this.longCount);
+        return tokens;
     }
 
-    add(grant: RunningGrant): void {
-        this.running.set(grant.grantId, grant);
-        this.longCount += grant.isLong ? 1 : 0;
-        this.unreadTokens += grant.firstTokenMs === undefined ? grant.uncachedTokens : 0;
+    /** Batch size summed over time, in requests times ms. */
+    batchMsUntil(nowMs: number): number {
+        return this.batchMs + this.batchSize * (nowMs - this.batchSinceMs);
     }
 
-    /** The first token shows that the prompt has been read. */
-    noteFirstToken(grant: RunningGrant, firstTokenMs: number): void {
-        if (grant.firstTokenMs === undefined) {
-            this.unreadTokens = Math.max(0, this.unreadTokens - grant.uncachedTokens);
+    /** Prompt tokens granted to it so far. */
+    get readTokensTotal(): number {
+        return this.readTokens;
+    }
+
+    add(grant: RunningGrant, nowMs: number): void {
+        this.closeInterval(nowMs);
+        this.running.push(grant);
+        this.count(grant, 1);
+        this.readTokens += grant.firstTokenMs === undefined ? grant.uncachedTokens : 0;
+        if (this.inFlight > this.upstream.maxInFlight) {
+            this.markCrowded();
+        }
+    }
+
+    /** Streams that the engine may pause now, as those above them fill its slots. */
+    private markCrowded(): void {
+        for (const grant of this.running) {
+            grant.wasCrowded ||= this.inFlightUpTo(grant.ticket.tier) > this.upstream.maxInFlight;
         }
+    }
+
+    /** The first token shows that the prompt has been read. */
+    noteFirstToken(grant: RunningGrant, firstTokenMs: number, nowMs: number): void {
         grant.firstTokenMs = firstTokenMs;
+        grant.firstTokenAtMs = nowMs;
+        grant.batchMsAtFirstToken = this.batchMsUntil(nowMs);
+        grant.readTokensAtFirstToken = this.readTokens;
     }
 
-    remove(grant: RunningGrant): void {
-        if (!this.running.delete(grant.grantId)) {
+    remove(grant: RunningGrant, nowMs: number): void {
+        const index = this.running.indexOf(grant);
+        if (index < 0) {
             return;
         }
-        this.longCount -= grant.isLong ? 1 : 0;
-        if (grant.firstTokenMs === undefined) {
-            this.unreadTokens = Math.max(0, this.unreadTokens - grant.uncachedTokens);
+        this.closeInterval(nowMs);
+        this.running[index] = this.running[this.running.length - 1] as RunningGrant;
+        this.running.pop();
+        this.count(grant, -1);
+    }
+
+    private closeInterval(nowMs: number): void {
+        this.batchMs = this.batchMsUntil(nowMs);
+        this.batchSinceMs = nowMs;
+    }
+
+    private count(grant: RunningGrant, change: 1 | -1): void {
+        const { tier } = grant.ticket;
+        while (this.countByTier.length <= tier) {
+            this.countByTier.push(0);
         }
+        this.countByTier[tier] = (this.countByTier[tier] as number) + change;
+        this.longCount += grant.isLong ? change : 0;
     }
 }
--- /dev/null
+++ b/src/core/dispatch/EngineRanker.ts
@@ -0,0 +1,127 @@
+import type { EngineSpeedModel } from "../estimate/EngineSpeedModel.js";
+import type { PrefixCacheHints } from "../estimate/PrefixCacheHints.js";
+import type { HealthBoard } from "../health/HealthBoard.js";
+import type { DispatchOptions } from "./DispatchOptions.js";
+import type { Engine } from "./Engine.js";
+import type { EnginePrediction } from "./EnginePrediction.js";
+import type { RunningGrant } from "./RunningGrant.js";
+import type { WaitingTicket } from "./WaitingTicket.js";
+
+/** Time lost by a higher-tier stream weighs this many times that of the request's own tier. */
+const higherTierWeight = 4;
+/** A slow engine is passed over when the class's gap target would be missed there by this factor. */
+const slowGapTolerance = 1.2;
+/** Differences in cost below this are left to chance, so that equal engines share the work. */
+const tieBreakMs = 1;
+
+/** Decides which engines may take a ticket now, and ranks them by predicted finish and harm to the work that they have. */
+export class EngineRanker {
+    /** `random` gives numbers in [0, 1). */
+    constructor(
+        private readonly options: DispatchOptions,
+        private readonly speed: EngineSpeedModel,
+        private readonly health: HealthBoard,
+        private readonly prefixes: PrefixCacheHints,
+        private readonly random: () => number,
+    ) {}
+
+    /**
+     * Engines that may take the ticket, best first. `floorSlots` are the slots of an engine that lower tiers keep while they have work
+     * there. A ticket under its class's floor (`isGuaranteed`) is not held back for the gaps of higher tiers.
+     */
+    rank(
+        engines: Iterable<Engine>,
+        waiting: WaitingTicket,
+        floorSlots: (engine: Engine) => number,
+        isGuaranteed: boolean,
+        nowMs: number,
+    ): EnginePrediction[] {
+        const predictions: EnginePrediction[] = [];
+        for (const engine of engines) {
+            if (this.hasRoom(engine, waiting, floorSlots(engine)) && this.isFit(engine, waiting, nowMs)) {
+                const prediction = this.predict(engine, waiting, nowMs);
+                if (isGuaranteed || this.keepsGaps(engine, waiting, prediction.uncachedTokens, nowMs)) {
+                    predictions.push(prediction);
+                }
+            }
+        }
+        return predictions.sort((left, right) => left.costMs - right.costMs);
+    }
+
+    private hasRoom(engine: Engine, waiting: WaitingTicket, floorSlots: number): boolean {
+        const { maxInFlight, leaving } = engine.upstream;
+        if (leaving || engine.inFlight >= maxInFlight + this.options.pausedSlots) {
+            return false;
+        }
+        if (engine.inFlightUpTo(waiting.ticket.tier) >= maxInFlight - floorSlots) {
+            return false;
+        }
+        return !waiting.isLong || engine.hasLongRoom(this.options.shortSlotShare);
+    }
+
+    private isFit(engine: Engine, waiting: WaitingTicket, nowMs: number): boolean {
+        const { id } = engine.upstream;
+        if (waiting.ticket.excludedUpstreams.includes(id)) {
+            return false;
+        }
+        if (!this.options.health || this.health.mayProbe(id, nowMs)) {
+            return true;
+        }
+        if (this.health.isBroken(id)) {
+            return false;
+        }
+        const slowness = this.health.slowness(id, nowMs);
+        return !this.health.isSlow(id, nowMs)
+            || this.speed.gapMs(engine.batchSize + 1) * slowness <= waiting.tokenGapTargetMs * slowGapTolerance;
+    }
+
+    private predict(engine: Engine, waiting: WaitingTicket, nowMs: number): EnginePrediction {
+        const { ticket, expectedOutputTokens } = waiting;
+        const { id, availabilityZone, maxInFlight } = engine.upstream;
+        const slowness = this.options.health ? this.health.slowness(id, nowMs) : 1;
+        const cachedTokens = this.prefixes.cachedTokens(ticket.prefixHashes, id, nowMs);
+        const uncachedTokens = Math.max(1, ticket.promptTokens - cachedTokens);
+        const aheadTokens = engine.unreadTokensUpTo(ticket.tier);
+        const prefillTokens = aheadTokens + uncachedTokens;
+        const hopMs = ticket.availabilityZone === availabilityZone ? 0 : this.options.zoneHopMs;
+        const firstTokenMs = this.speed.firstTokenMs(prefillTokens, engine.batchSize) * slowness + hopMs;
+        const lowerReadMs = (engine.unreadTokensUpTo(Infinity) - aheadTokens) * this.speed.readMsPerToken;
+        const writeMs = expectedOutputTokens * this.speed.gapMs(Math.min(maxInFlight, engine.inFlight + 1)) + lowerReadMs;
+        const finishMs = firstTokenMs + writeMs * slowness;
+        const costMs = finishMs + this.harmMs(engine, waiting, uncachedTokens, writeMs) + this.random() * tieBreakMs;
+        return { upstreamId: id, firstTokenMs, finishMs, costMs, uncachedTokens, prefillTokens };
+    }
+
+    /** Time that the streams of the engine lose by this request: longer gaps, its prompt being read, one of them paused for it. */
+    private harmMs(engine: Engine, waiting: WaitingTicket, uncachedTokens: number, writeMs: number): number {
+        const { tier } = waiting.ticket;
+        const higher = tier === 0 ? 0 : engine.inFlightUpTo(tier - 1);
+        const weighted = engine.batchSize + (higherTierWeight - 1) * Math.min(higher, engine.batchSize);
+        const readMs = uncachedTokens * this.speed.readMsPerToken;
+        if (engine.inFlight >= engine.upstream.maxInFlight) {
+            return weighted * readMs + writeMs;
+        }
+        return weighted * (readMs + waiting.expectedOutputTokens * this.speed.gapPerRequestMs);
+    }
+
+    /** Whether streams of higher tiers there still meet their gap targets with this request beside them. */
+    private keepsGaps(engine: Engine, waiting: WaitingTicket, uncachedTokens: number, nowMs: number): boolean {
+        if (waiting.ticket.tier === 0 || this.options.gapBudgetShare === Infinity) {
+            return true;
+        }
+        const slowness = this.options.health ? this.health.slowness(engine.upstream.id, nowMs) : 1;
+        const gapMs = this.speed.gapMs(Math.min(engine.upstream.maxInFlight, engine.inFlight + 1)) * slowness;
+        for (const grant of engine.running) {
+            if (grant.ticket.tier < waiting.ticket.tier && !this.keepsGap(engine, grant, gapMs, uncachedTokens)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private keepsGap(engine: Engine, grant: RunningGrant, gapMs: number, uncachedTokens: number): boolean {
+        const spareMs = (grant.tokenGapTargetMs - gapMs) * grant.predictedOutputTokens * this.options.gapBudgetShare;
+        const readTokens = engine.readTokensTotal - grant.readTokensAtFirstToken + uncachedTokens;
+        return readTokens * this.speed.readMsPerToken <= spareMs;
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/GrantTable.ts
@@ -0,0 +1,50 @@
+import type { RunningGrant } from "./RunningGrant.js";
+
+/** Grants that have not ended, by id, by request and counted by class. A hedge counts for its class but not for its request. */
+export class GrantTable {
+    private readonly byId = new Map<string, RunningGrant>();
+    private readonly byRequest = new Map<string, RunningGrant>();
+    private readonly countByClass = new Map<string, number>();
+
+    get size(): number {
+        return this.byId.size;
+    }
+
+    get(grantId: string): RunningGrant | undefined {
+        return this.byId.get(grantId);
+    }
+
+    ofRequest(requestId: string): RunningGrant | undefined {
+        return this.byRequest.get(requestId);
+    }
+
+    all(): readonly RunningGrant[] {
+        return [...this.byId.values()];
+    }
+
+    inFlightOfClass(serviceClass: string): number {
+        return this.countByClass.get(serviceClass) ?? 0;
+    }
+
+    add(grant: RunningGrant, isHedge: boolean): void {
+        const { requestId, serviceClass } = grant.ticket;
+        this.byId.set(grant.grantId, grant);
+        if (!isHedge) {
+            this.byRequest.set(requestId, grant);
+        }
+        this.countByClass.set(serviceClass, this.inFlightOfClass(serviceClass) + 1);
+    }
+
+    /** False when the grant had ended before. */
+    remove(grant: RunningGrant): boolean {
+        if (!this.byId.delete(grant.grantId)) {
+            return false;
+        }
+        const { requestId, serviceClass } = grant.ticket;
+        if (this.byRequest.get(requestId) === grant) {
+            this.byRequest.delete(requestId);
+        }
+        this.countByClass.set(serviceClass, this.inFlightOfClass(serviceClass) - 1);
+        return true;
+    }
+}
--- a/src/core/dispatch/RunningGrant.ts
+++ b/src/core/dispatch/RunningGrant.ts
@@ -14,11 +14,19 @@
     /** Prompt tokens of this request alone that are not in the cache, as predicted. */
     readonly uncachedTokens: number;
     readonly predictedFirstTokenMs: number;
+    /** Gap target of its class. */
+    readonly tokenGapTargetMs: number;
     predictedOutputTokens: number;
     outputTokens: number;
     /** Undefined until the first token was seen. */
     firstTokenMs: number | undefined;
+    firstTokenAtMs: number;
     lastSeenMs: number;
+    /** Counters of the engine at the first token, from which what happened since is told. */
+    batchMsAtFirstToken: number;
+    readTokensAtFirstToken: number;
+    /** More work of its tier and above was there than the engine has slots, so that the engine may have paused it. */
+    wasCrowded: boolean;
     /** The dispatcher has asked for the slot back. */
     isPreempted: boolean;
     /** The other grant of a hedged pair. */
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -7,19 +7,36 @@
 import { HealthBoard } from "../health/HealthBoard.js";
 import { HedgeBudget } from "../health/HedgeBudget.js";
 import type { AdoptedGrant } from "./AdoptedGrant.js";
+import { ClassTable } from "./ClassTable.js";
 import type { DispatchAction } from "./DispatchAction.js";
 import type { DispatchOptions } from "./DispatchOptions.js";
 import type { DispatchUpstream } from "./DispatchUpstream.js";
 import { Engine } from "./Engine.js";
 import type { EnginePrediction } from "./EnginePrediction.js";
+import { EngineRanker } from "./EngineRanker.js";
+import { GrantTable } from "./GrantTable.js";
 import type { QueueState } from "./QueueState.js";
 import type { RunningGrant } from "./RunningGrant.js";
 import { TicketQueue } from "./TicketQueue.js";
+import { VictimChooser } from "./VictimChooser.js";
 import type { WaitingTicket } from "./WaitingTicket.js";
+import { WasteBudget } from "./WasteBudget.js";
 
 const maxRunnersUp = 3;
 /** Longest time between ticks while anything waits or runs. */
-const tickPeriodMs = 50;
+const tickPeriodMs = 25;
+/** A first token that is this many times later than predicted, and `overdueSlackMs`, tells of a slow engine. */
+const overdueRatio = 2;
+const overdueSlackMs = 60;
+/** Batch size at which the slot time of a waiting ticket is predicted. */
+const usualBatchSize = 8;
+/** A stream on a slow engine is moved when going on elsewhere is predicted to take less than this share of the time. */
+const moveGainShare = 0.5;
+/** Higher tiers wait this much longer for a slot to come free before a stream is cancelled for them. */
+const preemptionSlackMs = 100;
+const maxPreemptionsPerDecision = 4;
+/** Prompt tokens that an engine reads in one step beside its decoding. */
+const assumedChunkTokens = 512;
 
 /**
  * Owns the queue of one shard and the exact in-flight work of its engines. Every call takes the time and gives back the decisions that
@@ -28,27 +45,31 @@
 export class ShardDispatcher {
     private readonly queue: TicketQueue;
     private readonly engines = new Map<string, Engine>();
-    private readonly grants = new Map<string, RunningGrant>();
-    private readonly grantOfRequest = new Map<string, RunningGrant>();
-    private readonly inFlightOfClass = new Map<string, number>();
-    private classes = new Map<string, ServiceClass>();
+    private readonly grants = new GrantTable();
+    private readonly classes = new ClassTable();
     private readonly lengths = new OutputLengthEstimator();
     private readonly speed = new EngineSpeedModel();
     private readonly prefixes = new PrefixCacheHints();
     private readonly health = new HealthBoard();
+    private readonly ranker: EngineRanker;
+    private readonly victims = new VictimChooser(this.grants, this.classes);
+    private readonly waste: WasteBudget;
     private readonly hedges: HedgeBudget;
     private actions: DispatchAction[] = [];
     private ticketSequence = 0;
     private grantSequence = 0;
+    private pendingPreemptions = 0;
 
     /** `random` gives numbers in [0, 1). */
-    constructor(private readonly options: DispatchOptions, private readonly random: () => number) {
+    constructor(private readonly options: DispatchOptions, random: () => number) {
         this.queue = new TicketQueue(options.order);
+        this.ranker = new EngineRanker(options, this.speed, this.health, this.prefixes, random);
+        this.waste = new WasteBudget(options.wasteShare);
         this.hedges = new HedgeBudget(options.hedgeShare);
     }
 
     setClasses(classes: readonly ServiceClass[]): void {
-        this.classes = new Map(classes.map(serviceClass => [serviceClass.name, serviceClass]));
+        this.classes.set(classes);
     }
 
     /** Sets the engines of the shard. Work in flight on an engine that is no longer listed is still followed to its end. */
@@ -81,15 +102,15 @@
             }
             this.queue.remove(waiting);
         }
-        const running = this.grantOfRequest.get(ticket.requestId);
+        const running = this.grants.ofRequest(ticket.requestId);
         if (running !== undefined) {
             if (running.ticket.attempt === ticket.attempt) {
-                return [this.grantAction(running, [], nowMs, running.predictedFirstTokenMs, running.predictedFirstTokenMs)];
+                return [toGrantAction(running, running.grantedMs, running.predictedFirstTokenMs, [])];
             }
             if (running.ticket.attempt > ticket.attempt) {
                 return [];
             }
-            this.release(running);
+            this.release(running, nowMs);
         }
         this.queue.add(this.toWaiting(ticket, nowMs));
         this.shedOverflow();
@@ -102,9 +123,9 @@
         if (waiting !== undefined && waiting.ticket.attempt <= attempt) {
             this.queue.remove(waiting);
         }
-        const running = this.grantOfRequest.get(requestId);
+        const running = this.grants.ofRequest(requestId);
         if (running !== undefined && running.ticket.attempt <= attempt) {
-            this.release(running);
+            this.release(running, nowMs);
         }
         return this.decide(nowMs);
     }
@@ -118,10 +139,19 @@
         recentGapMs?: number,
     ): readonly DispatchAction[] {
         const grant = this.grants.get(grantId);
-        if (grant === undefined) {
+        const engine = grant && this.engines.get(grant.upstreamId);
+        if (grant === undefined || engine === undefined) {
             return [];
         }
-        this.learnProgress(grant, outputTokens, firstTokenMs, recentGapMs, nowMs);
+        if (grant.firstTokenMs === undefined) {
+            this.learnFirstToken(engine, grant, firstTokenMs, nowMs);
+        }
+        if (recentGapMs !== undefined) {
+            this.observeGap(engine, grant, recentGapMs, nowMs);
+        }
+        grant.outputTokens = Math.max(grant.outputTokens, outputTokens);
+        grant.predictedOutputTokens = this.lengths.mean(grant.ticket, grant.outputTokens, grant.ticket.maxOutputTokens);
+        grant.lastSeenMs = nowMs;
         return this.decide(nowMs);
     }
 
@@ -132,7 +162,7 @@
             return [];
         }
         this.learnEnd(grant, end, nowMs);
-        this.release(grant);
+        this.release(grant, nowMs);
         return this.decide(nowMs);
     }
 
@@ -143,9 +173,9 @@
                 this.queue.remove(waiting);
             }
         }
-        for (const grant of [...this.grants.values()]) {
+        for (const grant of this.grants.all()) {
             if (grant.ticket.entryVm === vm) {
-                this.release(grant);
+                this.release(grant, nowMs);
             }
         }
         return this.decide(nowMs);
@@ -155,28 +185,10 @@
     adopt(running: readonly AdoptedGrant[], nowMs: number): readonly DispatchAction[] {
         for (const adopted of running) {
             const engine = this.engines.get(adopted.upstreamId);
-            if (engine === undefined || this.grants.has(adopted.grantId) || this.grantOfRequest.has(adopted.ticket.requestId)) {
-                continue;
+            const isKnown = this.grants.get(adopted.grantId) !== undefined || this.grants.ofRequest(adopted.ticket.requestId) !== undefined;
+            if (engine !== undefined && !isKnown) {
+                this.hold(engine, this.toAdopted(engine, adopted, nowMs), false, nowMs);
             }
-            const { ticket } = adopted;
-            const predictedOutputTokens = this.lengths.mean(ticket, adopted.outputTokens, ticket.maxOutputTokens);
-            this.hold(engine, {
-                grantId: adopted.grantId,
-                ticket,
-                upstreamId: adopted.upstreamId,
-                grantedMs: nowMs - adopted.ageMs,
-                isLong: this.serviceMs(ticket) > this.options.longWorkMs,
-                batchSize: engine.inFlight + 1,
-                prefillTokens: ticket.promptTokens,
-                uncachedTokens: adopted.firstTokenMs === undefined ? ticket.promptTokens : 0,
-                predictedFirstTokenMs: this.speed.firstTokenMs(ticket.promptTokens),
-                predictedOutputTokens,
-                outputTokens: adopted.outputTokens,
-                firstTokenMs: adopted.firstTokenMs,
-                lastSeenMs: nowMs,
-                isPreempted: false,
-                hedgeGrantId: undefined,
-            });
         }
         return this.decide(nowMs);
     }
@@ -193,9 +205,12 @@
 
     /** Does what falls due by the passing of time alone. */
     tick(nowMs: number): readonly DispatchAction[] {
-        for (const grant of [...this.grants.values()]) {
+        for (const grant of this.grants.all()) {
             if (nowMs - grant.lastSeenMs > this.options.staleGrantMs) {
-                this.release(grant);
+                this.release(grant, nowMs);
+            }
+            else if (grant.firstTokenMs === undefined) {
+                this.checkOverdue(grant, nowMs);
             }
         }
         return this.decide(nowMs);
@@ -229,9 +244,12 @@
 
     private decide(nowMs: number): readonly DispatchAction[] {
         this.expire(nowMs);
-        while (this.grantNext(nowMs)) {
+        while (this.queue.size > 0 && this.grantNext(nowMs)) {
             // Each round gives one grant.
         }
+        if (this.options.preemption && this.queue.size > 0) {
+            this.preempt(nowMs);
+        }
         this.dropGoneEngines();
         const actions = this.actions;
         this.actions = [];
@@ -241,7 +259,7 @@
     private expire(nowMs: number): void {
         for (let next = this.queue.nextToExpire(); next !== undefined && next.expiresMs <= nowMs; next = this.queue.nextToExpire()) {
             this.queue.remove(next);
-            this.refuse(next, "queue-timeout");
+            this.refuse(next, next.expiresEarly ? "target-unreachable" : "queue-timeout");
         }
     }
 
@@ -258,16 +276,18 @@
 
     /** Gives one grant: first to classes under their floor, then by tier. */
     private grantNext(nowMs: number): boolean {
-        if (this.queue.size === 0) {
-            return false;
-        }
+        const totalSlots = this.totalSlots();
         for (let tier = 0; tier < this.queue.tierCount; tier++) {
-            if (this.queue.waitingIn(tier) > 0 && this.isUnderFloor(tier) && this.grantFrom(tier, nowMs)) {
-                return true;
+            for (const lane of this.queue.lanes(tier)) {
+                const floorSlots = this.classes.floorSlotsOf(lane.serviceClass, totalSlots);
+                const head = floorSlots > this.grants.inFlightOfClass(lane.serviceClass) ? lane.head(nowMs) : undefined;
+                if (head !== undefined && this.tryGrant(head, true, nowMs)) {
+                    return true;
+                }
             }
         }
         for (let tier = 0; tier < this.queue.tierCount; tier++) {
-            if (this.queue.waitingIn(tier) > 0 && this.grantFrom(tier, nowMs)) {
+            if (this.grantFrom(tier, nowMs)) {
                 return true;
             }
         }
@@ -275,222 +295,283 @@
     }
 
     private grantFrom(tier: number, nowMs: number): boolean {
-        const short = this.queue.head(tier, false, nowMs);
-        const long = this.queue.head(tier, true, nowMs);
-        const first = short !== undefined && long !== undefined && long.latestStartMs < short.latestStartMs ? long : short ?? long;
-        const second = first === short ? long : short;
-        return (first !== undefined && this.tryGrant(first, nowMs)) || (second !== undefined && this.tryGrant(second, nowMs));
+        return this.headsOf(tier, nowMs).some(head => this.tryGrant(head, false, nowMs));
     }
 
-    private tryGrant(waiting: WaitingTicket, nowMs: number): boolean {
-        const predictions: EnginePrediction[] = [];
-        for (const engine of this.engines.values()) {
-            if (this.mayServe(engine, waiting, nowMs)) {
-                predictions.push(this.predict(engine, waiting, nowMs));
+    /** Heads of the lanes of a tier: on-time ones by slack, then late ones. */
+    private headsOf(tier: number, nowMs: number): WaitingTicket[] {
+        const heads: WaitingTicket[] = [];
+        for (const lane of this.queue.lanes(tier)) {
+            const head = lane.head(nowMs);
+            if (head !== undefined) {
+                heads.push(head);
             }
         }
+        return heads.length < 2 ? heads : heads.sort(compareHeads);
+    }
+
+    private tryGrant(waiting: WaitingTicket, isGuaranteed: boolean, nowMs: number): boolean {
+        const { tier } = waiting.ticket;
+        const floorSlots = (engine: Engine) => isGuaranteed ? 0 : this.classes.floorSlotsBelow(tier, engine);
+        const predictions = this.ranker.rank(this.engines.values(), waiting, floorSlots, isGuaranteed, nowMs);
         if (predictions.length === 0) {
             return false;
         }
-        predictions.sort((left, right) => left.costMs - right.costMs);
         this.grant(waiting, predictions, nowMs);
         return true;
     }
 
-    private mayServe(engine: Engine, waiting: WaitingTicket, nowMs: number): boolean {
-        const { id, leaving } = engine.upstream;
-        if (leaving || waiting.ticket.excludedUpstreams.includes(id)) {
-            return false;
-        }
-        if (engine.freeSlots(waiting.isLong, this.options.shortSlotShare) <= 0) {
-            return false;
-        }
-        return !this.options.health || !this.health.isBroken(id) || this.health.mayProbe(id, nowMs);
-    }
-
-    private predict(engine: Engine, waiting: WaitingTicket, nowMs: number): EnginePrediction {
-        const { ticket } = waiting;
-        const { id } = engine.upstream;
-        const slowness = this.options.health ? this.health.slowness(id, nowMs) : 1;
-        const cachedTokens = this.prefixes.cachedTokens(ticket.prefixHashes, id, nowMs);
-        const uncachedTokens = Math.max(1, ticket.promptTokens - cachedTokens);
-        const prefillTokens = engine.pendingPrefillTokens + uncachedTokens;
-        const hopMs = ticket.availabilityZone === engine.upstream.availabilityZone ? 0 : this.options.zoneHopMs;
-        const firstTokenMs = this.speed.firstTokenMs(prefillTokens) * slowness + hopMs;
-        const outputTokens = this.lengths.mean(ticket, 0, ticket.maxOutputTokens);
-        const finishMs = firstTokenMs + outputTokens * this.speed.gapMs(engine.inFlight + 1) * slowness;
-        const costMs = finishMs + engine.inFlight * outputTokens * this.speed.gapPerRequestMs + this.random();
-        return { upstreamId: id, firstTokenMs, finishMs, costMs, uncachedTokens, prefillTokens };
-    }
-
     private grant(waiting: WaitingTicket, predictions: readonly EnginePrediction[], nowMs: number): void {
         const best = predictions[0] as EnginePrediction;
-        const engine = this.engines.get(best.upstreamId) as Engine;
-        const { ticket } = waiting;
+        const running = this.place(waiting, best, false, nowMs);
         this.queue.take(waiting);
+        this.hedges.earn();
+        const runnersUp = predictions.slice(1, 1 + maxRunnersUp).map(({ upstreamId, finishMs }) => ({
+            upstreamId,
+            predictedFinishMs: Math.round(finishMs),
+        }));
+        this.actions.push(toGrantAction(running, waiting.offeredMs, best.finishMs, runnersUp));
+    }
+
+    /** Puts a ticket's work on an engine. */
+    private place(waiting: WaitingTicket, on: EnginePrediction, isHedge: boolean, nowMs: number): RunningGrant {
+        const { ticket } = waiting;
+        const engine = this.engines.get(on.upstreamId) as Engine;
         const running: RunningGrant = {
             grantId: `${this.options.grantIdPrefix}/${this.grantSequence++}`,
             ticket,
-            upstreamId: best.upstreamId,
+            upstreamId: on.upstreamId,
             grantedMs: nowMs,
             isLong: waiting.isLong,
-            batchSize: engine.inFlight + 1,
-            prefillTokens: best.prefillTokens,
-            uncachedTokens: best.uncachedTokens,
-            predictedFirstTokenMs: best.firstTokenMs,
-            predictedOutputTokens: this.lengths.mean(ticket, 0, ticket.maxOutputTokens),
+            batchSize: engine.batchSize,
+            prefillTokens: on.prefillTokens,
+            uncachedTokens: on.uncachedTokens,
+            predictedFirstTokenMs: on.firstTokenMs,
+            tokenGapTargetMs: waiting.tokenGapTargetMs,
+            predictedOutputTokens: waiting.expectedOutputTokens,
             outputTokens: 0,
             firstTokenMs: undefined,
+            firstTokenAtMs: 0,
             lastSeenMs: nowMs,
+            batchMsAtFirstToken: 0,
+            readTokensAtFirstToken: engine.readTokensTotal + on.uncachedTokens,
+            wasCrowded: false,
             isPreempted: false,
             hedgeGrantId: undefined,
         };
-        this.hold(engine, running);
-        this.hedges.earn();
-        this.prefixes.note(ticket.prefixHashes, best.upstreamId, nowMs);
-        if (this.health.isBroken(best.upstreamId)) {
-            this.health.noteProbe(best.upstreamId, nowMs);
+        this.hold(engine, running, isHedge, nowMs);
+        this.prefixes.note(ticket.prefixHashes, on.upstreamId, nowMs);
+        this.health.noteGrant(on.upstreamId, nowMs);
+        return running;
+    }
+
+    /** Cancels lower-tier streams for tickets that would miss their target before a slot comes free. */
+    private preempt(nowMs: number): void {
+        const totalSlots = this.totalSlots();
+        for (let tier = 0; tier < this.queue.tierCount; tier++) {
+            const [head] = this.headsOf(tier, nowMs);
+            if (head === undefined || head.isLate || head.latestStartMs - nowMs > preemptionSlackMs) {
+                continue;
+            }
+            const wanted = Math.min(maxPreemptionsPerDecision, this.queue.waitingUpTo(tier)) - this.pendingPreemptions;
+            for (let count = 0; count < wanted; count++) {
+                const victim = this.victims.choose(this.engines.values(), head, totalSlots);
+                if (victim === undefined || !this.waste.spend(victim.ticket.promptTokens + victim.outputTokens)) {
+                    return;
+                }
+                this.askBack(victim, "higher-tier", tier);
+            }
         }
-        const runnersUp = predictions.slice(1, 1 + maxRunnersUp).map(({ upstreamId, finishMs }) => ({
-            upstreamId,
-            predictedFinishMs: Math.round(finishMs),
-        }));
-        this.actions.push(this.grantAction(running, runnersUp, waiting.offeredMs, best.firstTokenMs, best.finishMs));
     }
 
-    private grantAction(
-        running: RunningGrant,
-        runnersUp: Extract<DispatchAction, { type: "grant"; }>["runnersUp"],
-        offeredMs: number,
-        firstTokenMs: number,
-        finishMs: number,
-    ): DispatchAction {
-        const { ticket } = running;
-        return {
-            type: "grant",
-            entryVm: ticket.entryVm,
-            requestId: ticket.requestId,
-            attempt: ticket.attempt,
-            grantId: running.grantId,
-            upstreamId: running.upstreamId,
-            priority: ticket.tier,
-            waitedMs: ticket.waitedMs + Math.max(0, running.grantedMs - offeredMs),
-            predictedFirstTokenMs: Math.round(firstTokenMs),
-            predictedFinishMs: Math.round(finishMs),
-            runnersUp,
-        };
+    private askBack(grant: RunningGrant, reason: "higher-tier" | "slow-upstream", forTier: number): void {
+        grant.isPreempted = true;
+        this.pendingPreemptions++;
+        const { entryVm, requestId, tier } = grant.ticket;
+        const { grantId, upstreamId } = grant;
+        this.actions.push({ type: "preempt", entryVm, requestId, grantId, tier, upstreamId, reason, forTier });
+    }
+
+    /** Moves streams off an engine that turned out slow, where that is predicted to pay and the waste budget allows. */
+    private moveOffSlow(engine: Engine, nowMs: number): void {
+        if (!this.options.health || !this.health.isSlow(engine.upstream.id, nowMs)) {
+            return;
+        }
+        for (const grant of engine.running) {
+            if (this.shouldMove(engine, grant, nowMs) && this.waste.spend(grant.ticket.promptTokens + grant.outputTokens)) {
+                this.askBack(grant, "slow-upstream", grant.ticket.tier);
+            }
+        }
+    }
+
+    private shouldMove(engine: Engine, grant: RunningGrant, nowMs: number): boolean {
+        const slowness = this.health.slowness(engine.upstream.id, nowMs);
+        const gapMs = this.speed.gapMs(engine.batchSize);
+        if (grant.isPreempted || grant.isLong || gapMs * slowness <= grant.tokenGapTargetMs) {
+            return false;
+        }
+        const remainingTokens = Math.max(1, grant.predictedOutputTokens - grant.outputTokens);
+        const rereadMs = this.speed.firstTokenMs(grant.ticket.promptTokens + grant.outputTokens, usualBatchSize);
+        const isRead = grant.firstTokenMs !== undefined;
+        const hereMs = (remainingTokens * gapMs + (isRead ? 0 : grant.predictedFirstTokenMs)) * slowness;
+        const elsewhereMs = rereadMs + remainingTokens * gapMs;
+        return elsewhereMs < moveGainShare * hereMs && this.hasRoomElsewhere(engine, grant, nowMs);
+    }
+
+    private hasRoomElsewhere(slow: Engine, grant: RunningGrant, nowMs: number): boolean {
+        for (const engine of this.engines.values()) {
+            const { id, leaving, maxInFlight } = engine.upstream;
+            const hasSlot = !leaving && engine.inFlightUpTo(grant.ticket.tier) < maxInFlight &&
+                engine.inFlight < maxInFlight + this.options.pausedSlots;
+            if (engine !== slow && hasSlot && !this.health.isSlow(id, nowMs)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private refuse(waiting: WaitingTicket, kind: Extract<DispatchAction, { type: "refuse"; }>["kind"]): void {
-        const { ticket } = waiting;
-        this.actions.push({
-            type: "refuse",
-            entryVm: ticket.entryVm,
-            requestId: ticket.requestId,
-            attempt: ticket.attempt,
-            tier: ticket.tier,
-            kind,
-            retryAfterMs: Math.ceil(this.predictedWaitMs(ticket.tier)),
-        });
+        const { entryVm, requestId, attempt, tier } = waiting.ticket;
+        const retryAfterMs = Math.ceil(this.predictedWaitMs(tier));
+        this.actions.push({ type: "refuse", entryVm, requestId, attempt, tier, kind, retryAfterMs });
     }
 
     private toWaiting(ticket: Ticket, nowMs: number): WaitingTicket {
-        const serviceMs = this.serviceMs(ticket);
-        const firstTokenMs = this.speed.firstTokenMs(ticket.promptTokens);
+        const expectedOutputTokens = this.lengths.mean(ticket, 0, ticket.maxOutputTokens);
+        const firstTokenMs = this.speed.firstTokenMs(ticket.promptTokens, usualBatchSize);
+        const serviceMs = firstTokenMs + expectedOutputTokens * this.speed.gapMs(usualBatchSize);
+        const latestStartMs = nowMs - ticket.waitedMs + ticket.firstTokenTargetMs - firstTokenMs;
+        const boundMs = nowMs - ticket.waitedMs + ticket.maxQueueMs;
+        const expiresEarly = this.classes.refusesEarly(ticket.serviceClass) && ticket.isResumed !== true && latestStartMs < boundMs;
         return {
             ticket,
             sequence: this.ticketSequence++,
             offeredMs: nowMs,
-            latestStartMs: nowMs - ticket.waitedMs + ticket.firstTokenTargetMs - firstTokenMs,
-            expiresMs: nowMs - ticket.waitedMs + ticket.maxQueueMs,
+            latestStartMs,
+            expiresMs: expiresEarly ? latestStartMs : boundMs,
+            expiresEarly,
             isLong: serviceMs > this.options.longWorkMs,
+            expectedOutputTokens,
             serviceMs,
+            tokenGapTargetMs: this.classes.tokenGapTargetMs(ticket.serviceClass),
             isLate: false,
             orderPosition: -1,
             expiryPosition: -1,
         };
     }
 
-    /** Predicted time in a slot of a half-full engine. */
-    private serviceMs(ticket: Ticket): number {
-        const outputTokens = this.lengths.mean(ticket, 0, ticket.maxOutputTokens);
-        return this.speed.firstTokenMs(ticket.promptTokens) + outputTokens * this.speed.gapMs(8);
+    private toAdopted(engine: Engine, adopted: AdoptedGrant, nowMs: number): RunningGrant {
+        const { ticket, grantId, upstreamId, ageMs, outputTokens } = adopted;
+        const waiting = this.toWaiting(ticket, nowMs);
+        const isRead = outputTokens > 0 || adopted.firstTokenMs !== undefined;
+        return {
+            grantId,
+            ticket,
+            upstreamId,
+            grantedMs: nowMs - ageMs,
+            isLong: waiting.isLong,
+            batchSize: engine.batchSize,
+            prefillTokens: ticket.promptTokens,
+            uncachedTokens: isRead ? 0 : ticket.promptTokens,
+            predictedFirstTokenMs: this.speed.firstTokenMs(ticket.promptTokens, engine.batchSize),
+            tokenGapTargetMs: waiting.tokenGapTargetMs,
+            predictedOutputTokens: this.lengths.mean(ticket, outputTokens, ticket.maxOutputTokens),
+            outputTokens,
+            firstTokenMs: isRead ? adopted.firstTokenMs ?? ageMs : undefined,
+            firstTokenAtMs: nowMs,
+            lastSeenMs: nowMs,
+            batchMsAtFirstToken: engine.batchMsUntil(nowMs),
+            readTokensAtFirstToken: engine.readTokensTotal,
+            // What it saw before is not known, so its speed is not learnt from.
+            wasCrowded: true,
+            isPreempted: false,
+            hedgeGrantId: undefined,
+        };
     }
 
-    /** Time until what waits at this tier or above has been given slots. */
+    /** Time until what waits at this tier or above has been given slots, and one more comes free. */
     private predictedWaitMs(tier: number): number {
-        let aheadMs = 0;
-        for (let above = 0; above <= tier; above++) {
-            aheadMs += this.queue.serviceMsIn(above);
+        if (this.queue.size === 0 && this.freeSlots() > 0) {
+            return 0;
         }
-        return aheadMs / Math.max(1, this.totalSlots());
+        const waiting = this.queue.waitingUpTo(tier);
+        const aheadMs = this.queue.serviceMsUpTo(tier);
+        const usualMs = waiting > 0 ? aheadMs / waiting : usualBatchSize * this.speed.gapMs(usualBatchSize);
+        return (aheadMs + usualMs) / Math.max(1, this.totalSlots());
     }
 
-    private isUnderFloor(tier: number): boolean {
-        for (const serviceClass of this.classes.values()) {
-            if (serviceClass.tier === tier && serviceClass.floorShare > 0) {
-                const inFlight = this.inFlightOfClass.get(serviceClass.name) ?? 0;
-                return inFlight < Math.ceil(serviceClass.floorShare * this.totalSlots());
-            }
+    private learnFirstToken(engine: Engine, grant: RunningGrant, firstTokenMs: number, nowMs: number): void {
+        engine.noteFirstToken(grant, firstTokenMs, nowMs);
+        if (grant.wasCrowded) {
+            return;
         }
-        return false;
+        const expectedMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
+        this.health.observe(grant.upstreamId, firstTokenMs, expectedMs, nowMs);
+        if (!this.health.isSlow(grant.upstreamId, nowMs)) {
+            this.speed.observeFirstToken(grant.prefillTokens, grant.batchSize, firstTokenMs);
+        }
+        this.moveOffSlow(engine, nowMs);
     }
 
-    private learnProgress(
-        grant: RunningGrant,
-        outputTokens: number,
-        firstTokenMs: number,
-        recentGapMs: number | undefined,
-        nowMs: number,
-    ): void {
-        const engine = this.engines.get(grant.upstreamId);
-        if (grant.firstTokenMs === undefined && engine !== undefined) {
-            engine.noteFirstToken(grant, firstTokenMs);
-            this.health.observe(grant.upstreamId, firstTokenMs, this.speed.firstTokenMs(grant.prefillTokens), nowMs);
-            if (!this.health.isSlow(grant.upstreamId, nowMs)) {
-                this.speed.observeFirstToken(grant.prefillTokens, firstTokenMs);
-            }
+    /** Judges the engine by a stream's gap between tokens now. A stream that may have been paused for others tells nothing. */
+    private observeGap(engine: Engine, grant: RunningGrant, recentGapMs: number, nowMs: number): void {
+        if (grant.wasCrowded) {
+            return;
         }
-        if (recentGapMs !== undefined && engine !== undefined) {
-            this.health.observe(grant.upstreamId, recentGapMs, this.speed.gapMs(engine.inFlight), nowMs);
+        const readMs = engine.unreadTokensUpTo(Infinity) > 0 ? this.speed.readMsPerToken * assumedChunkTokens : 0;
+        this.health.observe(grant.upstreamId, recentGapMs, this.speed.gapMs(engine.batchSize) + readMs, nowMs);
+        this.moveOffSlow(engine, nowMs);
+    }
+
+    /** A first token that does not come is a sign as good as one that came late. */
+    private checkOverdue(grant: RunningGrant, nowMs: number): void {
+        const engine = this.engines.get(grant.upstreamId);
+        const ageMs = nowMs - grant.grantedMs;
+        const expectedMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
+        if (engine !== undefined && !grant.wasCrowded && ageMs > expectedMs * overdueRatio + overdueSlackMs) {
+            this.health.observe(grant.upstreamId, ageMs, expectedMs, nowMs);
+            this.moveOffSlow(engine, nowMs);
         }
-        grant.outputTokens = Math.max(grant.outputTokens, outputTokens);
-        grant.lastSeenMs = nowMs;
     }
 
     private learnEnd(grant: RunningGrant, end: GrantEnd, nowMs: number): void {
+        this.waste.earn(grant.uncachedTokens + end.outputTokens);
         if (end.result === "completed") {
             this.lengths.observe(grant.ticket, end.outputTokens);
             this.health.succeeded(grant.upstreamId);
+            this.learnGap(grant, end, nowMs);
         }
         if (end.result === "failed") {
             this.health.failed(grant.upstreamId);
             this.prefixes.forget(grant.ticket.prefixHashes, grant.upstreamId);
         }
-        if (end.meanTokenGapMs !== undefined && end.outputTokens > 1) {
-            this.health.observe(grant.upstreamId, end.meanTokenGapMs, this.speed.gapMs(grant.batchSize), nowMs);
-            this.speed.observeGap(grant.batchSize, end.meanTokenGapMs);
+    }
+
+    private learnGap(grant: RunningGrant, end: GrantEnd, nowMs: number): void {
+        const engine = this.engines.get(grant.upstreamId);
+        const spanMs = nowMs - grant.firstTokenAtMs;
+        if (
+            engine === undefined || end.meanTokenGapMs === undefined || grant.wasCrowded || grant.firstTokenMs === undefined || spanMs <= 0
+        ) {
+            return;
+        }
+        if (!this.health.isSlow(grant.upstreamId, nowMs)) {
+            const meanBatchSize = (engine.batchMsUntil(nowMs) - grant.batchMsAtFirstToken) / spanMs;
+            const readTokens = (engine.readTokensTotal - grant.readTokensAtFirstToken) / Math.max(1, end.outputTokens);
+            this.speed.observeGap(meanBatchSize, readTokens, end.meanTokenGapMs);
         }
     }
 
-    private hold(engine: Engine, grant: RunningGrant): void {
-        engine.add(grant);
-        this.grants.set(grant.grantId, grant);
-        this.grantOfRequest.set(grant.ticket.requestId, grant);
-        const { serviceClass } = grant.ticket;
-        this.inFlightOfClass.set(serviceClass, (this.inFlightOfClass.get(serviceClass) ?? 0) + 1);
+    private hold(engine: Engine, grant: RunningGrant, isHedge: boolean, nowMs: number): void {
+        engine.add(grant, nowMs);
+        this.grants.add(grant, isHedge);
     }
 
-    private release(grant: RunningGrant): void {
-        if (!this.grants.delete(grant.grantId)) {
-            return;
+    private release(grant: RunningGrant, nowMs: number): void {
+        if (this.grants.remove(grant)) {
+            this.engines.get(grant.upstreamId)?.remove(grant, nowMs);
+            this.pendingPreemptions -= grant.isPreempted ? 1 : 0;
         }
-        this.engines.get(grant.upstreamId)?.remove(grant);
-        if (this.grantOfRequest.get(grant.ticket.requestId) === grant) {
-            this.grantOfRequest.delete(grant.ticket.requestId);
-        }
-        const { serviceClass } = grant.ticket;
-        this.inFlightOfClass.set(serviceClass, (this.inFlightOfClass.get(serviceClass) ?? 1) - 1);
     }
 
     /** Forgets engines that were taken off the list, once their last request has ended. */
@@ -518,3 +599,32 @@
         return slots;
     }
 }
+
+function compareHeads(left: WaitingTicket, right: WaitingTicket): number {
+    if (left.isLate !== right.isLate) {
+        return left.isLate ? 1 : -1;
+    }
+    return left.latestStartMs - right.latestStartMs;
+}
+
+function toGrantAction(
+    running: RunningGrant,
+    offeredMs: number,
+    finishMs: number,
+    runnersUp: Extract<DispatchAction, { type: "grant"; }>["runnersUp"],
+): DispatchAction {
+    const { ticket, grantId, upstreamId, predictedFirstTokenMs } = running;
+    return {
+        type: "grant",
+        entryVm: ticket.entryVm,
+        requestId: ticket.requestId,
+        attempt: ticket.attempt,
+        grantId,
+        upstreamId,
+        priority: ticket.tier,
+        waitedMs: ticket.waitedMs + Math.max(0, running.grantedMs - offeredMs),
+        predictedFirstTokenMs: Math.round(predictedFirstTokenMs),
+        predictedFinishMs: Math.round(finishMs),
+        runnersUp,
+    };
+}
--- a/src/core/dispatch/TicketLane.ts
+++ b/src/core/dispatch/TicketLane.ts
@@ -4,13 +4,15 @@
 /** Among this many picks, one goes to a late ticket, so that late tickets move while on-time ones keep coming. */
 const picksPerLatePick = 8;
 
-/** Waiting tickets of one tier and one length of work: on-time ones by slack, late ones by arrival. */
+/** Waiting tickets of one class whose work is all short or all long: on-time ones by slack, late ones by arrival. */
 export class TicketLane {
+    /** Predicted slot time of all that waits here. */
+    serviceMs = 0;
     private readonly onTime: IndexedHeap<WaitingTicket>;
     private readonly late: IndexedHeap<WaitingTicket>;
     private picksSinceLate = 0;
 
-    constructor(order: "slack" | "arrival") {
+    constructor(readonly serviceClass: string, readonly tier: number, readonly isLong: boolean, order: "slack" | "arrival") {
         this.onTime = new IndexedHeap<WaitingTicket>(order === "slack" ? startsEarlier : arrivedEarlier, getPosition, setPosition);
         this.late = new IndexedHeap<WaitingTicket>(arrivedEarlier, getPosition, setPosition);
     }
@@ -20,11 +22,13 @@
     }
 
     push(waiting: WaitingTicket): void {
+        this.serviceMs += waiting.serviceMs;
         this.heapOf(waiting).push(waiting);
     }
 
     remove(waiting: WaitingTicket): void {
         this.heapOf(waiting).remove(waiting);
+        this.serviceMs = this.size === 0 ? 0 : this.serviceMs - waiting.serviceMs;
     }
 
     /** The ticket to serve next. */
--- a/src/core/dispatch/TicketQueue.ts
+++ b/src/core/dispatch/TicketQueue.ts
@@ -2,17 +2,10 @@
 import { TicketLane } from "./TicketLane.js";
 import type { WaitingTicket } from "./WaitingTicket.js";
 
-interface TierLanes {
-    readonly short: TicketLane;
-    readonly long: TicketLane;
-    /** Predicted slot time of all that waits here. */
-    serviceMs: number;
-}
-
-/** All waiting tickets of a shard, by tier. Every operation is O(log n) in the tickets waiting. */
+/** All waiting tickets of a shard, by tier and class. Every operation is O(log n) in the tickets waiting. */
 export class TicketQueue {
     private readonly byRequest = new Map<string, WaitingTicket>();
-    private readonly tiers: TierLanes[] = [];
+    private readonly lanesByTier: TicketLane[][] = [];
     private readonly expiry = new IndexedHeap<WaitingTicket>(
         (left, right) => left.expiresMs < right.expiresMs,
         waiting => waiting.expiryPosition,
@@ -28,7 +21,7 @@
     }
 
     get tierCount(): number {
-        return this.tiers.length;
+        return this.lanesByTier.length;
     }
 
     get(requestId: string): WaitingTicket | undefined {
@@ -41,37 +34,45 @@
 
     add(waiting: WaitingTicket): void {
         this.byRequest.set(waiting.ticket.requestId, waiting);
-        const lanes = this.lanesOf(waiting.ticket.tier);
-        lanes.serviceMs += waiting.serviceMs;
-        laneOf(lanes, waiting).push(waiting);
+        this.laneOf(waiting).push(waiting);
         this.expiry.push(waiting);
     }
 
     remove(waiting: WaitingTicket): void {
         this.forget(waiting);
-        laneOf(this.lanesOf(waiting.ticket.tier), waiting).remove(waiting);
+        this.laneOf(waiting).remove(waiting);
     }
 
     /** Removes a ticket that is granted; counts as a pick of its lane. */
     take(waiting: WaitingTicket): void {
         this.forget(waiting);
-        laneOf(this.lanesOf(waiting.ticket.tier), waiting).take(waiting);
+        this.laneOf(waiting).take(waiting);
     }
 
-    /** Next ticket of a tier whose work is short or long. */
-    head(tier: number, isLong: boolean, nowMs: number): WaitingTicket | undefined {
-        const lanes = this.tiers[tier];
-        return lanes === undefined ? undefined : (isLong ? lanes.long : lanes.short).head(nowMs);
+    /** Lanes of one tier: two for each class seen, for short and for long work. */
+    lanes(tier: number): readonly TicketLane[] {
+        return this.lanesByTier[tier] ?? [];
     }
 
-    waitingIn(tier: number): number {
-        const lanes = this.tiers[tier];
-        return lanes === undefined ? 0 : lanes.short.size + lanes.long.size;
+    waitingUpTo(tier: number): number {
+        let waiting = 0;
+        for (let above = 0; above <= tier; above++) {
+            for (const lane of this.lanes(above)) {
+                waiting += lane.size;
+            }
+        }
+        return waiting;
     }
 
-    /** Predicted slot time of what waits in this tier. */
-    serviceMsIn(tier: number): number {
-        return this.tiers[tier]?.serviceMs ?? 0;
+    /** Predicted slot time of what waits in this tier and above. */
+    serviceMsUpTo(tier: number): number {
+        let serviceMs = 0;
+        for (let above = 0; above <= tier; above++) {
+            for (const lane of this.lanes(above)) {
+                serviceMs += lane.serviceMs;
+            }
+        }
+        return serviceMs;
     }
 
     /** The ticket that reaches its bound first. */
@@ -81,11 +82,12 @@
 
     /** A ticket of the lowest tier that has any waiting. */
     lowest(): WaitingTicket | undefined {
-        for (let tier = this.tiers.length - 1; tier >= 0; tier--) {
-            const lanes = this.tiers[tier] as TierLanes;
-            const tail = lanes.long.tail() ?? lanes.short.tail();
-            if (tail !== undefined) {
-                return tail;
+        for (let tier = this.tierCount - 1; tier >= 0; tier--) {
+            for (const lane of this.lanes(tier)) {
+                const tail = lane.tail();
+                if (tail !== undefined) {
+                    return tail;
+                }
             }
         }
         return undefined;
@@ -93,19 +95,21 @@
 
     private forget(waiting: WaitingTicket): void {
         this.byRequest.delete(waiting.ticket.requestId);
-        const lanes = this.lanesOf(waiting.ticket.tier);
-        lanes.serviceMs = Math.max(0, lanes.serviceMs - waiting.serviceMs);
         this.expiry.remove(waiting);
     }
 
-    private lanesOf(tier: number): TierLanes {
-        while (this.tiers.length <= tier) {
-            this.tiers.push({ short: new TicketLane(this.order), long: new TicketLane(this.order), serviceMs: 0 });
+    private laneOf({ ticket, isLong }: WaitingTicket): TicketLane {
+        while (this.lanesByTier.length <= ticket.tier) {
+            this.lanesByTier.push([]);
+        }
+        const lanes = this.lanesByTier[ticket.tier] as TicketLane[];
+        for (const lane of lanes) {
+            if (lane.serviceClass === ticket.serviceClass && lane.isLong === isLong) {
+                return lane;
+            }
         }
-        return this.tiers[tier] as TierLanes;
+        const lane = new TicketLane(ticket.serviceClass, ticket.tier, isLong, this.order);
+        lanes.push(lane);
+        return lane;
     }
 }
-
-function laneOf(lanes: TierLanes, waiting: WaitingTicket): TicketLane {
-    return waiting.isLong ? lanes.long : lanes.short;
-}
--- a/src/core/dispatch/WaitingTicket.ts
+++ b/src/core/dispatch/WaitingTicket.ts
@@ -9,9 +9,13 @@
     readonly latestStartMs: number;
     /** The ticket is refused at this instant. */
     readonly expiresMs: number;
+    /** It expires because its target can no longer be met, and not because it has waited for the longest. */
+    readonly expiresEarly: boolean;
     readonly isLong: boolean;
+    readonly expectedOutputTokens: number;
     /** Predicted time in a slot, for the wait of those behind. */
     readonly serviceMs: number;
+    readonly tokenGapTargetMs: number;
     /** The latest start has passed; the ticket waits in order of arrival, behind those that can still make it. */
     isLate: boolean;
     orderPosition: number;
--- a/src/core/estimate/EngineSpeedModel.ts
+++ b/src/core/estimate/EngineSpeedModel.ts
@@ -1,33 +1,43 @@
-import { DecayingLine } from "./DecayingLine.js";
+import { DecayingRegression } from "./DecayingRegression.js";
 
 const keepPerObservation = 0.995;
+const priorCount = 5;
 
-/** Speed of the engines of one pool, learnt from what is seen: token gap by batch size, first-token time by prompt tokens to read. */
+/**
+ * Speed of the engines of one pool, learnt from what is seen. The mean gap between tokens is a line in the batch size plus what reading
+ * other prompts takes; the first-token time is a line in the prompt tokens to read and the batch size.
+ */
 export class EngineSpeedModel {
-    private readonly gap = new DecayingLine(12, 0.8, 16, 10, keepPerObservation);
-    private readonly firstToken = new DecayingLine(40, 0.1, 2_000, 10, keepPerObservation);
+    private readonly gap = new DecayingRegression([10, 0.8, 0.05], [1, 8, 20], priorCount, keepPerObservation);
+    private readonly firstToken = new DecayingRegression([20, 0.06, 1], [1, 500, 8], priorCount, keepPerObservation);
 
-    /** Learns from a stretch of decoding at about this batch size on an engine that is not slow. */
-    observeGap(batchSize: number, gapMs: number): void {
-        this.gap.observe(batchSize, gapMs);
+    /** Learns from a stream of one engine: its mean batch size, and prompt tokens read for others for each of its own tokens. */
+    observeGap(meanBatchSize: number, readTokensPerToken: number, gapMs: number): void {
+        this.gap.observe([1, meanBatchSize, readTokensPerToken], gapMs);
     }
 
     /** Learns from a first token that came after the engine had read about this many prompt tokens. */
-    observeFirstToken(prefillTokens: number, firstTokenMs: number): void {
-        this.firstToken.observe(prefillTokens, firstTokenMs);
+    observeFirstToken(prefillTokens: number, batchSize: number, firstTokenMs: number): void {
+        this.firstToken.observe([1, prefillTokens, batchSize], firstTokenMs);
     }
 
-    /** Mean time between tokens with this many requests on an engine. */
+    /** Mean time between tokens with this many requests on an engine that reads no prompts meanwhile. */
     gapMs(batchSize: number): number {
-        return this.gap.predict(batchSize);
+        return (this.gap.coefficients[0] as number) + (this.gap.coefficients[1] as number) * batchSize;
     }
 
     /** Extra gap that one more request brings to each other one. */
     get gapPerRequestMs(): number {
-        return this.gap.slope;
+        return this.gap.coefficients[1] as number;
     }
 
-    firstTokenMs(prefillTokens: number): number {
-        return this.firstToken.predict(prefillTokens);
+    /** Time that reading one prompt token takes from the streams of the engine. */
+    get readMsPerToken(): number {
+        return this.gap.coefficients[2] as number;
+    }
+
+    firstTokenMs(prefillTokens: number, batchSize: number): number {
+        const [base, perToken, perRequest] = this.firstToken.coefficients as [number, number, number];
+        return base + perToken * prefillTokens + perRequest * batchSize;
     }
 }
--- a/src/core/health/HealthBoard.ts
+++ b/src/core/health/HealthBoard.ts
@@ -2,7 +2,7 @@
     /** Fast average of the logarithm of seen over expected time. */
     logRatio: number;
     lastSeenMs: number;
-    lastProbeMs: number;
+    lastGrantMs: number;
     failuresInRow: number;
 }
 
@@ -30,7 +30,7 @@
         }
         for (const id of ids) {
             if (!this.engines.has(id)) {
-                this.engines.set(id, { logRatio: 0, lastSeenMs: nowMs, lastProbeMs: -Infinity, failuresInRow: 0 });
+                this.engines.set(id, { logRatio: 0, lastSeenMs: nowMs, lastGrantMs: -Infinity, failuresInRow: 0 });
             }
         }
     }
@@ -79,13 +79,14 @@
     /** Whether it may get a request now, though slow or broken, to see whether it has recovered. */
     mayProbe(id: string, nowMs: number): boolean {
         const record = this.engines.get(id);
-        return record !== undefined && nowMs - record.lastProbeMs >= probePeriodMs;
+        return record !== undefined && nowMs - record.lastGrantMs >= probePeriodMs;
     }
 
-    noteProbe(id: string, nowMs: number): void {
+    /** It was given a request, which shows how it does. */
+    noteGrant(id: string, nowMs: number): void {
         const record = this.engines.get(id);
         if (record !== undefined) {
-            record.lastProbeMs = nowMs;
+            record.lastGrantMs = nowMs;
         }
     }
 
--- a/src/schema/peer/Ticket.ts
+++ b/src/schema/peer/Ticket.ts
@@ -20,6 +20,8 @@
     waitedMs: z.number(),
     firstTokenTargetMs: z.number(),
     maxQueueMs: z.number(),
+    /** Its caller already has part of the answer: it is not refused early, nor preempted again. */
+    isResumed: z.boolean().optional(),
     /** Upstreams that this request must not be given again. */
     excludedUpstreams: z.array(z.string()).max(16),
 });
