Judge an engine by the prompt as a whole, not by the guessed cache hit

A prompt that was evicted from an engine's cache came late against a prediction that counted on the hit, and the engine was taken as slow. The bound for a late first token now assumes no hit, one missing first token counts once a doubling, and a miss corrects the hint.

--- a/src/core/dispatch/Engine.ts
+++ b/src/core/dispatch/Engine.ts
@@ -44,6 +44,15 @@
         return tokens;
     }
 
+    /** All prompt tokens of the requests whose first token was not seen, cached or not. */
+    get unreadTokensAtMost(): number {
+        let tokens = 0;
+        for (const grant of this.running) {
+            tokens += grant.firstTokenMs === undefined ? grant.ticket.promptTokens : 0;
+        }
+        return tokens;
+    }
+
     /** Batch size summed over time, in requests times ms. */
     batchMsUntil(nowMs: number): number {
         return this.batchMs + this.batchSize * (nowMs - this.batchSinceMs);
--- a/src/core/dispatch/RunningGrant.ts
+++ b/src/core/dispatch/RunningGrant.ts
@@ -11,6 +11,8 @@
     readonly batchSize: number;
     /** Prompt tokens that the engine has to read before the first token, with those ahead. */
     readonly prefillTokens: number;
+    /** The same if nothing that was taken as cached is: what a slow engine is judged by. */
+    readonly prefillTokensAtMost: number;
     /** Prompt tokens of this request alone that are not in the cache, as predicted. */
     readonly uncachedTokens: number;
     readonly predictedFirstTokenMs: number;
@@ -22,6 +24,8 @@
     firstTokenMs: number | undefined;
     firstTokenAtMs: number;
     lastSeenMs: number;
+    /** Age at which a missing first token is next held against the engine. */
+    nextOverdueMs: number;
     /** Counters of the engine at the first token, from which what happened since is told. */
     batchMsAtFirstToken: number;
     readTokensAtFirstToken: number;
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -30,6 +30,8 @@
 const overdueSlackMs = 60;
 /** Batch size at which the slot time of a waiting ticket is predicted. */
 const usualBatchSize = 8;
+/** Streams are moved off an engine that is slower than its peers by this much: two observations show it. */
+const moveSlowness = 2.5;
 /** A stream on a slow engine is moved when going on elsewhere is predicted to take less than this share of the time. */
 const moveGainShare = 0.5;
 /** Higher tiers wait this much longer for a slot to come free before a stream is cancelled for them. */
@@ -345,6 +347,7 @@
             isLong: waiting.isLong,
             batchSize: engine.batchSize,
             prefillTokens: on.prefillTokens,
+            prefillTokensAtMost: engine.unreadTokensAtMost + ticket.promptTokens,
             uncachedTokens: on.uncachedTokens,
             predictedFirstTokenMs: on.firstTokenMs,
             tokenGapTargetMs: waiting.tokenGapTargetMs,
@@ -353,6 +356,7 @@
             firstTokenMs: undefined,
             firstTokenAtMs: 0,
             lastSeenMs: nowMs,
+            nextOverdueMs: 0,
             batchMsAtFirstToken: 0,
             readTokensAtFirstToken: engine.readTokensTotal + on.uncachedTokens,
             wasCrowded: false,
@@ -394,7 +398,7 @@
 
     /** Moves streams off an engine that turned out slow, where that is predicted to pay and the waste budget allows. */
     private moveOffSlow(engine: Engine, nowMs: number): void {
-        if (!this.options.health || !this.health.isSlow(engine.upstream.id, nowMs)) {
+        if (!this.options.health || this.health.slowness(engine.upstream.id, nowMs) < moveSlowness) {
             return;
         }
         for (const grant of engine.running) {
@@ -472,6 +476,7 @@
             isLong: waiting.isLong,
             batchSize: engine.batchSize,
             prefillTokens: ticket.promptTokens,
+            prefillTokensAtMost: ticket.promptTokens,
             uncachedTokens: isRead ? 0 : ticket.promptTokens,
             predictedFirstTokenMs: this.speed.firstTokenMs(ticket.promptTokens, engine.batchSize),
             tokenGapTargetMs: waiting.tokenGapTargetMs,
@@ -480,6 +485,7 @@
             firstTokenMs: isRead ? adopted.firstTokenMs ?? ageMs : undefined,
             firstTokenAtMs: nowMs,
             lastSeenMs: nowMs,
+            nextOverdueMs: Infinity,
             batchMsAtFirstToken: engine.batchMsUntil(nowMs),
             readTokensAtFirstToken: engine.readTokensTotal,
             // What it saw before is not known, so its speed is not learnt from.
@@ -505,14 +511,29 @@
         if (grant.wasCrowded) {
             return;
         }
-        const expectedMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
+        const atMostMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
+        const expectedMs = Math.min(Math.max(firstTokenMs, this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize)), atMostMs);
         this.health.observe(grant.upstreamId, firstTokenMs, expectedMs, nowMs);
         if (!this.health.isSlow(grant.upstreamId, nowMs)) {
-            this.speed.observeFirstToken(grant.prefillTokens, grant.batchSize, firstTokenMs);
+            this.learnCacheHit(grant, firstTokenMs);
         }
         this.moveOffSlow(engine, nowMs);
     }
 
+    /** A first token nearer to what reading the whole prompt takes shows that the engine no longer had the blocks. */
+    private learnCacheHit(grant: RunningGrant, firstTokenMs: number): void {
+        const hitMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
+        const missMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
+        if (firstTokenMs <= (hitMs + missMs) / 2) {
+            this.speed.observeFirstToken(grant.prefillTokens, grant.batchSize, firstTokenMs);
+        }
+        else {
+            this.prefixes.forget(grant.ticket.prefixHashes, grant.upstreamId);
+            this.prefixes.note(grant.ticket.prefixHashes, grant.upstreamId, grant.lastSeenMs);
+            this.speed.observeFirstToken(grant.prefillTokensAtMost, grant.batchSize, firstTokenMs);
+        }
+    }
+
     /** Judges the engine by a stream's gap between tokens now. A stream that may have been paused for others tells nothing. */
     private observeGap(engine: Engine, grant: RunningGrant, recentGapMs: number, nowMs: number): void {
         if (grant.wasCrowded) {
@@ -527,11 +548,18 @@
     private checkOverdue(grant: RunningGrant, nowMs: number): void {
         const engine = this.engines.get(grant.upstreamId);
         const ageMs = nowMs - grant.grantedMs;
-        const expectedMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
-        if (engine !== undefined && !grant.wasCrowded && ageMs > expectedMs * overdueRatio + overdueSlackMs) {
-            this.health.observe(grant.upstreamId, ageMs, expectedMs, nowMs);
-            this.moveOffSlow(engine, nowMs);
+        if (engine === undefined || grant.wasCrowded || ageMs < grant.nextOverdueMs) {
+            return;
         }
+        const expectedMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
+        const overdueMs = expectedMs * overdueRatio + overdueSlackMs;
+        if (ageMs < overdueMs) {
+            grant.nextOverdueMs = overdueMs;
+            return;
+        }
+        grant.nextOverdueMs = ageMs * overdueRatio;
+        this.health.observe(grant.upstreamId, ageMs, expectedMs, nowMs);
+        this.moveOffSlow(engine, nowMs);
     }
 
     private learnEnd(grant: RunningGrant, end: GrantEnd, nowMs: number): void {
--- a/src/core/health/HealthBoard.ts
+++ b/src/core/health/HealthBoard.ts
@@ -14,6 +14,8 @@
 const forgiveHalfLifeMs = 1_000;
 /** A slow or broken engine is given one request per this time, to see whether it has recovered. */
 const probePeriodMs = 500;
+/** Added to both times, so that jitter of short ones does not look like slowness. */
+const noiseMs = 10;
 const failuresToBreak = 3;
 
 /** Judges the engines of one shard by what is seen of them against their peers, never by their own reports. */
@@ -41,7 +43,7 @@
         if (record === undefined || expectedMs <= 0) {
             return;
         }
-        const logRatio = Math.log(Math.max(seenMs, 0.01) / expectedMs);
+        const logRatio = Math.log((seenMs + noiseMs) / (expectedMs + noiseMs));
         record.logRatio = (1 - fastShare) * this.forgiven(record, nowMs) + fastShare * logRatio;
         record.lastSeenMs = nowMs;
     }
