--- a/bench/policy/JobClass.ts
+++ b/bench/policy/JobClass.ts
@@ -12,5 +12,8 @@
     readonly maxOutputTokens: number;
     /** Documents that prompts of this class start with, by a skewed choice; 0 for none. */
     readonly sharedDocuments: number;
+    /** Short work of the top tier, whose waiting is measured. */
     readonly isShort: boolean;
+    /** Work that is costly to repeat, such as a manual or an appraisal. */
+    readonly isLong: boolean;
 }
--- a/bench/policy/figuresOf.ts
+++ b/bench/policy/figuresOf.ts
@@ -13,7 +13,7 @@
     const waits = sorted(jobs.filter(job => job.jobClass.isShort).map(job => Math.max(0, firstTokenOf(job) - idleFirstTokenMs(job))));
     const gaps = sorted(jobs.filter(job => job.jobClass.isShort && job.outcome === "done" && job.outputTokens > 1).map(meanGapMs));
     const goodTokens = jobs.filter(attains).reduce((sum, job) => sum + job.outputTokens, 0);
-    const long = jobs.filter(job => !job.jobClass.isShort && job.outcome !== "refused");
+    const long = jobs.filter(job => job.jobClass.isLong && job.outcome !== "refused");
     return {
         workload: workload.name,
         policy: policyName,
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -12,6 +12,7 @@
     maxOutputTokens: 512,
     sharedDocuments: 0,
     isShort: true,
+    isLong: false,
 };
 
 const manual: JobClass = {
@@ -32,6 +33,7 @@
     maxOutputTokens: 3_000,
     sharedDocuments: 30,
     isShort: false,
+    isLong: true,
 };
 
 const summary: JobClass = {
@@ -52,6 +54,7 @@
     maxOutputTokens: 4_000,
     sharedDocuments: 0,
     isShort: false,
+    isLong: false,
 };
 
 const chat: JobClass = {
--- a/src/core/dispatch/ClassTable.ts
+++ b/src/core/dispatch/ClassTable.ts
@@ -1,5 +1,4 @@
 import type { ServiceClass } from "../../schema/config/ServiceClass.js";
-import type { Engine } from "./Engine.js";
 
 /** Assumed for a class that is not configured here yet. */
 const defaultTokenGapTargetMs = 100;
@@ -34,10 +33,8 @@
         return Math.ceil((this.byName.get(name)?.floorShare ?? 0) * totalSlots);
     }
 
-    /** Slots of an engine that work below a tier keeps while it is there. */
-    floorSlotsBelow(tier: number, engine: Engine): number {
-        const share = this.floorBelowTier[tier] ?? 0;
-        const lowerInFlight = engine.inFlight - engine.inFlightUpTo(tier);
-        return Math.min(lowerInFlight, Math.round(share * engine.upstream.maxInFlight));
+    /** Share of an engine's slots that work below a tier keeps while it is there. */
+    floorShareBelow(tier: number): number {
+        return this.floorBelowTier[tier] ?? 0;
     }
 }
--- a/src/core/dispatch/Engine.ts
+++ b/src/core/dispatch/Engine.ts
@@ -5,6 +5,8 @@
 export class Engine {
     readonly running: RunningGrant[] = [];
     private readonly countByTier: number[] = [];
+    private readonly unreadByTier: number[] = [];
+    private unreadAtMost = 0;
     private longCount = 0;
     private batchMs = 0;
     private batchSinceMs = 0;
@@ -38,19 +40,15 @@
     /** Prompt tokens that the engine still has to read before those of a new request of this tier. */
     unreadTokensUpTo(tier: number): number {
         let tokens = 0;
-        for (const grant of this.running) {
-            tokens += grant.firstTokenMs === undefined && grant.ticket.tier <= tier ? grant.uncachedTokens : 0;
+        for (let above = 0; above <= tier && above < this.unreadByTier.length; above++) {
+            tokens += this.unreadByTier[above] as number;
         }
         return tokens;
     }
 
     /** All prompt tokens of the requests whose first token was not seen, cached or not. */
     get unreadTokensAtMost(): number {
-        let tokens = 0;
-        for (const grant of this.running) {
-            tokens += grant.firstTokenMs === undefined ? grant.ticket.promptTokens : 0;
-        }
-        return tokens;
+        return this.unreadAtMost;
     }
 
     /** Batch size summed over time, in requests times ms. */
@@ -58,7 +56,7 @@
         return this.batchMs + this.batchSize * (nowMs - this.batchSinceMs);
     }
 
-    /** Prompt tokens granted to it so far. */
+    /** Uncached prompt tokens granted to it so far. */
     get readTokensTotal(): number {
         return this.readTokens;
     }
@@ -67,7 +65,10 @@
         this.closeInterval(nowMs);
         this.running.push(grant);
         this.count(grant, 1);
-        this.readTokens += grant.firstTokenMs === undefined ? grant.uncachedTokens : 0;
+        if (grant.firstTokenMs === undefined) {
+            this.readTokens += grant.uncachedTokens;
+            this.countUnread(grant, 1);
+        }
         if (this.inFlight > this.upstream.maxInFlight) {
             this.markCrowded();
         }
@@ -82,6 +83,7 @@
 
     /** The first token shows that the prompt has been read. */
     noteFirstToken(grant: RunningGrant, firstTokenMs: number, nowMs: number): void {
+        this.countUnread(grant, -1);
         grant.firstTokenMs = firstTokenMs;
         grant.firstTokenAtMs = nowMs;
         grant.batchMsAtFirstToken = this.batchMsUntil(nowMs);
@@ -97,6 +99,9 @@
         this.running[index] = this.running[this.running.length - 1] as RunningGrant;
         this.running.pop();
         this.count(grant, -1);
+        if (grant.firstTokenMs === undefined) {
+            this.countUnread(grant, -1);
+        }
     }
 
     private closeInterval(nowMs: number): void {
@@ -108,8 +113,15 @@
         const { tier } = grant.ticket;
         while (this.countByTier.length <= tier) {
             this.countByTier.push(0);
+            this.unreadByTier.push(0);
         }
         this.countByTier[tier] = (this.countByTier[tier] as number) + change;
         this.longCount += grant.isLong ? change : 0;
     }
+
+    private countUnread(grant: RunningGrant, sign: 1 | -1): void {
+        const { tier, promptTokens } = grant.ticket;
+        this.unreadByTier[tier] = (this.unreadByTier[tier] as number) + sign * grant.uncachedTokens;
+        this.unreadAtMost += sign * promptTokens;
+    }
 }
--- a/src/core/dispatch/EngineRanker.ts
+++ b/src/core/dispatch/EngineRanker.ts
@@ -14,6 +14,10 @@
 /** Differences in cost below this are left to chance, so that equal engines share the work. */
 const tieBreakMs = 1;
 
+/** Predictions that are given back: the engine to take and a few to explain it by. */
+const maxRanked = 4;
+const none: EnginePrediction[] = [];
+
 /** Decides which engines may take a ticket now, and ranks them by predicted finish and harm to the work that they have. */
 export class EngineRanker {
     /** `random` gives numbers in [0, 1). */
@@ -26,34 +30,36 @@
     ) {}
 
     /**
-     * Engines that may take the ticket, best first. `floorSlots` are the slots of an engine that lower tiers keep while they have work
-     * there. A ticket under its class's floor (`isGuaranteed`) is not held back for the gaps of higher tiers.
+     * The few best engines that may take the ticket, best first; none when it has to wait. `floorShare` is the share of an engine's slots
+     * that lower tiers keep while they have work there. A ticket under its class's floor (`isGuaranteed`) is not held back for the gaps of
+     * higher tiers.
      */
-    rank(
-        engines: Iterable<Engine>,
-        waiting: WaitingTicket,
-        floorSlots: (engine: Engine) => number,
-        isGuaranteed: boolean,
-        nowMs: number,
-    ): EnginePrediction[] {
-        const predictions: EnginePrediction[] = [];
+    rank(engines: readonly Engine[], waiting: WaitingTicket, floorShare: number, isGuaranteed: boolean, nowMs: number): EnginePrediction[] {
+        let best = none;
         for (const engine of engines) {
-            if (this.hasRoom(engine, waiting, floorSlots(engine)) && this.isFit(engine, waiting, nowMs)) {
-                const prediction = this.predict(engine, waiting, nowMs);
-                if (isGuaranteed || this.keepsGaps(engine, waiting, prediction.uncachedTokens, nowMs)) {
-                    predictions.push(prediction);
+            if (this.hasRoom(engine, waiting, floorShare) && this.isFit(engine, waiting, nowMs)) {
+                const uncachedTokens = this.uncachedTokens(engine, waiting, nowMs);
+                if (isGuaranteed || this.keepsGaps(engine, waiting, uncachedTokens, nowMs)) {
+                    best = best === none ? [] : best;
+                    insert(best, this.predict(engine, waiting, uncachedTokens, nowMs));
                 }
             }
         }
-        return predictions.sort((left, right) => left.costMs - right.costMs);
+        return best;
+    }
+
+    private uncachedTokens(engine: Engine, { ticket }: WaitingTicket, nowMs: number): number {
+        return Math.max(1, ticket.promptTokens - this.prefixes.cachedTokens(ticket.prefixHashes, engine.upstream.id, nowMs));
     }
 
-    private hasRoom(engine: Engine, waiting: WaitingTicket, floorSlots: number): boolean {
+    private hasRoom(engine: Engine, waiting: WaitingTicket, floorShare: number): boolean {
         const { maxInFlight, leaving } = engine.upstream;
         if (leaving || engine.inFlight >= maxInFlight + this.options.pausedSlots) {
             return false;
         }
-        if (engine.inFlightUpTo(waiting.ticket.tier) >= maxInFlight - floorSlots) {
+        const upToTier = engine.inFlightUpTo(waiting.ticket.tier);
+        const floorSlots = Math.min(engine.inFlight - upToTier, Math.round(floorShare * maxInFlight));
+        if (upToTier >= maxInFlight - floorSlots) {
             return false;
         }
         return !waiting.isLong || engine.hasLongRoom(this.options.shortSlotShare);
@@ -75,12 +81,10 @@
             || this.speed.gapMs(engine.batchSize + 1) * slowness <= waiting.tokenGapTargetMs * slowGapTolerance;
     }
 
-    private predict(engine: Engine, waiting: WaitingTicket, nowMs: number): EnginePrediction {
+    private predict(engine: Engine, waiting: WaitingTicket, uncachedTokens: number, nowMs: number): EnginePrediction {
         const { ticket, expectedOutputTokens } = waiting;
         const { id, availabilityZone, maxInFlight } = engine.upstream;
         const slowness = this.options.health ? this.health.slowness(id, nowMs) : 1;
-        const cachedTokens = this.prefixes.cachedTokens(ticket.prefixHashes, id, nowMs);
-        const uncachedTokens = Math.max(1, ticket.promptTokens - cachedTokens);
         const aheadTokens = engine.unreadTokensUpTo(ticket.tier);
         const prefillTokens = aheadTokens + uncachedTokens;
         const hopMs = ticket.availabilityZone === availabilityZone ? 0 : this.options.zoneHopMs;
@@ -125,3 +129,18 @@
         return readTokens * this.speed.readMsPerToken <= spareMs;
     }
 }
+
+/** Keeps the list short and in order of cost; there is nothing to sort for most engines. */
+function insert(best: EnginePrediction[], prediction: EnginePrediction): void {
+    let position = best.length;
+    while (position > 0 && (best[position - 1] as EnginePrediction).costMs > prediction.costMs) {
+        position--;
+    }
+    if (position >= maxRanked) {
+        return;
+    }
+    best.splice(position, 0, prediction);
+    if (best.length > maxRanked) {
+        best.pop();
+    }
+}
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -47,6 +47,8 @@
 export class ShardDispatcher {
     private readonly queue: TicketQueue;
     private readonly engines = new Map<string, Engine>();
+    /** The same engines, for loops on the hot path. */
+    private engineList: Engine[] = [];
     private readonly grants = new GrantTable();
     private readonly classes = new ClassTable();
     private readonly lengths = new OutputLengthEstimator();
@@ -58,9 +60,12 @@
     private readonly waste: WasteBudget;
     private readonly hedges: HedgeBudget;
     private actions: DispatchAction[] = [];
+    /** Filled anew by `headsOf`. */
+    private readonly heads: WaitingTicket[] = [];
     private ticketSequence = 0;
     private grantSequence = 0;
     private pendingPreemptions = 0;
+    private totalSlots = 0;
 
     /** `random` gives numbers in [0, 1). */
     constructor(private readonly options: DispatchOptions, random: () => number) {
@@ -91,7 +96,7 @@
                 engine.upstream = { ...engine.upstream, leaving: true };
             }
         }
-        this.health.setEngines([...this.engines.keys()], nowMs);
+        this.noteEngines(nowMs);
         return this.decide(nowMs);
     }
 
@@ -116,7 +121,7 @@
         }
         this.queue.add(this.toWaiting(ticket, nowMs));
         this.shedOverflow();
-        return this.decide(nowMs);
+        return running === undefined ? this.decideOffer(ticket.tier, nowMs) : this.decide(nowMs);
     }
 
     /** The caller has gone or gave up; an unused grant of this attempt returns. */
@@ -145,7 +150,8 @@
         if (grant === undefined || engine === undefined) {
             return [];
         }
-        if (grant.firstTokenMs === undefined) {
+        const isFirst = grant.firstTokenMs === undefined;
+        if (isFirst) {
             this.learnFirstToken(engine, grant, firstTokenMs, nowMs);
         }
         if (recentGapMs !== undefined) {
@@ -154,7 +160,7 @@
         grant.outputTokens = Math.max(grant.outputTokens, outputTokens);
         grant.predictedOutputTokens = this.lengths.mean(grant.ticket, grant.outputTokens, grant.ticket.maxOutputTokens);
         grant.lastSeenMs = nowMs;
-        return this.decide(nowMs);
+        return isFirst ? this.decide(nowMs) : this.takeActions();
     }
 
     /** A grant ended; its slot is free. */
@@ -244,15 +250,27 @@
         return new Map([...this.engines].map(([id, engine]) => [id, engine.inFlight]));
     }
 
+    /** Decides anew on all that waits; called when room may have come free. */
     private decide(nowMs: number): readonly DispatchAction[] {
         this.expire(nowMs);
         while (this.queue.size > 0 && this.grantNext(nowMs)) {
             // Each round gives one grant.
         }
-        if (this.options.preemption && this.queue.size > 0) {
-            this.preempt(nowMs);
+        this.preempt(nowMs);
+        this.dropGoneEngines(nowMs);
+        return this.takeActions();
+    }
+
+    /** A new ticket brings no room, so the other tiers stay as they were. */
+    private decideOffer(tier: number, nowMs: number): readonly DispatchAction[] {
+        while (this.grantFloor(tier, nowMs) || this.grantFrom(tier, nowMs)) {
+            // Each round gives one grant.
         }
-        this.dropGoneEngines();
+        this.preempt(nowMs);
+        return this.takeActions();
+    }
+
+    private takeActions(): readonly DispatchAction[] {
         const actions = this.actions;
         this.actions = [];
         return actions;
@@ -278,14 +296,9 @@
 
     /** Gives one grant: first to classes under their floor, then by tier. */
     private grantNext(nowMs: number): boolean {
-        const totalSlots = this.totalSlots();
         for (let tier = 0; tier < this.queue.tierCount; tier++) {
-            for (const lane of this.queue.lanes(tier)) {
-                const floorSlots = this.classes.floorSlotsOf(lane.serviceClass, totalSlots);
-                const head = floorSlots > this.grants.inFlightOfClass(lane.serviceClass) ? lane.head(nowMs) : undefined;
-                if (head !== undefined && this.tryGrant(head, true, nowMs)) {
-                    return true;
-                }
+            if (this.grantFloor(tier, nowMs)) {
+                return true;
             }
         }
         for (let tier = 0; tier < this.queue.tierCount; tier++) {
@@ -296,13 +309,35 @@
         return false;
     }
 
+    private grantFloor(tier: number, nowMs: number): boolean {
+        for (const lane of this.queue.lanes(tier)) {
+            if (lane.size > 0 && this.isUnderFloor(lane.serviceClass)) {
+                const head = lane.head(nowMs);
+                if (head !== undefined && this.tryGrant(head, true, nowMs)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private isUnderFloor(serviceClass: string): boolean {
+        return this.grants.inFlightOfClass(serviceClass) < this.classes.floorSlotsOf(serviceClass, this.totalSlots);
+    }
+
     private grantFrom(tier: number, nowMs: number): boolean {
-        return this.headsOf(tier, nowMs).some(head => this.tryGrant(head, false, nowMs));
+        for (const head of this.headsOf(tier, nowMs)) {
+            if (this.tryGrant(head, false, nowMs)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Heads of the lanes of a tier: on-time ones by slack, then late ones. */
-    private headsOf(tier: number, nowMs: number): WaitingTicket[] {
-        const heads: WaitingTicket[] = [];
+    private headsOf(tier: number, nowMs: number): readonly WaitingTicket[] {
+        const { heads } = this;
+        heads.length = 0;
         for (const lane of this.queue.lanes(tier)) {
             const head = lane.head(nowMs);
             if (head !== undefined) {
@@ -313,9 +348,8 @@
     }
 
     private tryGrant(waiting: WaitingTicket, isGuaranteed: boolean, nowMs: number): boolean {
-        const { tier } = waiting.ticket;
-        const floorSlots = (engine: Engine) => isGuaranteed ? 0 : this.classes.floorSlotsBelow(tier, engine);
-        const predictions = this.ranker.rank(this.engines.values(), waiting, floorSlots, isGuaranteed, nowMs);
+        const floorShare = isGuaranteed ? 0 : this.classes.floorShareBelow(waiting.ticket.tier);
+        const predictions = this.ranker.rank(this.engineList, waiting, floorShare, isGuaranteed, nowMs);
         if (predictions.length === 0) {
             return false;
         }
@@ -371,7 +405,9 @@
 
     /** Cancels lower-tier streams for tickets that would miss their target before a slot comes free. */
     private preempt(nowMs: number): void {
-        const totalSlots = this.totalSlots();
+        if (!this.options.preemption || this.queue.size === 0) {
+            return;
+        }
         for (let tier = 0; tier < this.queue.tierCount; tier++) {
             const [head] = this.headsOf(tier, nowMs);
             if (head === undefined || head.isLate || head.latestStartMs - nowMs > preemptionSlackMs) {
@@ -379,7 +415,7 @@
             }
             const wanted = Math.min(maxPreemptionsPerDecision, this.queue.waitingUpTo(tier)) - this.pendingPreemptions;
             for (let count = 0; count < wanted; count++) {
-                const victim = this.victims.choose(this.engines.values(), head, totalSlots);
+                const victim = this.victims.choose(this.engineList, head, this.totalSlots);
                 if (victim === undefined || !this.waste.spend(victim.ticket.promptTokens + victim.outputTokens)) {
                     return;
                 }
@@ -423,7 +459,7 @@
     }
 
     private hasRoomElsewhere(slow: Engine, grant: RunningGrant, nowMs: number): boolean {
-        for (const engine of this.engines.values()) {
+        for (const engine of this.engineList) {
             const { id, leaving, maxInFlight } = engine.upstream;
             const hasSlot = !leaving && engine.inFlightUpTo(grant.ticket.tier) < maxInFlight &&
                 engine.inFlight < maxInFlight + this.options.pausedSlots;
@@ -441,7 +477,7 @@
     }
 
     private toWaiting(ticket: Ticket, nowMs: number): WaitingTicket {
-        const expectedOutputTokens = this.lengths.mean(ticket, 0, ticket.maxOutputTokens);
+        const expectedOutputTokens = this.lengths.meanAtStart(ticket, ticket.maxOutputTokens);
         const firstTokenMs = this.speed.firstTokenMs(ticket.promptTokens, usualBatchSize);
         const serviceMs = firstTokenMs + expectedOutputTokens * this.speed.gapMs(usualBatchSize);
         const latestStartMs = nowMs - ticket.waitedMs + ticket.firstTokenTargetMs - firstTokenMs;
@@ -503,15 +539,15 @@
         const waiting = this.queue.waitingUpTo(tier);
         const aheadMs = this.queue.serviceMsUpTo(tier);
         const usualMs = waiting > 0 ? aheadMs / waiting : usualBatchSize * this.speed.gapMs(usualBatchSize);
-        return (aheadMs + usualMs) / Math.max(1, this.totalSlots());
+        return (aheadMs + usualMs) / Math.max(1, this.totalSlots);
     }
 
     private learnFirstToken(engine: Engine, grant: RunningGrant, firstTokenMs: number, nowMs: number): void {
+        const atMostMs = this.latestFirstTokenMs(engine, grant);
         engine.noteFirstToken(grant, firstTokenMs, nowMs);
         if (grant.wasCrowded) {
             return;
         }
-        const atMostMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
         const expectedMs = Math.min(Math.max(firstTokenMs, this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize)), atMostMs);
         this.health.observe(grant.upstreamId, firstTokenMs, expectedMs, nowMs);
         if (!this.health.isSlow(grant.upstreamId, nowMs)) {
@@ -520,6 +556,12 @@
         this.moveOffSlow(engine, nowMs);
     }
 
+    /** When the first token is due if nothing was cached and all prompts granted since go ahead of it. */
+    private latestFirstTokenMs(engine: Engine, grant: RunningGrant): number {
+        const grantedSince = engine.readTokensTotal - grant.readTokensAtFirstToken;
+        return this.speed.firstTokenMs(grant.prefillTokensAtMost + grantedSince, Math.max(grant.batchSize, engine.batchSize));
+    }
+
     /** A first token nearer to what reading the whole prompt takes shows that the engine no longer had the blocks. */
     private learnCacheHit(grant: RunningGrant, firstTokenMs: number): void {
         const hitMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
@@ -551,7 +593,7 @@
         if (engine === undefined || grant.wasCrowded || ageMs < grant.nextOverdueMs) {
             return;
         }
-        const expectedMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
+        const expectedMs = this.latestFirstTokenMs(engine, grant);
         const overdueMs = expectedMs * overdueRatio + overdueSlackMs;
         if (ageMs < overdueMs) {
             grant.nextOverdueMs = overdueMs;
@@ -603,31 +645,35 @@
     }
 
     /** Forgets engines that were taken off the list, once their last request has ended. */
-    private dropGoneEngines(): void {
-        for (const [id, engine] of this.engines) {
-            if (engine.upstream.leaving && engine.inFlight === 0) {
-                this.engines.delete(id);
-            }
+    private dropGoneEngines(nowMs: number): void {
+        if (!this.engineList.some(isGone)) {
+            return;
         }
+        for (const engine of this.engineList.filter(isGone)) {
+            this.engines.delete(engine.upstream.id);
+        }
+        this.noteEngines(nowMs);
     }
 
-    private totalSlots(): number {
-        let slots = 0;
-        for (const engine of this.engines.values()) {
-            slots += engine.upstream.leaving ? 0 : engine.upstream.maxInFlight;
-        }
-        return slots;
+    private noteEngines(nowMs: number): void {
+        this.engineList = [...this.engines.values()];
+        this.totalSlots = this.engineList.reduce((slots, { upstream }) => slots + (upstream.leaving ? 0 : upstream.maxInFlight), 0);
+        this.health.setEngines([...this.engines.keys()], nowMs);
     }
 
     private freeSlots(): number {
         let slots = 0;
-        for (const engine of this.engines.values()) {
+        for (const engine of this.engineList) {
             slots += engine.upstream.leaving ? 0 : Math.max(0, engine.upstream.maxInFlight - engine.inFlight);
         }
         return slots;
     }
 }
 
+function isGone(engine: Engine): boolean {
+    return engine.upstream.leaving && engine.inFlight === 0;
+}
+
 function compareHeads(left: WaitingTicket, right: WaitingTicket): number {
     if (left.isLate !== right.isLate) {
         return left.isLate ? 1 : -1;
--- a/src/core/estimate/LengthHistogram.ts
+++ b/src/core/estimate/LengthHistogram.ts
@@ -3,6 +3,11 @@
 /** Above this the weights are scaled down, far from the limits of a double. */
 const rescaleAbove = 1e12;
 
+const bucketLengths = Float64Array.from(
+    Array(bucketCount).keys(),
+    bucket => (bucket === 0 ? 1 : 2 ** ((bucket - 0.5) / bucketsPerDoubling)),
+);
+
 /** Decaying histogram of lengths in logarithmic buckets, each about 19% wide. */
 export class LengthHistogram {
     private readonly weights = new Float64Array(bucketCount);
@@ -21,7 +26,7 @@
 
     /** Geometric middle of a bucket. */
     static lengthOf(bucket: number): number {
-        return bucket === 0 ? 1 : 2 ** ((bucket - 0.5) / bucketsPerDoubling);
+        return bucketLengths[bucket] as number;
     }
 
     static get size(): number {
--- a/src/core/estimate/OutputLengthEstimator.ts
+++ b/src/core/estimate/OutputLengthEstimator.ts
@@ -6,6 +6,8 @@
 const priorCount = 8;
 /** Most customers remembered; the least recently seen goes first. */
 const maxNarrowGroups = 8_192;
+/** Observations after which a remembered mean is worked out anew. */
+const meanLifetime = 16;
 /** Lengths assumed for a service that nothing is known of. */
 const coldStartLengths = [32, 64, 128, 256, 512, 1024];
 
@@ -14,15 +16,21 @@
     private readonly byService = new Map<string, LengthHistogram>();
     private readonly byClass = new Map<string, LengthHistogram>();
     private readonly byCustomer = new Map<string, LengthHistogram>();
+    /** Means of whole answers, worked out anew after some observations. */
+    private readonly startMeans = new Map<string, { mean: number; observations: number; maxTokens: number; }>();
+    private observations = 0;
     private readonly mixed = new Float64Array(LengthHistogram.size);
 
     /** Learns from an answer that came to its end. */
     observe(key: LengthKey, outputTokens: number): void {
+        this.observations++;
         histogramOf(this.byService, key.service).observe(outputTokens);
         histogramOf(this.byClass, classKey(key)).observe(outputTokens);
         histogramOf(this.byCustomer, customerKey(key)).observe(outputTokens);
         if (this.byCustomer.size > maxNarrowGroups) {
-            this.byCustomer.delete(this.byCustomer.keys().next().value as string);
+            const oldest = this.byCustomer.keys().next().value as string;
+            this.byCustomer.delete(oldest);
+            this.startMeans.delete(oldest);
         }
     }
 
@@ -41,6 +49,21 @@
         return clampLength(alreadyTokens * 1.5, alreadyTokens, maxTokens);
     }
 
+    /** Expected whole length of an answer that has not begun; remembered for a while, as every ticket asks for it. */
+    meanAtStart(key: LengthKey, maxTokens: number): number {
+        const name = customerKey(key);
+        const known = this.startMeans.get(name);
+        if (known !== undefined && known.maxTokens === maxTokens && this.observations - known.observations < meanLifetime) {
+            return known.mean;
+        }
+        const mean = this.mean(key, 0, maxTokens);
+        if (this.startMeans.size > maxNarrowGroups) {
+            this.startMeans.clear();
+        }
+        this.startMeans.set(name, { mean, observations: this.observations, maxTokens });
+        return mean;
+    }
+
     /** Expected whole length, given that `alreadyTokens` have come and at most `maxTokens` will. */
     mean(key: LengthKey, alreadyTokens: number, maxTokens: number): number {
         this.mix(key);
--- a/src/core/estimate/PrefixCacheHints.ts
+++ b/src/core/estimate/PrefixCacheHints.ts
@@ -1,6 +1,6 @@
 interface PrefixOwner {
-    readonly upstreamId: string;
-    readonly seenMs: number;
+    upstreamId: string;
+    seenMs: number;
 }
 
 /** Prompt tokens in one hashed block. */
@@ -21,9 +21,13 @@
     /** A request with these blocks ran on this engine. */
     note(prefixHashes: readonly number[], upstreamId: string, nowMs: number): void {
         for (const hash of prefixHashes) {
-            const others = (this.owners.get(hash) ?? []).filter(owner => owner.upstreamId !== upstreamId);
-            this.owners.delete(hash);
-            this.owners.set(hash, [{ upstreamId, seenMs: nowMs }, ...others].slice(0, maxOwnersPerBlock));
+            const owners = this.owners.get(hash);
+            if (owners === undefined) {
+                this.owners.set(hash, [{ upstreamId, seenMs: nowMs }]);
+            }
+            else {
+                refreshOwner(owners, upstreamId, nowMs);
+            }
         }
         while (this.owners.size > maxBlocks) {
             this.owners.delete(this.owners.keys().next().value as number);
@@ -57,6 +61,32 @@
 
     private holds(hash: number, upstreamId: string, nowMs: number): boolean {
         const owners = this.owners.get(hash);
-        return owners !== undefined && owners.some(owner => owner.upstreamId === upstreamId && nowMs - owner.seenMs < hintLifetimeMs);
+        if (owners === undefined) {
+            return false;
+        }
+        for (const owner of owners) {
+            if (owner.upstreamId === upstreamId) {
+                return nowMs - owner.seenMs < hintLifetimeMs;
+            }
+        }
+        return false;
+    }
+}
+
+/** Renews the engine's entry, or puts it in place of the oldest one. */
+function refreshOwner(owners: PrefixOwner[], upstreamId: string, nowMs: number): void {
+    let oldest = owners[0] as PrefixOwner;
+    for (const owner of owners) {
+        if (owner.upstreamId === upstreamId) {
+            owner.seenMs = nowMs;
+            return;
+        }
+        oldest = owner.seenMs < oldest.seenMs ? owner : oldest;
+    }
+    if (owners.length < maxOwnersPerBlock) {
+        owners.push({ upstreamId, seenMs: nowMs });
+        return;
     }
+    oldest.upstreamId = upstreamId;
+    oldest.seenMs = nowMs;
 }
--- a/src/core/health/HealthBoard.ts
+++ b/src/core/health/HealthBoard.ts
@@ -4,6 +4,8 @@
     lastSeenMs: number;
     lastGrantMs: number;
     failuresInRow: number;
+    /** Seen over expected time against the peers' middle, as of the last refresh; 1 at least. */
+    slowness: number;
 }
 
 /** Share that one observation takes of the average: two slow ones in a row show. */
@@ -16,11 +18,14 @@
 const probePeriodMs = 500;
 /** Added to both times, so that jitter of short ones does not look like slowness. */
 const noiseMs = 10;
+/** Slowness is worked out anew at each observation, and after this time as old records fade. */
+const refreshPeriodMs = 10;
 const failuresToBreak = 3;
 
 /** Judges the engines of one shard by what is seen of them against their peers, never by their own reports. */
 export class HealthBoard {
     private readonly engines = new Map<string, EngineRecord>();
+    private refreshedMs = -Infinity;
 
     /** Keeps records for these engines only. */
     setEngines(ids: readonly string[], nowMs: number): void {
@@ -32,9 +37,10 @@
         }
         for (const id of ids) {
             if (!this.engines.has(id)) {
-                this.engines.set(id, { logRatio: 0, lastSeenMs: nowMs, lastGrantMs: -Infinity, failuresInRow: 0 });
+                this.engines.set(id, { logRatio: 0, lastSeenMs: nowMs, lastGrantMs: -Infinity, failuresInRow: 0, slowness: 1 });
             }
         }
+        this.refreshedMs = -Infinity;
     }
 
     /** A first token or a stretch of tokens took `seenMs` where the model of all engines expected `expectedMs`. */
@@ -46,6 +52,7 @@
         const logRatio = Math.log((seenMs + noiseMs) / (expectedMs + noiseMs));
         record.logRatio = (1 - fastShare) * this.forgiven(record, nowMs) + fastShare * logRatio;
         record.lastSeenMs = nowMs;
+        this.refreshedMs = -Infinity;
     }
 
     /** A request on it came through. */
@@ -63,10 +70,12 @@
         }
     }
 
-    /** Seen over expected time against the middle of all engines: when all are slow, none is. */
+    /** Seen over expected time against the middle of all engines, 1 at least: when all are slow, none is. */
     slowness(id: string, nowMs: number): number {
-        const record = this.engines.get(id);
-        return record === undefined ? 1 : Math.exp(Math.max(0, this.forgiven(record, nowMs) - this.middle(nowMs)));
+        if (nowMs - this.refreshedMs >= refreshPeriodMs) {
+            this.refresh(nowMs);
+        }
+        return this.engines.get(id)?.slowness ?? 1;
     }
 
     isSlow(id: string, nowMs: number): boolean {
@@ -108,8 +117,16 @@
         return record.logRatio * 0.5 ** (Math.max(0, nowMs - record.lastSeenMs) / forgiveHalfLifeMs);
     }
 
-    private middle(nowMs: number): number {
-        const ratios = [...this.engines.values()].map(record => this.forgiven(record, nowMs)).sort((left, right) => left - right);
-        return ratios[(ratios.length - 1) >> 1] ?? 0;
+    private refresh(nowMs: number): void {
+        this.refreshedMs = nowMs;
+        const ratios: number[] = [];
+        for (const record of this.engines.values()) {
+            ratios.push(this.forgiven(record, nowMs));
+        }
+        const middle = [...ratios].sort((left, right) => left - right)[(ratios.length - 1) >> 1] ?? 0;
+        let index = 0;
+        for (const record of this.engines.values()) {
+            record.slowness = Math.exp(Math.max(0, (ratios[index++] as number) - middle));
+        }
     }
 }
