--- a/src/cli/commands/quickstart.ts
+++ b/src/cli/commands/quickstart.ts
@@ -3,10 +3,12 @@
 import { parseOptions } from "../parseOptions.js";
 import { applyExample } from "../quickstart/applyExample.js";
 import { EmbeddedFleet } from "../quickstart/EmbeddedFleet.js";
+import { explainCalls } from "../quickstart/explainCalls.js";
 import { formatCalls } from "../quickstart/formatCalls.js";
 import { holdLine } from "../quickstart/holdLine.js";
 import { sendExampleCalls } from "../quickstart/sendExampleCalls.js";
 import { waitForAbort } from "../waitForAbort.js";
+import { report } from "./report.js";
 
 const usage = "orioleshelf quickstart [--hold] [--json]";
 
@@ -39,9 +41,11 @@
 }
 
 async function runJob(fleet: EmbeddedFleet, json: boolean, context: CommandContext): Promise<ExitCode> {
-    const calls = await sendExampleCalls(fleet.vms);
+    const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
     const lines = json ? calls.map(call => JSON.stringify(call)) : formatCalls(calls);
     lines.forEach(context.print);
+    const environment = { ...context.environment, ORIOLESHELF_OPERATOR_TOKEN: fleet.operatorToken };
+    await report(["--operator", fleet.vms[0]?.operatorUrl ?? "", ...(json ? ["--json"] : [])], { ...context, environment });
     const isWhole = calls.every(call => call.status === 200);
     return isWhole ? ExitCode.ok : ExitCode.failed;
 }
--- /dev/null
+++ b/src/cli/quickstart/EmbeddedFleet.test.ts
@@ -0,0 +1,38 @@
+import { expect } from "earl";
+import { after, before, describe, test } from "node:test";
+import { request } from "undici";
+import { applyExample } from "./applyExample.js";
+import { EmbeddedFleet } from "./EmbeddedFleet.js";
+import { explainCalls } from "./explainCalls.js";
+import { sendExampleCalls } from "./sendExampleCalls.js";
+
+describe("EmbeddedFleet", () => {
+    let fleet: EmbeddedFleet;
+
+    before(async () => {
+        fleet = await EmbeddedFleet.start();
+        await applyExample(fleet);
+    });
+
+    after(() => fleet.stop());
+
+    test("every example call gets its whole answer, and a repeated booking runs once", async () => {
+        const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
+        expect(calls.map(call => call.status)).toEqual(Array(calls.length).fill(200));
+        expect(calls.map(call => call.outcome)).toEqual(Array(calls.length).fill("ran"));
+        const [first, , repeated] = calls.filter(call => call.what.startsWith("booking"));
+        expect(repeated?.answer).toEqual(first?.answer);
+        let executions = 0;
+        for (const service of fleet.standins.services) {
+            const response = await request(`${service.url}/_standin/executions`);
+            const byKey = await response.body.json() as Record<string, number>;
+            executions += Object.entries(byKey).filter(([key]) => key.includes("callout-17")).reduce((sum, [, count]) => sum + count, 0);
+        }
+        expect(executions).toEqual(1);
+    });
+
+    test("calls take both paths", async () => {
+        const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
+        expect(new Set(calls.map(call => call.path)).size).toEqual(2);
+    });
+});
--- a/src/cli/quickstart/sendExampleCalls.ts
+++ b/src/cli/quickstart/sendExampleCalls.ts
@@ -58,8 +58,8 @@
         vm: plan.vm.id,
         status: response.statusCode,
         outcome: header("x-orioleshelf-outcome"),
-        path: header("x-orioleshelf-path"),
-        upstream: header("x-orioleshelf-upstream"),
+        path: "-",
+        upstream: "-",
         answer: (plan.target.startsWith("/v1") ? textOfStream(text) : text).slice(0, shownCharacters),
         requestId: header("x-request-id"),
     };
--- a/standins/log/LogStandin.ts
+++ b/standins/log/LogStandin.ts
@@ -192,6 +192,9 @@
 
     private stop(server: ServerType): void {
         this.closed = true;
+        for (const stream of this.streams.values()) {
+            stream.endWaits();
+        }
         for (const answer of this.silentUntilStop) {
             answer();
         }
--- a/standins/log/LogStream.ts
+++ b/standins/log/LogStream.ts
@@ -46,4 +46,11 @@
             this.waiting.add(finish);
         });
     }
+
+    /** Ends every wait for an append at once. */
+    endWaits(): void {
+        this.waiting.forEach(finish => {
+            finish();
+        });
+    }
 }
