Wait for the embedded fleet to be whole, and take the clock out of two tests

The log client's tests timed successful calls at 50 ms, which a busy machine exceeds; only the calls meant to time out do so now.

--- a/src/cli/quickstart/EmbeddedFleet.test.ts
+++ b/src/cli/quickstart/EmbeddedFleet.test.ts
@@ -18,7 +18,7 @@
 
     test("every example call gets its whole answer, and a repeated booking runs once", async () => {
         const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
-        expect(calls.map(call => call.status)).toEqual(Array(calls.length).fill(200));
+        expect(calls.filter(call => call.status !== 200)).toEqual([]);
         expect(calls.map(call => call.outcome)).toEqual(Array(calls.length).fill("ran"));
         const [first, , repeated] = calls.filter(call => call.what.startsWith("booking"));
         expect(repeated?.answer).toEqual(first?.answer);
--- a/src/cli/quickstart/EmbeddedFleet.ts
+++ b/src/cli/quickstart/EmbeddedFleet.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { setTimeout } from "node:timers/promises";
 import type { RunningVm } from "../../node/fleet/RunningVm.js";
 import { startVm } from "../../node/fleet/startVm.js";
 import { Settings } from "../../schema/settings/Settings.js";
@@ -8,6 +9,7 @@
 import { startStandins } from "./startStandins.js";
 
 const secretBytes = 24;
+const readyPollMs = 20;
 
 /** Stand-ins and one VM in each of three availability zones, all in this process on loopback. */
 export class EmbeddedFleet {
@@ -18,7 +20,7 @@
         private readonly controller: AbortController,
     ) {}
 
-    /** Starts everything. Throws when a port cannot be opened. */
+    /** Starts everything and waits until every VM is ready and sees the others so. Throws when a port cannot be opened. */
     static async start(): Promise<EmbeddedFleet> {
         const controller = new AbortController();
         const standins = await startStandins(controller.signal);
@@ -33,6 +35,7 @@
             }
             vms.push(started.value);
         }
+        await waitUntil(() => vms.every(vm => vm.isReady() && vm.readyVms().length === vms.length));
         return new EmbeddedFleet(vms, standins, secrets.operatorToken, controller);
     }
 
@@ -43,6 +46,12 @@
     }
 }
 
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+    while (!isTrue()) {
+        await setTimeout(readyPollMs);
+    }
+}
+
 function vmSettings(availabilityZone: string, standins: StandinUrls, seeds: readonly string[]): Settings {
     return Settings.parse({
         vm: { id: `${availabilityZone}-1`, availabilityZone, region: "fiji-west" },
--- a/src/cli/quickstart/sendExampleCalls.ts
+++ b/src/cli/quickstart/sendExampleCalls.ts
@@ -60,11 +60,19 @@
         outcome: header("x-orioleshelf-outcome"),
         path: "-",
         upstream: "-",
-        answer: (plan.target.startsWith("/v1") ? textOfStream(text) : text).slice(0, shownCharacters),
+        answer: answerOf(plan, response.statusCode, text),
         requestId: header("x-request-id"),
     };
 }
 
+/** The start of the answer; the whole body when it is an error. */
+function answerOf(plan: CallPlan, status: number, text: string): string {
+    if (status !== 200) {
+        return text;
+    }
+    return (plan.target.startsWith("/v1") ? textOfStream(text) : text).slice(0, shownCharacters);
+}
+
 /** Joins the texts of a server-sent event stream of chat chunks. */
 function textOfStream(stream: string): string {
     return stream
--- a/src/node/fleet/RunningVm.ts
+++ b/src/node/fleet/RunningVm.ts
@@ -7,6 +7,8 @@
     readonly peerUrl: string;
     /** True once configuration is loaded and callers are served. */
     isReady(): boolean;
+    /** VMs that this one sees ready, itself included. */
+    readyVms(): readonly string[];
     /** Stops taking work, hands duties over, waits until every request has ended, then closes everything. */
     drain(): Promise<void>;
 }
--- a/src/node/fleet/startVm.ts
+++ b/src/node/fleet/startVm.ts
@@ -34,6 +34,7 @@
         availabilityZone: settings.vm.availabilityZone,
         ...urls,
         isReady: () => vm.isReady(),
+        readyVms: () => vm.membership.members.filter(member => member.state === "ready").map(member => member.vm),
         drain: async () => {
             log("draining", { vm: settings.vm.id });
             await vm.drain();
--- a/src/node/platform/log/HttpLogClient.test.ts
+++ b/src/node/platform/log/HttpLogClient.test.ts
@@ -4,6 +4,10 @@
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
 import { HttpLogClient } from "./HttpLogClient.js";
 
+/** Long enough that a busy machine does not reach it. */
+const patientMs = 20_000;
+/** For calls that are meant to run into their timeout. */
+const hastyMs = 50;
 const never = new AbortController().signal;
 
 describe("HttpLogClient", () => {
@@ -20,13 +24,13 @@
         stop.abort();
     });
 
-    function client(availabilityZone = "nadi"): HttpLogClient {
+    function client(availabilityZone = "nadi", timeoutMs = patientMs): HttpLogClient {
         const created = new HttpLogClient({
             url,
             availabilityZone,
             scheduler: new SystemScheduler(),
-            appendTimeoutMs: 50,
-            readMarginMs: 50,
+            appendTimeoutMs: timeoutMs,
+            readMarginMs: timeoutMs,
         });
         created.start(stop.signal);
         return created;
@@ -59,7 +63,7 @@
     test("an append that lands late is unknown", async () => {
         standin.setFaults({ landLateCount: 1, lateByMs: 100 });
         const log = client();
-        expect((await log.append("s", text("late"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
+        expect((await client("nadi", hastyMs).append("s", text("late"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
         const read = await log.read("s", 0, 5_000, never);
         expect(read._unsafeUnwrap().length).toEqual(1);
     });
@@ -86,9 +90,9 @@
 
     test("a slow log and a silent one are cut off after the timeout", async () => {
         standin.setFaults({ delayMs: 300 });
-        expect((await client().append("s", text("a"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
+        expect((await client("nadi", hastyMs).append("s", text("a"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
         standin.setFaults({ isSilent: true });
-        expect((await client().read("s", 0, 0, never))._unsafeUnwrapErr().kind).toEqual("unavailable");
+        expect((await client("nadi", hastyMs).read("s", 0, 0, never))._unsafeUnwrapErr().kind).toEqual("unavailable");
     });
 
     test("a forgotten offset names the first one that is held", async () => {
