--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -44,7 +44,7 @@
     return callOperator(context, async () => {
         const asked = client.explain({ query }, { signal: context.signal });
         const answer = explanationFromProto(await withProgress(context, "asking the fleet", asked));
-        (values.json ? [JSON.stringify(answer)] : formatExplanation(answer)).forEach(context.print);
+        (values.json ? [JSON.stringify(answer)] : formatExplanation(answer, values.class !== undefined)).forEach(context.print);
         return ExitCode.ok;
     });
 }
--- a/src/core/servicelevel/LatencyHistogram.ts
+++ b/src/core/servicelevel/LatencyHistogram.ts
@@ -19,7 +19,7 @@
     }
 
     get maxMs(): number {
-        return this.count === 0 ? 0 : this.histogram.maxValue / unitsPerMs;
+        return this.percentileMs(100);
     }
 
     record(durationMs: number): void {
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -12,6 +12,7 @@
 import { FleetExplainer } from "../explain/FleetExplainer.js";
 import { createLog } from "../logs/createLog.js";
 import { GossipMembership } from "../membership/GossipMembership.js";
+import { MeteredPeerLinks } from "../metrics/MeteredPeerLinks.js";
 import { Metrics } from "../metrics/Metrics.js";
 import { OperatorServer } from "../operator/OperatorServer.js";
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
@@ -57,6 +58,7 @@
     private readonly plain: HttpPlainClient;
     private readonly metrics = new Metrics();
     private readonly events: EventRing;
+    private readonly peers: MeteredPeerLinks;
     private readonly explainer: FleetExplainer;
     private readonly levels: ServiceLevelRecorder;
     private readonly publisher: ReportPublisher;
@@ -66,6 +68,9 @@
     constructor(private readonly options: VmOptions) {
         const { settings, scheduler } = options;
         this.events = new EventRing(settings.explain.ringBytes);
+        this.peers = new MeteredPeerLinks(options.links, this.metrics);
+        this.metrics.gauge("control_sent_bytes", "Payload bytes sent to other VMs.", () => options.links.sentBytes);
+        this.metrics.gauge("control_received_bytes", "Payload bytes received from other VMs.", () => options.links.receivedBytes);
         this.logClient = new HttpLogClient({
             url: settings.platform.log.url,
             availabilityZone: settings.vm.availabilityZone,
@@ -149,9 +154,9 @@
     }
 
     private reportOptions() {
-        const { settings, incarnation, links, scheduler } = this.options;
-        const { config, membership, logClient } = this;
-        return { vm: settings.vm.id, incarnation, config, membership, peers: links, log: logClient, scheduler };
+        const { settings, incarnation, scheduler } = this.options;
+        const { config, membership, logClient, peers } = this;
+        return { vm: settings.vm.id, incarnation, config, membership, peers, log: logClient, scheduler };
     }
 
     private createMembership(): GossipMembership {
@@ -167,14 +172,14 @@
     }
 
     private createConfig(): LogConfigService {
-        const { settings, links, scheduler } = this.options;
+        const { settings, scheduler } = this.options;
         return new LogConfigService({
             log: this.logClient,
             scheduler,
             settings: ConfigSettings.parse({}),
             vm: settings.vm.id,
             membership: this.membership,
-            links,
+            links: this.peers,
             uniqueId: randomUUID,
         });
     }
@@ -192,13 +197,13 @@
     }
 
     private createDispatch(): DispatchTask {
-        const { settings, incarnation, links, scheduler } = this.options;
+        const { settings, incarnation, scheduler } = this.options;
         return new DispatchTask({
             vm: settings.vm.id,
             incarnation,
             scheduler,
             random: Math.random,
-            links,
+            links: this.peers,
             config: this.config,
             membership: this.membership,
             recorder: this.events,
@@ -251,6 +256,8 @@
             membership: this.membership,
             report: this.reporter,
             explain: this.explainer,
+            metrics: this.metrics,
+            isReady: () => this.isReady(),
         });
     }
 
--- /dev/null
+++ b/src/node/metrics/MeteredPeerLinks.ts
@@ -0,0 +1,37 @@
+import type { ResultAsync } from "neverthrow";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import type { PeerError } from "../services/PeerError.js";
+import type { PeerLinks } from "../services/PeerLinks.js";
+import type { Metrics } from "./Metrics.js";
+
+type Handler<T extends PeerMessage["type"]> = (
+    from: string,
+    message: Extract<PeerMessage, { type: T; }>,
+) => PeerMessage | undefined | Promise<PeerMessage | undefined>;
+
+/** Counts the messages of one user of the links, and the processor time of its handlers. */
+export class MeteredPeerLinks implements PeerLinks {
+    constructor(private readonly links: PeerLinks, private readonly metrics: Metrics) {}
+
+    send(vm: string, message: PeerMessage): boolean {
+        const startedMs = performance.now();
+        const isSent = this.links.send(vm, message);
+        this.metrics.controlMessage(message.type, "sent", performance.now() - startedMs);
+        return isSent;
+    }
+
+    request(vm: string, message: PeerMessage, timeoutMs: number, signal: AbortSignal): ResultAsync<PeerMessage, PeerError> {
+        this.metrics.controlMessage(message.type, "sent", 0);
+        return this.links.request(vm, message, timeoutMs, signal);
+    }
+
+    /** Work that a handler goes on with after its first wait is not in its time. */
+    onMessage<T extends PeerMessage["type"]>(type: T, handler: Handler<T>, signal: AbortSignal): void {
+        this.links.onMessage(type, (from, message) => {
+            const startedMs = performance.now();
+            const reply = handler(from, message);
+            this.metrics.controlMessage(type, "received", performance.now() - startedMs);
+            return reply;
+        }, signal);
+    }
+}
--- a/src/node/metrics/Metrics.test.ts
+++ b/src/node/metrics/Metrics.test.ts
@@ -1,6 +1,8 @@
 import { expect } from "earl";
+import { errAsync } from "neverthrow";
 import { test } from "node:test";
 import type { RequestEnd } from "../services/RequestEnd.js";
+import { MeteredPeerLinks } from "./MeteredPeerLinks.js";
 import { Metrics } from "./Metrics.js";
 
 const end: RequestEnd = {
@@ -43,3 +45,25 @@
     expect(new Set(text.match(/requests_total\{class="[^"]+"/g)).size).toEqual(33);
     expect(new Set(text.match(/code="[^"]+"/g)).size).toEqual(65);
 });
+
+test("messages between VMs are counted by type and direction, with the time of their handlers", async () => {
+    const metrics = new Metrics();
+    const handlers: ((from: string, message: never) => unknown)[] = [];
+    const links = new MeteredPeerLinks(
+        {
+            send: () => true,
+            request: () => errAsync({ kind: "no-link", message: "" }),
+            onMessage: (...[, handler]) => {
+                handlers.push(handler as (from: string, message: never) => unknown);
+            },
+        },
+        metrics,
+    );
+    links.onMessage("configFetch", () => ({ type: "configRecords", records: [] }), new AbortController().signal);
+    expect(handlers[0]?.("ba-1", { type: "configFetch", fromOffset: 0 } as never)).toEqual({ type: "configRecords", records: [] });
+    links.send("ba-1", { type: "configFetch", fromOffset: 0 });
+    const text = await metrics.text();
+    expect(text).toMatchRegex(/control_messages_total\{message="configFetch",direction="received"\} 1/);
+    expect(text).toMatchRegex(/control_messages_total\{message="configFetch",direction="sent"\} 1/);
+    expect(text).toMatchRegex(/control_cpu_seconds_total\{message="configFetch"\} \d/);
+});
--- a/src/node/metrics/Metrics.ts
+++ b/src/node/metrics/Metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { MetricsText } from "../services/MetricsText.js";
 import type { RequestEnd } from "../services/RequestEnd.js";
 import type { RequestObserver } from "../services/RequestObserver.js";
 import { BoundedLabels } from "./BoundedLabels.js";
@@ -10,7 +11,7 @@
 const gapBucketsSeconds = [0.005, 0.01, 0.02, 0.035, 0.05, 0.1, 0.25, 1, 5];
 
 /** Metrics of one VM, in the text format of Prometheus. Labels that come from outside are bounded. */
-export class Metrics implements RequestObserver {
+export class Metrics implements RequestObserver, MetricsText {
     private readonly registry = new Registry();
     private readonly classes = new BoundedLabels(maxClassLabels);
     private readonly messages = new BoundedLabels(maxMessageLabels);
@@ -25,8 +26,8 @@
     private readonly total = this.histogram("request_seconds", "From arrival to the end.", waitBucketsSeconds);
     private readonly tokens = this.counter("output_tokens_total", "Tokens handed to callers.", ["class", "path"]);
     private readonly wasted = this.counter("wasted_tokens_total", "Tokens that engines produced and no caller got.", ["class", "path"]);
-    private readonly controlBytes = this.counter("control_bytes_total", "Bytes of messages between VMs.", ["message", "direction"]);
-    private readonly controlCpu = this.counter("control_cpu_seconds_total", "Processor time spent on control, by duty.", ["duty"]);
+    private readonly controlMessages = this.counter("control_messages_total", "Messages between VMs.", ["message", "direction"]);
+    private readonly controlCpu = this.counter("control_cpu_seconds_total", "Processor time of handling messages of VMs.", ["message"]);
 
     constructor() {
         this.gauge("process_cpu_seconds", "Processor time of this process.", () => {
@@ -51,14 +52,11 @@
         this.wasted.inc({ class: serviceClass, path }, end.wastedTokens);
     }
 
-    /** Counts bytes of one message between VMs. */
-    peerBytes(message: string, direction: "sent" | "received", sizeBytes: number): void {
-        this.controlBytes.inc({ message: this.messages.of(message), direction }, sizeBytes);
-    }
-
-    /** Counts processor time spent on a duty that is not the relaying of answers. */
-    controlWork(duty: "membership" | "config" | "dispatch" | "quota" | "report", cpuMs: number): void {
-        this.controlCpu.inc({ duty }, cpuMs * secondsPerMs);
+    /** Counts one message between VMs, and the processor time that handling it took here. */
+    controlMessage(message: string, direction: "sent" | "received", handlingMs: number): void {
+        const label = this.messages.of(message);
+        this.controlMessages.inc({ message: label, direction });
+        this.controlCpu.inc({ message: label }, handlingMs * secondsPerMs);
     }
 
     /** Registers a value that is read when metrics are collected. */
--- a/src/node/operator/OperatorOptions.ts
+++ b/src/node/operator/OperatorOptions.ts
@@ -1,6 +1,7 @@
 import type { ConfigService } from "../services/ConfigService.js";
 import type { ExplainService } from "../services/ExplainService.js";
 import type { MembershipService } from "../services/MembershipService.js";
+import type { MetricsText } from "../services/MetricsText.js";
 import type { ReportService } from "../services/ReportService.js";
 
 /** What the operator RPC needs of the VM that serves it. */
@@ -14,4 +15,8 @@
     readonly membership: MembershipService;
     readonly report: ReportService;
     readonly explain: ExplainService;
+    /** Served at `/metrics`. */
+    readonly metrics: MetricsText;
+    /** Served at `/readyz`. */
+    readonly isReady: () => boolean;
 }
--- a/src/node/operator/OperatorServer.test.ts
+++ b/src/node/operator/OperatorServer.test.ts
@@ -196,6 +196,20 @@
     expect((await failure(client("connect").explain({}))).code).toEqual(Code.InvalidArgument);
 });
 
+test("probes and metrics are served beside the calls, to GET alone", async () => {
+    const get = async (path: string, method = "GET") => {
+        const answer = await fetch(`${operator.baseUrl}${path}`, { method });
+        return [answer.status, await answer.text()];
+    };
+    expect(await get("/metrics")).toEqual([200, "orioleshelf_up 1\n"]);
+    expect(await get("/healthz")).toEqual([200, "ok\n"]);
+    expect(await get("/readyz")).toEqual([200, "ready\n"]);
+    operator.config.isReady = false;
+    expect(await get("/readyz")).toEqual([503, "not ready\n"]);
+    expect((await get("/other"))[0]).toEqual(404);
+    expect((await get("/metrics", "POST"))[0]).toEqual(404);
+});
+
 test("garbage on the port closes its connection and disturbs nobody", async () => {
     const port = Number(new URL(operator.baseUrl).port);
     for (const bytes of ["PRI nonsense", "\0\0\0", "POST / HTTP/1.1\r\n\r\n"]) {
--- a/src/node/operator/OperatorServer.ts
+++ b/src/node/operator/OperatorServer.ts
@@ -8,6 +8,7 @@
 import { createLog } from "../logs/createLog.js";
 import { checkToken } from "./checkToken.js";
 import { createOperatorRoutes } from "./createOperatorRoutes.js";
+import { createProbeHandler } from "./createProbeHandler.js";
 import type { OperatorOptions } from "./OperatorOptions.js";
 
 const maxRequestBytes = 8 * 1024 * 1024;
@@ -38,6 +39,7 @@
             readMaxBytes: maxRequestBytes,
             jsonOptions: { alwaysEmitImplicit: true },
             shutdownSignal: shutdown.signal,
+            fallback: createProbeHandler(this.options),
         });
         const server = listen.tls === undefined ? plainServer(handler) : tlsServer(listen.tls, handler);
         server.on("connection", (socket: Socket) => {
--- a/src/node/operator/testing/startOperator.ts
+++ b/src/node/operator/testing/startOperator.ts
@@ -18,6 +18,8 @@
         token,
         config,
         membership: { members: [], onChange: () => undefined },
+        metrics: { contentType: "text/plain", text: () => Promise.resolve("orioleshelf_up 1\n") },
+        isReady: () => config.isReady,
         report: {
             report: sinceMs =>
                 Promise.resolve({
