--- a/src/node/platform/log/HttpLogClient.test.ts
+++ b/src/node/platform/log/HttpLogClient.test.ts
@@ -56,7 +56,7 @@
 
     test("an append whose answer is lost is unknown and has landed", async () => {
         standin.setFaults({ loseAnswerCount: 1 });
-        expect((await client().append("s", text("a"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
+        expect((await client("nadi", hastyMs).append("s", text("a"), never))._unsafeUnwrapErr().kind).toEqual("unknown");
         expect(await contents()).toEqual(["a"]);
     });
 
@@ -114,7 +114,7 @@
 
     test("only the named zones reach the log", async () => {
         standin.setFaults({ reachableZones: ["ba"] });
-        expect((await client("nadi").read("s", 0, 0, never))._unsafeUnwrapErr().kind).toEqual("unavailable");
+        expect((await client("nadi", hastyMs).read("s", 0, 0, never))._unsafeUnwrapErr().kind).toEqual("unavailable");
         expect((await client("ba").read("s", 0, 0, never)).isOk()).toEqual(true);
     });
 });
