--- /dev/null
+++ b/bench/path/BenchMessage.ts
@@ -0,0 +1,14 @@
+/** What a program of the benchmark reports. */
+export type BenchMessage =
+    | { readonly type: "listening"; readonly url: string; }
+    | {
+        readonly type: "memory";
+        readonly rssBytes: number;
+        readonly heapUsedBytes: number;
+        readonly cpuMs: number;
+        readonly activeRequests: number;
+    }
+    /** One list of samples for each target, in the order of the command. */
+    | { readonly type: "firstTokens"; readonly samplesMs: readonly (readonly number[])[]; readonly failures: number; }
+    | { readonly type: "opened"; readonly count: number; }
+    | { readonly type: "tokens"; readonly tokens: number; readonly openStreams: number; readonly cpuMs: number; };
--- /dev/null
+++ b/bench/path/BenchProgram.ts
@@ -0,0 +1,50 @@
+import { buildSync } from "esbuild";
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
+import { fileURLToPath } from "node:url";
+import type { BenchCommand } from "./BenchCommand.js";
+import type { BenchMessage } from "./BenchMessage.js";
+
+const outputFolder = fileURLToPath(new URL("../../out/bench-path/", import.meta.url));
+
+/** A program of the benchmark, bundled as the shipped binary is, in a process of its own. */
+export class BenchProgram {
+    private constructor(private readonly child: ChildProcess) {}
+
+    /** Builds and starts `bench/path/{name}.ts`. */
+    static start(name: string, argument: unknown, nodeOptions: readonly string[] = []): BenchProgram {
+        const outfile = `${outputFolder}${name}.mjs`;
+        buildSync({
+            entryPoints: [fileURLToPath(new URL(`./${name}.ts`, import.meta.url))],
+            outfile,
+            bundle: true,
+            platform: "node",
+            format: "esm",
+            target: "node24",
+            logLevel: "error",
+            banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
+        });
+        return new BenchProgram(fork(outfile, [JSON.stringify(argument)], { execArgv: [...nodeOptions] }));
+    }
+
+    /** The next message of one type. */
+    async next<T extends BenchMessage["type"]>(type: T): Promise<Extract<BenchMessage, { type: T; }>> {
+        for (;;) {
+            const [message] = await once(this.child, "message") as [BenchMessage];
+            if (message.type === type) {
+                return message as Extract<BenchMessage, { type: T; }>;
+            }
+        }
+    }
+
+    /** Gives a command and waits for its answer. */
+    async ask<T extends BenchMessage["type"]>(command: BenchCommand, type: T): Promise<Extract<BenchMessage, { type: T; }>> {
+        const answer = this.next(type);
+        this.child.send(command);
+        return answer;
+    }
+
+    stop(): void {
+        this.child.kill();
+    }
+}
