--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -8,6 +8,7 @@
 import type { EngineRequest } from "../services/EngineRequest.js";
 import type { EngineStream } from "../services/EngineStream.js";
 import type { Grant } from "../services/Grant.js";
+import { EventText } from "../upstream/EventText.js";
 import type { AnswerSink } from "./AnswerSink.js";
 import { CallerFault } from "./CallerFault.js";
 import type { CallerParts } from "./CallerParts.js";
@@ -45,7 +46,7 @@
     private readonly maxOutputTokens: number;
     private readonly excludedUpstreams: string[] = [];
     private readonly times = new TokenTimes();
-    private deliveredText = "";
+    private readonly deliveredText: EventText;
     private ticketAttempt = 0;
     private mayHaveRun = false;
 
@@ -59,6 +60,7 @@
         this.promptTokens = Math.ceil(prompt.length / charactersPerToken);
         this.hashes = prefixHashes(prompt);
         this.maxOutputTokens = work.body.max_completion_tokens ?? work.body.max_tokens ?? request.serviceClass.defaultMaxOutputTokens;
+        this.deliveredText = new EventText(work.endpoint === "/v1/chat/completions");
         summary.service = work.body.model;
     }
 
@@ -187,7 +189,7 @@
                     }
                     attemptTimes.add(nowMs, chunk.tokenCount);
                     this.times.add(nowMs, chunk.tokenCount);
-                    this.deliveredText += chunk.text;
+                    this.deliveredText.append(chunk.events);
                 }
                 if (nowMs - progressAtMs >= progressPeriodMs) {
                     progressAtMs = nowMs;
@@ -247,7 +249,7 @@
             endpoint: this.work.endpoint,
             priority: grant.priority,
             resumeFromToken: this.times.tokens,
-            prefixText: this.deliveredText,
+            prefixText: this.times.tokens === 0 ? "" : this.deliveredText.toString(),
         };
     }
 
--- a/src/node/services/EngineChunk.ts
+++ b/src/node/services/EngineChunk.ts
@@ -4,7 +4,7 @@
     readonly tokenIndex: number;
     readonly tokenCount: number;
     /** Whole server-sent events as the engine wrote them, to be passed on unchanged. */
-    readonly events: Uint8Array;
+    readonly events: Buffer;
     /** Decoded from `events` on each access; the relay of a streamed answer does not touch the next three. */
     readonly text: string;
     readonly finishReason: string | undefined;
--- a/src/node/upstream/EngineEvents.ts
+++ b/src/node/upstream/EngineEvents.ts
@@ -4,7 +4,7 @@
 
 /** A chunk that keeps the engine's bytes and decodes them only when asked. */
 export class EngineEvents implements EngineChunk {
-    constructor(readonly tokenIndex: number, readonly tokenCount: number, readonly events: Uint8Array) {}
+    constructor(readonly tokenIndex: number, readonly tokenCount: number, readonly events: Buffer) {}
 
     get text(): string {
         return this.decode().map(event => event.choices.map(choice => choice.delta?.content ?? choice.text ?? "").join("")).join("");
