--- a/bench/path/BenchProgram.ts
+++ b/bench/path/BenchProgram.ts
@@ -7,23 +7,16 @@
 
 const outputFolder = fileURLToPath(new URL("../../out/bench-path/", import.meta.url));
 
+const built = new Map<string, string>();
+
 /** A program of the benchmark, bundled as the shipped binary is, in a process of its own. */
 export class BenchProgram {
     private constructor(private readonly child: ChildProcess) {}
 
-    /** Builds and starts `bench/path/{name}.ts`. */
+    /** Builds, once a run, and starts `bench/path/{name}.ts`. */
     static start(name: string, argument: unknown, nodeOptions: readonly string[] = []): BenchProgram {
-        const outfile = `${outputFolder}${name}.mjs`;
-        buildSync({
-            entryPoints: [fileURLToPath(new URL(`./${name}.ts`, import.meta.url))],
-            outfile,
-            bundle: true,
-            platform: "node",
-            format: "esm",
-            target: "node24",
-            logLevel: "error",
-            banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
-        });
+        const outfile = built.get(name) ?? build(name);
+        built.set(name, outfile);
         return new BenchProgram(fork(outfile, [JSON.stringify(argument)], { execArgv: [...nodeOptions] }));
     }
 
@@ -48,3 +41,18 @@
         this.child.kill();
     }
 }
+
+function build(name: string): string {
+    const outfile = `${outputFolder}${name}.mjs`;
+    buildSync({
+        entryPoints: [fileURLToPath(new URL(`./${name}.ts`, import.meta.url))],
+        outfile,
+        bundle: true,
+        platform: "node",
+        format: "esm",
+        target: "node24",
+        logLevel: "error",
+        banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
+    });
+    return outfile;
+}
