--- a/src/node/caller/AnswerSink.ts
+++ b/src/node/caller/AnswerSink.ts
@@ -1,10 +1,9 @@
-import type { EngineChunk } from "../services/EngineChunk.js";
 import type { CallerFault } from "./CallerFault.js";
 
 /** Hands the answer of a completion to its caller. */
 export interface AnswerSink {
-    /** A promise when the caller is slower than the engine; it settles when the caller has caught up or gone. */
-    write(chunk: EngineChunk): Promise<void> | undefined;
+    /** Takes whole server-sent events. Returns a promise when the caller is slower than the engine; it settles when the caller has caught up or gone. */
+    write(events: Buffer): Promise<void> | undefined;
     finish(): void;
     /** Tells the caller that its answer will not become whole. */
     fail(fault: CallerFault): void;
--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -179,35 +179,26 @@
     }
 
     private async relay(stream: EngineStream, grant: Grant, sentMs: number, attemptTimes: TokenTimes): Promise<AttemptEnd> {
+        const { scheduler } = this.parts;
         let progressAtMs = sentMs;
-        try {
-            for await (const chunk of stream) {
-                const nowMs = this.parts.scheduler.nowMs();
-                if (chunk.tokenCount > 0) {
-                    if (this.times.tokens === 0) {
-                        this.noteFirstToken(grant, nowMs);
-                    }
-                    attemptTimes.add(nowMs, chunk.tokenCount);
-                    this.times.add(nowMs, chunk.tokenCount);
-                    this.deliveredText.append(chunk.events);
+        const relayed = await stream.relay((events, tokenCount) => {
+            if (tokenCount > 0) {
+                const nowMs = scheduler.nowMs();
+                if (this.times.tokens === 0) {
+                    this.noteFirstToken(grant, nowMs);
                 }
+                attemptTimes.add(nowMs, tokenCount);
+                this.times.add(nowMs, tokenCount);
+                this.deliveredText.append(events);
                 if (nowMs - progressAtMs >= progressPeriodMs) {
                     progressAtMs = nowMs;
                     grant.progress(attemptTimes.tokens, (attemptTimes.firstTokenAtMs ?? nowMs) - sentMs);
                 }
-                const pending = this.work.sink.write(chunk);
-                if (pending !== undefined) {
-                    await pending;
-                }
             }
-        }
-        catch (error) {
-            return this.endOf(error as EngineError, grant);
-        }
-        finally {
-            this.summary.wastedTokens += stream.receivedTokens - this.times.tokens;
-        }
-        return { kind: "whole" };
+            return this.work.sink.write(events);
+        });
+        this.summary.wastedTokens += stream.receivedTokens - this.times.tokens;
+        return relayed.isOk() ? { kind: "whole" } : this.endOf(relayed.error, grant);
     }
 
     private endOf(error: EngineError, grant: Grant): AttemptEnd {
--- a/src/node/caller/StreamedAnswer.ts
+++ b/src/node/caller/StreamedAnswer.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from "node:http";
 import type { Scheduler } from "../../core/util/Scheduler.js";
-import type { EngineChunk } from "../services/EngineChunk.js";
 import type { AnswerSink } from "./AnswerSink.js";
 import type { CallerFault } from "./CallerFault.js";
 import { faultBody } from "./faultBody.js";
@@ -16,11 +15,11 @@
         private readonly stallLimitMs: number,
     ) {}
 
-    write(chunk: EngineChunk): Promise<void> | undefined {
+    write(events: Buffer): Promise<void> | undefined {
         if (!this.response.headersSent) {
             this.writeHead();
         }
-        if (this.response.write(chunk.events)) {
+        if (this.response.write(events)) {
             return undefined;
         }
         return waitForDrain(this.response, this.scheduler, this.stallLimitMs);
--- a/src/node/caller/WholeAnswer.ts
+++ b/src/node/caller/WholeAnswer.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from "node:http";
-import type { EngineChunk } from "../services/EngineChunk.js";
 import { parseEvents } from "../upstream/parseEvents.js";
 import { AnswerEvent } from "./AnswerEvent.js";
 import type { AnswerSink } from "./AnswerSink.js";
@@ -19,8 +18,8 @@
 
     constructor(private readonly response: ServerResponse, private readonly requestId: string, private readonly isChat: boolean) {}
 
-    write(chunk: EngineChunk): Promise<void> | undefined {
-        for (const value of parseEvents(chunk.events)) {
+    write(events: Buffer): Promise<void> | undefined {
+        for (const value of parseEvents(events)) {
             const event = AnswerEvent.safeParse(value);
             if (event.success) {
                 this.add(event.data);
--- a/src/node/upstream/HttpEngineStream.ts
+++ b/src/node/upstream/HttpEngineStream.ts
@@ -1,13 +1,11 @@
+import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../../core/util/Clock.js";
-import type { EngineChunk } from "../services/EngineChunk.js";
+import type { EngineError } from "../services/EngineError.js";
 import type { EngineStream } from "../services/EngineStream.js";
-import { EngineEvents } from "./EngineEvents.js";
 import { EngineFailure } from "./EngineFailure.js";
 import { EventScanner } from "./EventScanner.js";
 import type { ResponseSink } from "./ResponseSink.js";
 
-const pauseAboveBytes = 64 * 1024;
-
 interface StreamSource {
     pause(): void;
     resume(): void;
@@ -15,24 +13,26 @@
     cancel(): void;
 }
 
-interface Waiter {
-    readonly resolve: (result: IteratorResult<EngineChunk, undefined>) => void;
-    readonly reject: (failure: EngineFailure) => void;
+interface HeldPiece {
+    readonly events: Buffer;
+    readonly tokenCount: number;
 }
 
-/** The answer of one engine: events are queued up to a bound, then the connection is paused until the reader has caught up. */
-export class HttpEngineStream implements EngineStream, ResponseSink, AsyncIterator<EngineChunk, undefined> {
-    /** When the engine last sent anything; the reader's own pauses do not count against the engine. */
-    lastDataMs: number;
+type OnEvents = Parameters<EngineStream["relay"]>[0];
+
+/** The answer of one engine. While its reader is slow the connection is paused, so that the engine is held back. */
+export class HttpEngineStream implements EngineStream, ResponseSink {
     /** Called once, when no more will come. */
     onClosed: (failure: EngineFailure | undefined) => void = () => undefined;
     private readonly scanner: EventScanner;
-    private queue: EngineChunk[] = [];
-    private queuedBytes = 0;
-    private isPaused = false;
+    private readonly whole: PromiseWithResolvers<Result<void, EngineError>> = Promise.withResolvers();
+    private onEvents: OnEvents | undefined;
+    /** Pieces that arrived before the reader or while it was slow. */
+    private held: HeldPiece[] = [];
+    private isHeldBack = false;
     private isEnded = false;
     private failure: EngineFailure | undefined;
-    private waiter: Waiter | undefined;
+    private lastDataMs: number;
 
     constructor(
         readonly upstreamId: string,
@@ -44,44 +44,19 @@
         this.lastDataMs = clock.nowMs();
     }
 
-    [Symbol.asyncIterator](): AsyncIterator<EngineChunk, undefined> {
-        return this;
-    }
-
     get receivedTokens(): number {
         return this.scanner.tokens;
     }
 
-    /** How long the engine has been silent; 0 while the reader holds it back. */
-    silentMs(nowMs: number): number {
-        return this.isPaused || this.isEnded ? 0 : nowMs - this.lastDataMs;
+    relay(onEvents: OnEvents): Promise<Result<void, EngineError>> {
+        this.onEvents = onEvents;
+        this.deliverHeld();
+        return this.whole.promise;
     }
 
-    next(): Promise<IteratorResult<EngineChunk, undefined>> {
-        const chunk = this.queue.shift();
-        if (chunk !== undefined) {
-            this.queuedBytes -= chunk.events.length;
-            this.resumeWhenDrained();
-            return Promise.resolve({ done: false, value: chunk });
-        }
-        if (this.failure !== undefined) {
-            return Promise.reject(this.failure);
-        }
-        if (this.isEnded) {
-            return Promise.resolve({ done: true, value: undefined });
-        }
-        return new Promise((resolve, reject) => {
-            this.waiter = { resolve, reject };
-        });
-    }
-
-    /** Leaving the loop cancels the stream on the engine. */
-    return(): Promise<IteratorResult<EngineChunk, undefined>> {
-        if (!this.isEnded) {
-            this.end(undefined);
-            this.source.cancel();
-        }
-        return Promise.resolve({ done: true, value: undefined });
+    /** How long the engine has been silent; 0 while the reader holds it back. */
+    silentMs(nowMs: number): number {
+        return this.isHeldBack || this.isEnded ? 0 : nowMs - this.lastDataMs;
     }
 
     onData(bytes: Buffer): void {
@@ -97,8 +72,7 @@
             return;
         }
         if (events.length > 0) {
-            const { tokens, tokensBefore } = this.scanner;
-            this.push(new EngineEvents(tokensBefore, tokens - tokensBefore, events));
+            this.take(events, this.scanner.tokens - this.scanner.tokensBefore);
         }
         if (this.scanner.isDone) {
             this.end(undefined);
@@ -106,15 +80,11 @@
     }
 
     onEnd(): void {
-        if (!this.isEnded) {
-            this.end(new EngineFailure("broken", undefined, "engine ended its stream before the answer was whole"));
-        }
+        this.end(new EngineFailure("broken", undefined, "engine ended its stream before the answer was whole"));
     }
 
     onError(failure: EngineFailure): void {
-        if (!this.isEnded) {
-            this.end(failure);
-        }
+        this.end(failure);
     }
 
     /** Ends the stream with a failure and closes the connection. */
@@ -125,43 +95,60 @@
         }
     }
 
-    private push(chunk: EngineChunk): void {
-        const waiter = this.waiter;
-        if (waiter !== undefined) {
-            this.waiter = undefined;
-            waiter.resolve({ done: false, value: chunk });
+    private take(events: Buffer, tokenCount: number): void {
+        if (this.onEvents === undefined || this.isHeldBack) {
+            this.held.push({ events, tokenCount });
             return;
         }
-        this.queue.push(chunk);
-        this.queuedBytes += chunk.events.length;
-        if (this.queuedBytes > pauseAboveBytes && !this.isPaused) {
-            this.isPaused = true;
+        this.deliver(this.onEvents, events, tokenCount);
+    }
+
+    private deliver(onEvents: OnEvents, events: Buffer, tokenCount: number): void {
+        const pending = onEvents(events, tokenCount);
+        if (pending !== undefined) {
+            this.isHeldBack = true;
             this.source.pause();
+            void pending.then(() => {
+                this.letGoOn();
+            });
         }
     }
 
-    private resumeWhenDrained(): void {
-        if (this.isPaused && this.queuedBytes <= pauseAboveBytes / 2) {
-            this.isPaused = false;
-            this.lastDataMs = this.clock.nowMs();
+    private letGoOn(): void {
+        this.isHeldBack = false;
+        this.lastDataMs = this.clock.nowMs();
+        this.deliverHeld();
+        if (!this.isHeldBack && !this.isEnded) {
             this.source.resume();
         }
     }
 
+    private deliverHeld(): void {
+        while (this.onEvents !== undefined && !this.isHeldBack && this.held.length > 0) {
+            const { events, tokenCount } = this.held.shift() as HeldPiece;
+            this.deliver(this.onEvents, events, tokenCount);
+        }
+        this.settle();
+    }
+
     private end(failure: EngineFailure | undefined): void {
-        this.isEnded = true;
-        this.failure = failure;
-        this.onClosed(failure);
-        const waiter = this.waiter;
-        this.waiter = undefined;
-        if (waiter === undefined) {
+        if (this.isEnded) {
             return;
         }
-        if (failure === undefined) {
-            waiter.resolve({ done: true, value: undefined });
+        this.isEnded = true;
+        this.failure = failure;
+        if (failure?.kind === "cancelled") {
+            this.held = [];
+            this.isHeldBack = false;
         }
-        else {
-            waiter.reject(failure);
+        this.onClosed(failure);
+        this.settle();
+    }
+
+    /** What arrived before a break is still delivered. */
+    private settle(): void {
+        if (this.isEnded && this.held.length === 0 && !this.isHeldBack) {
+            this.whole.resolve(this.failure === undefined ? ok() : err(this.failure));
         }
     }
 }
--- a/src/node/upstream/parseEvents.ts
+++ b/src/node/upstream/parseEvents.ts
@@ -2,9 +2,9 @@
 const doneData = "[DONE]";
 
 /** The JSON values of whole server-sent events, without the closing `[DONE]`. Events that are not JSON are left out. */
-export function parseEvents(events: Uint8Array): readonly Record<string, unknown>[] {
+export function parseEvents(events: Buffer): readonly Record<string, unknown>[] {
     const values: Record<string, unknown>[] = [];
-    for (const line of Buffer.from(events.buffer, events.byteOffset, events.byteLength).toString("utf8").split("\n")) {
+    for (const line of events.toString("utf8").split("\n")) {
         const data = line.startsWith(dataField) ? line.slice(dataField.length).trim() : "";
         if (data === "" || data === doneData) {
             continue;
