--- a/bench/path/measureFirstTokens.ts
+++ b/bench/path/measureFirstTokens.ts
@@ -1,3 +1,4 @@
+import { runtimeOptions } from "../../scripts/runtimeOptions.js";
 import { benchCaller } from "./benchCaller.js";
 import { BenchProgram } from "./BenchProgram.js";
 import { quantile } from "./quantile.js";
@@ -26,7 +27,7 @@
         naturalAnswerTokens: answerTokens,
     });
     const engineUrl = (await engine.next("listening")).url;
-    const vm = BenchProgram.start("vmProgram", [engineUrl]);
+    const vm = BenchProgram.start("vmProgram", [engineUrl], runtimeOptions);
     const vmUrl = (await vm.next("listening")).url;
     const load = BenchProgram.start("loadProgram", {});
     const command = { type: "startStreams" as const, urls: [engineUrl, vmUrl], ratePerSecond: 2 * ratePerSecond, answerTokens };
--- a/bench/path/measureRelay.ts
+++ b/bench/path/measureRelay.ts
@@ -1,4 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
+import { runtimeOptions } from "../../scripts/runtimeOptions.js";
 import { benchCaller } from "./benchCaller.js";
 import { BenchProgram } from "./BenchProgram.js";
 
@@ -26,11 +27,7 @@
     const options = { models: [benchCaller.model], maxBatchSize: 10_000, stepMs, naturalAnswerTokens: 1_000_000_000 };
     const engines = Array.from(Array(engineCount).keys(), () => BenchProgram.start("engineProgram", options));
     const engineUrls = await Promise.all(engines.map(async engine => (await engine.next("listening")).url));
-    const vm = BenchProgram.start(
-        "vmProgram",
-        engineUrls,
-        (process.env["BENCH_VM_OPTIONS"] ?? "").split(" ").filter(option => option !== ""),
-    );
+    const vm = BenchProgram.start("vmProgram", engineUrls, runtimeOptions);
     const { url } = await vm.next("listening");
     const loads = Array.from(Array(loadCount).keys(), () => BenchProgram.start("loadProgram", {}));
     try {
--- a/bench/path/measureStreamMemory.ts
+++ b/bench/path/measureStreamMemory.ts
@@ -1,4 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
+import { runtimeOptions } from "../../scripts/runtimeOptions.js";
 import { benchCaller } from "./benchCaller.js";
 import { BenchProgram } from "./BenchProgram.js";
 
@@ -16,7 +17,7 @@
 export async function measureStreamMemory(): Promise<StreamMemoryResult> {
     const options = { models: [benchCaller.model], maxBatchSize: 10_000, stepMs, naturalAnswerTokens: 1_000_000_000 };
     const engine = BenchProgram.start("engineProgram", options);
-    const vm = BenchProgram.start("vmProgram", [(await engine.next("listening")).url]);
+    const vm = BenchProgram.start("vmProgram", [(await engine.next("listening")).url], runtimeOptions);
     const { url } = await vm.next("listening");
     const load = BenchProgram.start("loadProgram", {});
     const points: { streams: number; rssMebibytes: number; heapMebibytes: number; }[] = [];
--- a/bench/path/vmProgram.ts
+++ b/bench/path/vmProgram.ts
@@ -58,10 +58,6 @@
     }
 });
 process.on("disconnect", () => process.exit(0));
-process.on("SIGTERM", () => {
-    console.error(process.memoryUsage());
-    process.exit(0);
-});
 
 const url = (await server.start(signal))._unsafeUnwrap();
 process.send?.({ type: "listening", url } satisfies BenchMessage);
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -3,6 +3,7 @@
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
+import { runtimeOptions } from "./runtimeOptions.js";
 
 const require = createRequire(import.meta.url);
 /** Marks the place in the runtime where the program goes; fixed by Node.js. */
@@ -37,7 +38,17 @@
     logLevel: "warning",
 });
 const config = `${workFolder}/sea.json`;
-writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, assets }));
+writeFileSync(
+    config,
+    JSON.stringify({
+        main: bundle,
+        output: blob,
+        disableExperimentalSEAWarning: true,
+        useCodeCache: true,
+        execArgv: runtimeOptions,
+        assets,
+    }),
+);
 runQuietly(["--experimental-sea-config", config]);
 
 // A running copy of the old executable cannot be overwritten, but its name can be taken away.
