Join customer limits to the VM, and set zones, configuration and bookings in the settings file

The settings of the configuration and booking tasks become sections of the settings schema; bookings.claimWaitMs takes the place of timeouts.bookingLogMs.

--- a/proof/bookings/BookingFleet.ts
+++ b/proof/bookings/BookingFleet.ts
@@ -1,9 +1,9 @@
 import { VirtualScheduler } from "../../src/core/util/VirtualScheduler.js";
 import { BookingSendFailure } from "../../src/node/booking/BookingSendFailure.js";
-import { BookingSettings } from "../../src/node/booking/BookingSettings.js";
 import { hashBookingText } from "../../src/node/booking/hashBookingText.js";
 import { LogBookingService } from "../../src/node/booking/LogBookingService.js";
 import type { BookingAnswer } from "../../src/node/services/BookingAnswer.js";
+import { BookingSettings } from "../../src/schema/settings/BookingSettings.js";
 import type { HistoryEvent } from "../checker/HistoryEvent.js";
 import { FakeLog } from "../fakes/FakeLog.js";
 import type { FakeLogClient } from "../fakes/FakeLogClient.js";
--- a/proof/config/ConfigFleet.ts
+++ b/proof/config/ConfigFleet.ts
@@ -1,9 +1,9 @@
 import type { ConfigView } from "../../src/core/config/ConfigView.js";
 import { VirtualScheduler } from "../../src/core/util/VirtualScheduler.js";
-import { ConfigSettings } from "../../src/node/config/ConfigSettings.js";
 import { LogConfigService } from "../../src/node/config/LogConfigService.js";
 import type { ConfigObject } from "../../src/schema/config/ConfigObject.js";
 import { ServiceClass } from "../../src/schema/config/ServiceClass.js";
+import { ConfigSettings } from "../../src/schema/settings/ConfigSettings.js";
 import type { ConfigEvent } from "../checker/ConfigEvent.js";
 import { FakeLog } from "../fakes/FakeLog.js";
 import type { FakeLogClient } from "../fakes/FakeLogClient.js";
--- a/src/cli/quickstart/EmbeddedFleet.ts
+++ b/src/cli/quickstart/EmbeddedFleet.ts
@@ -59,5 +59,6 @@
         peers: { seeds, key: { env: "UNUSED" } },
         operator: { token: { env: "UNUSED" } },
         platform: { log: { url: standins.log }, vmList: { url: standins.vmList }, weightStore: { url: standins.weightStore } },
+        config: { zones: [...exampleZones] },
     });
 }
--- a/src/node/booking/LogBookingService.test.ts
+++ b/src/node/booking/LogBookingService.test.ts
@@ -3,9 +3,9 @@
 import { FakeLog } from "../../../proof/fakes/FakeLog.js";
 import type { FakeLogClient } from "../../../proof/fakes/FakeLogClient.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import { BookingSettings } from "../../schema/settings/BookingSettings.js";
 import type { BookingAnswer } from "../services/BookingAnswer.js";
 import { BookingSendFailure } from "./BookingSendFailure.js";
-import { BookingSettings } from "./BookingSettings.js";
 import { LogBookingService } from "./LogBookingService.js";
 
 const call = { customer: "vatukoula", key: "callout-17", digest: "POST /callouts 1", upstreamDeduplicates: false };
--- a/src/node/config/LogConfigService.test.ts
+++ b/src/node/config/LogConfigService.test.ts
@@ -5,7 +5,7 @@
 import { FakePeers } from "../../../proof/fakes/FakePeers.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import { ServiceClass } from "../../schema/config/ServiceClass.js";
-import { ConfigSettings } from "./ConfigSettings.js";
+import { ConfigSettings } from "../../schema/settings/ConfigSettings.js";
 import { LogConfigService } from "./LogConfigService.js";
 
 type Change = Parameters<LogConfigService["apply"]>[0];
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -1,15 +1,13 @@
-import { ok } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Settings } from "../../schema/settings/Settings.js";
-import { BookingSettings } from "../booking/BookingSettings.js";
 import { LogBookingService } from "../booking/LogBookingService.js";
 import { CallerServer } from "../caller/CallerServer.js";
-import { ConfigSettings } from "../config/ConfigSettings.js";
 import { LogConfigService } from "../config/LogConfigService.js";
 import { DispatchTask } from "../dispatch/DispatchTask.js";
 import { EventRing } from "../explain/EventRing.js";
 import { FleetExplainer } from "../explain/FleetExplainer.js";
+import { QuotaLimitService } from "../limits/QuotaLimitService.js";
 import { createLog } from "../logs/createLog.js";
 import { GossipMembership } from "../membership/GossipMembership.js";
 import { MeteredPeerLinks } from "../metrics/MeteredPeerLinks.js";
@@ -50,6 +48,7 @@
     readonly config: LogConfigService;
     readonly bookings: LogBookingService;
     readonly dispatch: DispatchTask;
+    readonly limits: QuotaLimitService;
     readonly caller: CallerServer;
     readonly operator: OperatorServer;
     private readonly vmList: VmListTask;
@@ -85,6 +84,7 @@
         this.config = this.createConfig();
         this.bookings = this.createBookings();
         this.dispatch = this.createDispatch();
+        this.limits = this.createLimits();
         this.engines = new HttpEngineClient(scheduler, { silenceLimitMs: settings.timeouts.upstreamGapMs });
         this.plain = new HttpPlainClient(scheduler);
         const report = this.reportOptions();
@@ -107,6 +107,7 @@
             this.dispatch.setLeaving(leaving);
         }, signal);
         this.dispatch.start(signal);
+        this.limits.start(signal);
         this.engines.start(signal);
         this.plain.start(signal);
         this.levels.start(signal);
@@ -176,7 +177,7 @@
         return new LogConfigService({
             log: this.logClient,
             scheduler,
-            settings: ConfigSettings.parse({}),
+            settings: settings.config,
             vm: settings.vm.id,
             membership: this.membership,
             links: this.peers,
@@ -189,7 +190,7 @@
         return new LogBookingService({
             log: this.logClient,
             scheduler,
-            settings: BookingSettings.parse({ claimWaitMs: settings.timeouts.bookingLogMs }),
+            settings: settings.bookings,
             vm: settings.vm.id,
             incarnation,
             isAlive: (vm, other) => this.membership.members.some(member => member.vm === vm && member.incarnation === other),
@@ -210,6 +211,18 @@
         });
     }
 
+    private createLimits(): QuotaLimitService {
+        const { settings, links, scheduler } = this.options;
+        const { membership } = this;
+        return new QuotaLimitService({
+            vm: settings.vm.id,
+            membership,
+            links,
+            scheduler,
+            customerOf: name => this.config.view.customers.get(name),
+        });
+    }
+
     private createCaller(): CallerServer {
         const { settings, scheduler } = this.options;
         const { host, port } = settings.listen.caller;
@@ -221,7 +234,7 @@
             tls: readTls(settings.listen.caller),
             config: this.config,
             dispatch: this.dispatch,
-            limits: { admit: () => ok({ end: () => undefined }) },
+            limits: this.limits,
             bookings: this.bookings,
             engines: this.engines,
             plain: this.plain,
--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -1,4 +1,6 @@
 import { z } from "zod";
+import { BookingSettings } from "./BookingSettings.js";
+import { ConfigSettings } from "./ConfigSettings.js";
 import { ListenSettings } from "./ListenSettings.js";
 import { SecretSource } from "./SecretSource.js";
 
@@ -51,8 +53,6 @@
         /** Longest wait for the first byte of an upstream's answer. */
         upstreamFirstByteMs: TimeMs.default(60_000),
         plainCallMs: TimeMs.default(60_000),
-        /** Longest wait for the platform's log before a booking is refused as not run. */
-        bookingLogMs: TimeMs.default(2_000),
         peerRequestMs: TimeMs.default(1_000),
         platformRequestMs: TimeMs.default(2_000),
     }).prefault({}),
@@ -61,6 +61,8 @@
         /** Parts that log, in the syntax of the `debug` library. */
         parts: z.string().default("orioleshelf:*"),
     }).prefault({}),
+    config: ConfigSettings.prefault({}),
+    bookings: BookingSettings.prefault({}),
     explain: z.strictObject({
         /** Memory of the ring of decisions kept for `explain`. */
         ringBytes: SizeBytes.min(64 * 1024).default(16 * 1024 * 1024),
