--- /dev/null
+++ b/src/core/booking/ClaimTable.test.ts
@@ -0,0 +1,131 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import type { BookingBatch } from "./BookingBatch.js";
+import type { BookingRecord } from "./BookingRecord.js";
+import type { ClaimEntry } from "./ClaimEntry.js";
+import { ClaimTable } from "./ClaimTable.js";
+
+const retentionMs = 1_000;
+
+interface TimedBatch {
+    readonly atMs: number;
+    readonly batch: BookingBatch;
+}
+
+interface NaiveState {
+    readonly claim: string;
+    readonly digest: string;
+    readonly state: ClaimEntry["state"];
+    readonly body: number | undefined;
+}
+
+/** Replays every record from the first for each question; knows nothing of the table's order or interning. */
+function naiveState(history: readonly TimedBatch[], key: string, nowMs: number): NaiveState | undefined {
+    let held: NaiveState | undefined;
+    let touchedMs = 0;
+    const abandonedMs = new Map<string, number>();
+    for (const { atMs, batch } of history) {
+        held = atMs - touchedMs >= retentionMs ? undefined : held;
+        for (const record of batch.records) {
+            const claim = `${batch.vm}/${batch.incarnation}/${record.nonce}`;
+            if (record.type === "abandon") {
+                abandonedMs.set(claim, atMs);
+            }
+            if (record.key !== key) {
+                continue;
+            }
+            if (record.type === "claim" && atMs - (abandonedMs.get(claim) ?? -Infinity) >= retentionMs) {
+                held ??= { claim, digest: record.digest, state: "claimed", body: undefined };
+                touchedMs = atMs;
+            }
+            else if (held?.claim !== claim || held.state !== "claimed") {
+                continue;
+            }
+            else if (record.type === "abandon") {
+                held = undefined;
+            }
+            else if (record.type === "answer") {
+                held = { ...held, state: "answered", body: record.body?.[0] };
+            }
+            else if (record.type === "lost") {
+                held = { ...held, state: "lost" };
+            }
+        }
+    }
+    return nowMs - touchedMs >= retentionMs ? undefined : held;
+}
+
+const key = fc.constantFrom("k0", "k1");
+const nonce = fc.nat(3);
+const record: fc.Arbitrary<BookingRecord> = fc.oneof(
+    fc.record({ type: fc.constant("claim" as const), key, nonce, digest: fc.constantFrom("d0", "d1") }),
+    fc.record({ type: fc.constant("abandon" as const), key, nonce }),
+    fc.record({ type: fc.constant("lost" as const), key, nonce }),
+    fc.record({
+        type: fc.constant("answer" as const),
+        key,
+        nonce,
+        status: fc.constant(201),
+        contentType: fc.constant("text/plain"),
+        body: fc.nat(255).map(value => Uint8Array.of(value)),
+    }),
+);
+const batch: fc.Arbitrary<BookingBatch> = fc.record({
+    formatVersion: fc.constant(1 as const),
+    vm: fc.constantFrom("a", "b"),
+    incarnation: fc.constantFrom("1", "2"),
+    records: fc.array(record, { minLength: 1, maxLength: 4 }),
+});
+const history = fc.array(fc.record({ waitMs: fc.constantFrom(0, 1, 300, 999, 1_000, 1_200), batch }), { maxLength: 25 });
+
+test("the table holds for every key what a replay of all records gives", () => {
+    fc.assert(
+        fc.property(history, steps => {
+            const table = new ClaimTable(retentionMs);
+            const replayed: TimedBatch[] = [];
+            let nowMs = 0;
+            for (const step of steps) {
+                nowMs += step.waitMs;
+                replayed.push({ atMs: nowMs, batch: step.batch });
+                table.fold(step.batch, nowMs);
+                for (const name of ["k0", "k1"]) {
+                    const entry = table.get(name);
+                    const actual = entry === undefined ? undefined : {
+                        claim: `${entry.owner.vm}/${entry.owner.incarnation}/${entry.nonce}`,
+                        digest: entry.digest,
+                        state: entry.state,
+                        body: entry.answer?.body?.[0],
+                    };
+                    expect(actual).toEqual(naiveState(replayed, name, nowMs));
+                }
+            }
+        }),
+        { seed: 7, numRuns: 2_000 },
+    );
+});
+
+test("two tables that read one stream at different times hold the same while no key has expired", () => {
+    fc.assert(
+        fc.property(history, steps => {
+            const live = new ClaimTable(1e9);
+            const rebuilt = new ClaimTable(1e9);
+            steps.forEach((step, index) => live.fold(step.batch, index * 1_000));
+            steps.forEach(step => rebuilt.fold(step.batch, 5e6));
+            for (const name of ["k0", "k1"]) {
+                const [left, right] = [live.get(name), rebuilt.get(name)];
+                expect(left && { ...left, touchedMs: 0 }).toEqual(right && { ...right, touchedMs: 0 });
+            }
+        }),
+        { seed: 7, numRuns: 500 },
+    );
+});
+
+test("an expired table is empty, whatever was folded", () => {
+    const table = new ClaimTable(retentionMs);
+    table.fold({ formatVersion: 1, vm: "a", incarnation: "1", records: [{ type: "claim", key: "k", digest: "d", nonce: 1 }] }, 0);
+    table.expire(retentionMs - 1);
+    expect(table.size).toEqual(1);
+    table.expire(retentionMs);
+    expect(table.size).toEqual(0);
+});
