Share a budget of appends between the VMs that write at the time

Each VM sees the writers and their rate in the stream itself. A VM that is alone still appends at once.

--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -1,6 +1,7 @@
 import debug from "debug";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
+import { AppendPacer } from "../../core/booking/AppendPacer.js";
 import type { BookingRecord } from "../../core/booking/BookingRecord.js";
 import type { ClaimEffect } from "../../core/booking/ClaimEffect.js";
 import type { ClaimEntry } from "../../core/booking/ClaimEntry.js";
@@ -57,6 +58,7 @@
 export class LogBookingService implements BookingService {
     private readonly table: ClaimTable;
     private readonly waiters: KeyWaiters;
+    private readonly pacer: AppendPacer;
     private readonly commit: GroupCommit;
     private readonly claims = new Map<number, LocalClaim>();
     private readonly pendingKeys = new Set<string>();
@@ -65,11 +67,12 @@
 
     constructor(private readonly options: LogBookingServiceOptions) {
         this.table = new ClaimTable(options.settings.retentionMs);
+        this.pacer = new AppendPacer(options.vm, options.settings.fleetAppendsPerSecond);
         this.waiters = new KeyWaiters(options.scheduler);
         this.commit = new GroupCommit({
             scheduler: options.scheduler,
             append: (records, signal) => options.log.append(options.settings.stream, this.encode(records), signal),
-            intervalMs: () => this.appendIntervalMs(),
+            intervalMs: () => this.pacer.intervalMs(options.scheduler.nowMs()),
         });
     }
 
@@ -305,6 +308,7 @@
                 log("skip record %d of the booking stream: %s", record.offset, batch.error);
                 continue;
             }
+            this.pacer.observe(batch.value.vm, this.options.scheduler.nowMs());
             for (const effect of this.table.fold(batch.value, this.options.scheduler.nowMs())) {
                 this.applyEffect(effect);
             }
@@ -335,10 +339,6 @@
         }
     }
 
-    private appendIntervalMs(): number {
-        return 1_000 / this.options.settings.fleetAppendsPerSecond;
-    }
-
     private encode(records: readonly BookingRecord[]): Uint8Array {
         const { vm, incarnation } = this.options;
         return encodeBookingBatch({ formatVersion: 1, vm, incarnation, records: [...records] });
