--- a/proof/bookings/BookingFleet.ts
+++ b/proof/bookings/BookingFleet.ts
@@ -29,7 +29,12 @@
 
 /** Three VMs with the real booking service over a fake log and a fake upstream; records what happens. */
 export class BookingFleet {
-    static readonly settings = BookingSettings.parse({ claimWaitMs: 1_000, joinWaitMs: 5_000, retentionMs: 600_000 });
+    static readonly settings = BookingSettings.parse({
+        claimWaitMs: 1_000,
+        joinWaitMs: 5_000,
+        retentionMs: 600_000,
+        answerMemoryBytes: 20,
+    });
     readonly history: HistoryEvent[] = [];
     private readonly scheduler = new VirtualScheduler(1_700_000_000_000);
     private readonly log = new FakeLog(this.scheduler);
--- a/src/core/booking/ClaimEntry.ts
+++ b/src/core/booking/ClaimEntry.ts
@@ -9,7 +9,10 @@
     readonly nonce: number;
     /** `claimed`: no outcome yet; `answered`: see `answer`; `lost`: sent, and nobody knows what it did. */
     state: "claimed" | "answered" | "lost";
+    /** Undefined also when the answer was dropped from memory; the record at `endOffset` holds it. */
     answer: RecordedAnswer | undefined;
+    /** Offset of the record that ended the call. */
+    endOffset: number | undefined;
     /** When this VM last folded a claim of the key, by its own monotonic clock. */
     touchedMs: number;
 }
--- a/src/core/booking/ClaimTable.test.ts
+++ b/src/core/booking/ClaimTable.test.ts
@@ -82,13 +82,13 @@
 test("the table holds for every key what a replay of all records gives", () => {
     fc.assert(
         fc.property(history, steps => {
-            const table = new ClaimTable(retentionMs);
+            const table = new ClaimTable(retentionMs, 1e6);
             const replayed: TimedBatch[] = [];
             let nowMs = 0;
             for (const step of steps) {
                 nowMs += step.waitMs;
                 replayed.push({ atMs: nowMs, batch: step.batch });
-                table.fold(step.batch, nowMs);
+                table.fold(step.batch, replayed.length, nowMs);
                 for (const name of ["k0", "k1"]) {
                     const entry = table.get(name);
                     const actual = entry === undefined ? undefined : {
@@ -108,10 +108,10 @@
 test("two tables that read one stream at different times hold the same while no key has expired", () => {
     fc.assert(
         fc.property(history, steps => {
-            const live = new ClaimTable(1e9);
-            const rebuilt = new ClaimTable(1e9);
-            steps.forEach((step, index) => live.fold(step.batch, index * 1_000));
-            steps.forEach(step => rebuilt.fold(step.batch, 5e6));
+            const live = new ClaimTable(1e9, 1e6);
+            const rebuilt = new ClaimTable(1e9, 1e6);
+            steps.forEach((step, index) => live.fold(step.batch, index, index * 1_000));
+            steps.forEach((step, index) => rebuilt.fold(step.batch, index, 5e6));
             for (const name of ["k0", "k1"]) {
                 const [left, right] = [live.get(name), rebuilt.get(name)];
                 expect(left && { ...left, touchedMs: 0 }).toEqual(right && { ...right, touchedMs: 0 });
@@ -122,10 +122,26 @@
 });
 
 test("an expired table is empty, whatever was folded", () => {
-    const table = new ClaimTable(retentionMs);
-    table.fold({ formatVersion: 1, vm: "a", incarnation: "1", records: [{ type: "claim", key: "k", digest: "d", nonce: 1 }] }, 0);
+    const table = new ClaimTable(retentionMs, 1e6);
+    table.fold({ formatVersion: 1, vm: "a", incarnation: "1", records: [{ type: "claim", key: "k", digest: "d", nonce: 1 }] }, 0, 0);
     table.expire(retentionMs - 1);
     expect(table.size).toEqual(1);
     table.expire(retentionMs);
     expect(table.size).toEqual(0);
 });
+
+test("the oldest answers are dropped from memory beyond the limit, and their place in the stream is kept", () => {
+    const table = new ClaimTable(retentionMs, 10);
+    for (let nonce = 0; nonce < 3; nonce++) {
+        const key = `k${nonce}`;
+        const body = new Uint8Array(4);
+        const answer: BookingRecord = { type: "answer", key, nonce, status: 201, contentType: "text/plain", body };
+        table.fold(
+            { formatVersion: 1, vm: "a", incarnation: "1", records: [{ type: "claim", key, digest: "d", nonce }, answer] },
+            nonce,
+            0,
+        );
+    }
+    expect(["k0", "k1", "k2"].map(key => table.get(key)?.answer?.body?.length)).toEqual([undefined, 4, 4]);
+    expect([table.get("k0")?.state, table.get("k0")?.endOffset]).toEqual(["answered", 0]);
+});
--- a/src/core/booking/ClaimTable.ts
+++ b/src/core/booking/ClaimTable.ts
@@ -19,7 +19,12 @@
     private readonly abandoned = new Map<string, number>();
     private readonly owners = new Map<string, ClaimOwner>();
 
-    constructor(private readonly retentionMs: number) {}
+    /** Bytes of the answers in memory by key, oldest first. */
+    private readonly answerBytes = new Map<string, number>();
+    private totalAnswerBytes = 0;
+
+    /** Beyond `maxAnswerBytes` the oldest answers are dropped; they can be read from the log again at `endOffset`. */
+    constructor(private readonly retentionMs: number, private readonly maxAnswerBytes: number) {}
 
     get size(): number {
         return this.entries.size;
@@ -29,13 +34,13 @@
         return this.entries.get(key);
     }
 
-    /** Folds one batch in offset order and tells what it did, record by record. */
-    fold(batch: BookingBatch, nowMs: number): ClaimEffect[] {
+    /** Folds the batch at `offset` and tells what it did, record by record. */
+    fold(batch: BookingBatch, offset: number, nowMs: number): ClaimEffect[] {
         this.expire(nowMs);
         const owner = this.internOwner(batch.vm, batch.incarnation);
         const effects: ClaimEffect[] = [];
         for (const record of batch.records) {
-            const kind = this.foldRecord(record, owner, nowMs);
+            const kind = this.foldRecord(record, owner, offset, nowMs);
             if (kind !== undefined) {
                 effects.push({ kind, key: record.key, owner, nonce: record.nonce });
             }
@@ -50,6 +55,7 @@
                 break;
             }
             this.entries.delete(entry.key);
+            this.releaseAnswer(entry.key);
         }
         for (const [claim, abandonedMs] of this.abandoned) {
             if (nowMs - abandonedMs < this.retentionMs) {
@@ -59,7 +65,7 @@
         }
     }
 
-    private foldRecord(record: BookingRecord, owner: ClaimOwner, nowMs: number): ClaimEffect["kind"] | undefined {
+    private foldRecord(record: BookingRecord, owner: ClaimOwner, offset: number, nowMs: number): ClaimEffect["kind"] | undefined {
         switch (record.type) {
             case "claim":
                 return this.foldClaim(record, owner, nowMs);
@@ -67,7 +73,7 @@
                 return this.foldAbandon(record, owner, nowMs);
             case "answer":
             case "lost":
-                return this.foldEnd(record, owner);
+                return this.foldEnd(record, owner, offset);
         }
     }
 
@@ -84,6 +90,7 @@
                 nonce: record.nonce,
                 state: "claimed",
                 answer: undefined,
+                endOffset: undefined,
                 touchedMs: nowMs,
             });
             return "won";
@@ -104,14 +111,15 @@
         return "freed";
     }
 
-    private foldEnd(record: RecordOf<"answer" | "lost">, owner: ClaimOwner): ClaimEffect["kind"] | undefined {
+    private foldEnd(record: RecordOf<"answer" | "lost">, owner: ClaimOwner, offset: number): ClaimEffect["kind"] | undefined {
         const entry = this.entries.get(record.key);
         if (entry === undefined || !isClaimOf(entry, owner, record.nonce) || entry.state !== "claimed") {
             return undefined;
         }
+        entry.endOffset = offset;
         if (record.type === "answer") {
             entry.state = "answered";
-            entry.answer = { status: record.status, contentType: record.contentType, body: record.body };
+            this.keepAnswer(entry, record);
         }
         else {
             entry.state = "lost";
@@ -119,6 +127,32 @@
         return "ended";
     }
 
+    private keepAnswer(entry: ClaimEntry, record: RecordOf<"answer">): void {
+        const body = record.body === undefined ? undefined : new Uint8Array(record.body);
+        entry.answer = { status: record.status, contentType: record.contentType, body };
+        this.answerBytes.set(entry.key, body?.length ?? 0);
+        this.totalAnswerBytes += body?.length ?? 0;
+        for (const key of this.answerBytes.keys()) {
+            if (this.totalAnswerBytes <= this.maxAnswerBytes) {
+                return;
+            }
+            this.dropAnswer(key);
+        }
+    }
+
+    private dropAnswer(key: string): void {
+        const entry = this.entries.get(key);
+        if (entry !== undefined) {
+            entry.answer = undefined;
+        }
+        this.releaseAnswer(key);
+    }
+
+    private releaseAnswer(key: string): void {
+        this.totalAnswerBytes -= this.answerBytes.get(key) ?? 0;
+        this.answerBytes.delete(key);
+    }
+
     /** Moves an entry to the young end. */
     private touch(entry: ClaimEntry, nowMs: number): void {
         entry.touchedMs = nowMs;
--- a/src/node/booking/LogBookingService.test.ts
+++ b/src/node/booking/LogBookingService.test.ts
@@ -38,7 +38,7 @@
         const service = new LogBookingService({
             log: client,
             scheduler,
-            settings: BookingSettings.parse({}),
+            settings: BookingSettings.parse({ answerMemoryBytes: 30 }),
             vm,
             incarnation,
             isAlive: name => !dead.has(name),
@@ -145,6 +145,23 @@
         expect(sends).toEqual(["a"]);
     });
 
+    test("an answer that is no longer in memory is read from the log", async () => {
+        const { service, client } = startVm("a");
+        const keys = ["k1", "k2", "k3", "k4"];
+        for (const key of keys) {
+            void service.run({ ...call, key }, sendFrom(key), never);
+            await scheduler.advanceAsync(100);
+        }
+        const replayed = service.run({ ...call, key: "k1" }, sendFrom("again"), never);
+        await scheduler.advanceAsync(100);
+        expect(new TextDecoder().decode((await replayed)._unsafeUnwrap().body)).toEqual("booked by k1");
+        client.isDown = true;
+        const refused = service.run({ ...call, key: "k1" }, sendFrom("again"), never);
+        await scheduler.advanceAsync(100);
+        expect((await refused)._unsafeUnwrapErr().outcome).toEqual("ran");
+        expect(sends).toEqual(keys);
+    });
+
     test("a send that did nothing frees the key", async () => {
         const a = startVm("a");
         const b = startVm("b");
--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -7,6 +7,7 @@
 import type { ClaimEntry } from "../../core/booking/ClaimEntry.js";
 import type { ClaimOwner } from "../../core/booking/ClaimOwner.js";
 import { ClaimTable } from "../../core/booking/ClaimTable.js";
+import type { RecordedAnswer } from "../../core/booking/RecordedAnswer.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { BookingSettings } from "../../schema/settings/BookingSettings.js";
 import { LogTail } from "../platform/log/LogTail.js";
@@ -66,7 +67,7 @@
     private nextOffset = 0;
 
     constructor(private readonly options: LogBookingServiceOptions) {
-        this.table = new ClaimTable(options.settings.retentionMs);
+        this.table = new ClaimTable(options.settings.retentionMs, options.settings.answerMemoryBytes);
         this.pacer = new AppendPacer(options.vm, options.settings.fleetAppendsPerSecond);
         this.waiters = new KeyWaiters(options.scheduler);
         this.commit = new GroupCommit({
@@ -217,7 +218,7 @@
                 return err(keyReused());
             }
             if (entry.state === "answered") {
-                return replay(entry);
+                return this.replay(entry, keyed.signal);
             }
             if (keyed.signal.aborted) {
                 return err(cancelled("unknown"));
@@ -231,6 +232,29 @@
         return undefined;
     }
 
+    private async replay(entry: ClaimEntry, signal: AbortSignal): Promise<RunResult> {
+        const answer = entry.answer ?? await this.readAnswer(entry, signal);
+        if (answer === undefined) {
+            return err(ranWithoutAnswer("the call ran; its answer cannot be read from the platform's log now, repeat the call later"));
+        }
+        if (answer.body === undefined) {
+            return err(ranWithoutAnswer("the call ran; its answer was too large to keep"));
+        }
+        return ok({ status: answer.status, contentType: answer.contentType, body: answer.body });
+    }
+
+    /** Reads an answer that is no longer in memory from the log. */
+    private async readAnswer(entry: ClaimEntry, signal: AbortSignal): Promise<RecordedAnswer | undefined> {
+        if (entry.endOffset === undefined) {
+            return undefined;
+        }
+        const read = await this.options.log.read(this.options.settings.stream, entry.endOffset, 0, signal);
+        const payload = read.isOk() ? read.value.find(record => record.offset === entry.endOffset)?.payload : undefined;
+        const batch = payload === undefined ? undefined : decodeBookingBatch(payload).unwrapOr(undefined);
+        const found = batch?.records.find(record => record.type === "answer" && record.nonce === entry.nonce);
+        return found?.type === "answer" ? { status: found.status, contentType: found.contentType, body: found.body } : undefined;
+    }
+
     private isOwnerAlive(owner: ClaimOwner): boolean {
         return this.isOwn(owner) || this.options.isAlive(owner.vm, owner.incarnation);
     }
@@ -309,7 +333,7 @@
                 continue;
             }
             this.pacer.observe(batch.value.vm, this.options.scheduler.nowMs());
-            for (const effect of this.table.fold(batch.value, this.options.scheduler.nowMs())) {
+            for (const effect of this.table.fold(batch.value, record.offset, this.options.scheduler.nowMs())) {
                 this.applyEffect(effect);
             }
         }
@@ -349,18 +373,6 @@
     return { type: "claim", key: claim.key, digest: claim.digest, nonce: claim.nonce };
 }
 
-function replay(entry: ClaimEntry): RunResult {
-    if (entry.answer?.body === undefined) {
-        return err({
-            kind: "outcome-unknown",
-            outcome: "ran",
-            retryAfterMs: undefined,
-            message: "the call ran; its answer was too large to keep",
-        });
-    }
-    return ok({ status: entry.answer.status, contentType: entry.answer.contentType, body: entry.answer.body });
-}
-
 function keyReused(): BookingError {
     const message = "this idempotency key was used with another request; use a new key for a new request";
     return { kind: "key-reused", outcome: "not-run", retryAfterMs: undefined, message };
@@ -370,6 +382,10 @@
     return { kind: "log-unavailable", outcome: "not-run", retryAfterMs, message };
 }
 
+function ranWithoutAnswer(message: string): BookingError {
+    return { kind: "outcome-unknown", outcome: "ran", retryAfterMs, message };
+}
+
 function outcomeUnknown(): BookingError {
     const message = "the call was claimed and its answer is not recorded; check whether it took effect before using a new key";
     return { kind: "outcome-unknown", outcome: "unknown", retryAfterMs: undefined, message };
--- a/src/schema/settings/BookingSettings.ts
+++ b/src/schema/settings/BookingSettings.ts
@@ -14,6 +14,8 @@
     maxKeys: z.int().positive().default(200_000),
     /** Larger answers are not kept for replay. */
     maxAnswerBytes: z.int().positive().default(65_536),
+    /** Answers kept in memory for replay; older ones are read from the log. */
+    answerMemoryBytes: z.int().positive().default(33_554_432),
     /** Appends a second to the booking stream, over the whole fleet. */
     fleetAppendsPerSecond: z.number().positive().default(200),
 });
