--- a/src/schema/settings/BookingSettings.ts
+++ b/src/schema/settings/BookingSettings.ts
@@ -11,7 +11,7 @@
     /** How long a key is kept. Must exceed the longest call plus drain, and be shorter than the log keeps records. */
     retentionMs: z.number().positive().default(3_600_000),
     /** Most keys in memory; more are refused as `not-run`. */
-    maxKeys: z.int().positive().default(200_000),
+    maxKeys: z.int().positive().default(100_000),
     /** Larger answers are not kept for replay. */
     maxAnswerBytes: z.int().positive().default(65_536),
     /** Answers kept in memory for replay; older ones are read from the log. */
--- a/standins/log/LogStandin.ts
+++ b/standins/log/LogStandin.ts
@@ -19,6 +19,7 @@
     private readonly silentUntilStop: (() => void)[] = [];
     private faults = LogFaults.parse({});
     private appended = 0;
+    private bytes = 0;
     private closed = false;
 
     /** Serves until `signal` aborts; resolves once the port is open. */
@@ -40,6 +41,11 @@
         return this.appended;
     }
 
+    /** Bytes of those appends. */
+    get appendedBytes(): number {
+        return this.bytes;
+    }
+
     setFaults(faults: z.input<typeof LogFaults>): void {
         this.faults = LogFaults.parse(faults);
         this.forget();
@@ -48,6 +54,7 @@
     /** Appends past every fault, as an operator's own tool would. */
     appendDirectly(name: string, payload: Uint8Array): number {
         this.appended++;
+        this.bytes += payload.length;
         return this.stream(name).append(payload);
     }
 
