--- a/bench/booking/BookingBench.ts
+++ b/bench/booking/BookingBench.ts
@@ -1,10 +1,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { BookingSettings } from "../../src/node/booking/BookingSettings.js";
 import { LogBookingService } from "../../src/node/booking/LogBookingService.js";
 import { HttpLogClient } from "../../src/node/platform/log/HttpLogClient.js";
 import type { BookingAnswer } from "../../src/node/services/BookingAnswer.js";
 import type { BookingCall } from "../../src/node/services/BookingCall.js";
 import { SystemScheduler } from "../../src/node/timers/SystemScheduler.js";
+import { BookingSettings } from "../../src/schema/settings/BookingSettings.js";
 import { LogStandin } from "../../standins/log/LogStandin.js";
 import type { Figure } from "./Figure.js";
 
--- a/bench/booking/ConfigBench.ts
+++ b/bench/booking/ConfigBench.ts
@@ -2,12 +2,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FakePeers } from "../../proof/fakes/FakePeers.js";
 import { ConfigFold } from "../../src/core/config/ConfigFold.js";
-import { ConfigSettings } from "../../src/node/config/ConfigSettings.js";
 import { encodeSnapshot } from "../../src/node/config/encodeSnapshot.js";
 import { LogConfigService } from "../../src/node/config/LogConfigService.js";
 import { HttpLogClient } from "../../src/node/platform/log/HttpLogClient.js";
 import { SystemScheduler } from "../../src/node/timers/SystemScheduler.js";
 import { ServiceClass } from "../../src/schema/config/ServiceClass.js";
+import { ConfigSettings } from "../../src/schema/settings/ConfigSettings.js";
 import { LogStandin } from "../../standins/log/LogStandin.js";
 import type { Figure } from "./Figure.js";
 
--- a/bench/booking/measureMemory.ts
+++ b/bench/booking/measureMemory.ts
@@ -1,9 +1,9 @@
 import type { BookingRecord } from "../../src/core/booking/BookingRecord.js";
 import { ClaimTable } from "../../src/core/booking/ClaimTable.js";
-import { BookingSettings } from "../../src/node/booking/BookingSettings.js";
 import { decodeBookingBatch } from "../../src/node/booking/decodeBookingBatch.js";
 import { encodeBookingBatch } from "../../src/node/booking/encodeBookingBatch.js";
 import { hashBookingText } from "../../src/node/booking/hashBookingText.js";
+import { BookingSettings } from "../../src/schema/settings/BookingSettings.js";
 import type { Figure } from "./Figure.js";
 
 const keyCount = 50_000;
