Prove what callers of unrepeatable calls are told, at the socket

A TCP proxy resets before and after the request bytes, swallows them or the answer, cuts the answer or gives it late; each case checks the outcome told against what the service ran. Found by it: a short body of an unkeyed call was streamed, so that a call refused as not run could not go to another upstream; short bodies are now held. Keyed sends reject with the booking service's own failure type, and a drain waits for a send whose caller has gone.

--- a/proof/edge/EdgeFixture.ts
+++ b/proof/edge/EdgeFixture.ts
@@ -35,11 +35,13 @@
     readonly server: CallerServer;
     view: ConfigView;
     limitRefusal: LimitRefusal | undefined;
+    serviceUrls: readonly string[];
     private readonly stop = new AbortController();
     private readonly waiters: (() => void)[] = [];
     private requests = 0;
 
-    constructor(options: EdgeFixtureOptions = {}) {
+    constructor(private readonly options: EdgeFixtureOptions = {}) {
+        this.serviceUrls = options.serviceUrls ?? [];
         this.view = viewOf(this.key, options);
         this.dispatch = new FakeDispatch(() => this.view);
         const scheduler = new SystemScheduler();
@@ -90,6 +92,12 @@
         return (await this.server.start(this.stop.signal))._unsafeUnwrap();
     }
 
+    /** Gives the plain services these upstreams. */
+    setServiceUrls(serviceUrls: readonly string[]): void {
+        this.serviceUrls = serviceUrls;
+        this.view = viewOf(this.key, { ...this.options, serviceUrls });
+    }
+
     close(): void {
         this.stop.abort();
     }
--- a/proof/edge/FakeBookings.ts
+++ b/proof/edge/FakeBookings.ts
@@ -1,9 +1,9 @@
 import { err, ok, ResultAsync } from "neverthrow";
+import { BookingSendFailure } from "../../src/node/booking/BookingSendFailure.js";
 import type { BookingAnswer } from "../../src/node/services/BookingAnswer.js";
 import type { BookingCall } from "../../src/node/services/BookingCall.js";
 import type { BookingError } from "../../src/node/services/BookingError.js";
 import type { BookingService } from "../../src/node/services/BookingService.js";
-import { SendFailure } from "../../src/node/services/SendFailure.js";
 
 interface Entry {
     readonly digest: string;
@@ -26,7 +26,7 @@
             return new ResultAsync(Promise.resolve(err(reused)));
         }
         return new ResultAsync(entry.answer.then(answer => ok(answer), (error: unknown) => {
-            const failure = error instanceof SendFailure ? error : new SendFailure("unknown", "send failed");
+            const failure = error instanceof BookingSendFailure ? error : new BookingSendFailure("unknown", "send failed");
             if (failure.outcome === "not-run") {
                 this.entries.delete(name);
             }
--- /dev/null
+++ b/proof/edge/outcomes.test.ts
@@ -0,0 +1,136 @@
+import { expect } from "earl";
+import { test, type TestContext } from "node:test";
+import { ServiceStandin } from "../../standins/service/ServiceStandin.js";
+import { TcpProxy } from "../../standins/shared/TcpProxy.js";
+import { EdgeFixture } from "./EdgeFixture.js";
+
+const patientMs = 10_000;
+const impatientMs = 100;
+
+interface Case {
+    readonly mode: TcpProxy["mode"];
+    /** A reset right on accepting may reach the client before or after it has begun to write. */
+    readonly outcomes: readonly string[];
+    readonly executions: number;
+    readonly silenceLimitMs: number;
+}
+
+/** What the caller of a call that may not be repeated is told, and how often the service ran it. */
+const cases: readonly Case[] = [
+    { mode: "pass", outcomes: ["ran"], executions: 1, silenceLimitMs: patientMs },
+    { mode: "late-answer", outcomes: ["ran"], executions: 1, silenceLimitMs: patientMs },
+    { mode: "reset-on-accept", outcomes: ["unknown", "not-run"], executions: 0, silenceLimitMs: patientMs },
+    { mode: "reset-after-request", outcomes: ["unknown"], executions: 0, silenceLimitMs: patientMs },
+    { mode: "reset-before-answer", outcomes: ["unknown"], executions: 1, silenceLimitMs: patientMs },
+    { mode: "swallow-request", outcomes: ["unknown"], executions: 0, silenceLimitMs: impatientMs },
+    { mode: "swallow-answer", outcomes: ["unknown"], executions: 1, silenceLimitMs: impatientMs },
+];
+
+for (const { mode, outcomes, executions, silenceLimitMs } of cases) {
+    for (const key of ["booking-1", undefined]) {
+        test(`${key === undefined ? "a call without a key" : "a keyed call"}, connection does ${mode}: sent once, told ${outcomes.join(" or ")}`, async context => {
+            const { edge, url, service, proxy } = await setUp(context, silenceLimitMs);
+            proxy.mode = mode;
+            const response = await book(edge, url, key);
+            const outcome = response.headers.get("x-orioleshelf-outcome") ?? "";
+            expect(outcomes).toInclude(outcome);
+            if (outcome !== "ran") {
+                expect((await response.json() as { error: { outcome: string; }; }).error.outcome).toEqual(outcome);
+                expect(response.headers.get("x-should-retry")).toEqual(outcome === "not-run" ? null : "false"); // eslint-disable-line no-restricted-syntax -- what `Headers.get` gives
+            }
+            expect(service.calls.length).toEqual(executions);
+            expect(edge.dispatch.open.size).toEqual(0);
+        });
+    }
+}
+
+test("a call that found no listener goes to the next upstream", async context => {
+    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    edge.setServiceUrls([await closedUrl(), serviceUrl]);
+    const response = await book(edge, url, "booking-2");
+    expect([response.status, response.headers.get("x-orioleshelf-outcome")]).toEqual([200, "ran"]);
+    expect(service.executionsOf("booking-2")).toEqual(1);
+    expect((await edge.ended(1))[0]?.attempts).toEqual(2);
+});
+
+test("with no listener at all the call is told not-run, and its key runs once when there is one again", async context => {
+    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    edge.setServiceUrls([await closedUrl()]);
+    const refused = await book(edge, url, "booking-3");
+    expect([refused.status, refused.headers.get("x-orioleshelf-outcome")]).toEqual([503, "not-run"]);
+    edge.setServiceUrls([serviceUrl]);
+    const answered = await book(edge, url, "booking-3");
+    expect([answered.status, answered.headers.get("x-orioleshelf-outcome")]).toEqual([200, "ran"]);
+    expect(service.executionsOf("booking-3")).toEqual(1);
+});
+
+test("an upstream that states it did nothing is told as not-run, and the call goes to another", async context => {
+    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    const stop = new AbortController();
+    context.after(() => stop.abort());
+    const leaving = new ServiceStandin();
+    leaving.faults.set({ kind: "leaving", delayMs: 0, factor: 1, afterTokens: 0 });
+    edge.setServiceUrls([await leaving.start(stop.signal), serviceUrl]);
+    expect((await book(edge, url, undefined)).status).toEqual(200);
+    expect([leaving.calls.length, service.calls.length]).toEqual([0, 1]);
+});
+
+test("a repeated key gets the answer of the first call, another body is refused, and the service runs once", async context => {
+    const { edge, url, service } = await setUp(context, patientMs);
+    const [first, second] = await Promise.all([book(edge, url, "booking-4"), book(edge, url, "booking-4")]);
+    expect(await first.text()).toEqual(await second.text());
+    const other = await book(edge, url, "booking-4", "another wood set");
+    expect([other.status, other.headers.get("x-orioleshelf-outcome")]).toEqual([422, "not-run"]);
+    expect(service.executionsOf("booking-4")).toEqual(1);
+});
+
+test("a call of a service that may be repeated is sent again after a reset", async context => {
+    const { edge, url, service, serviceUrl, proxy } = await setUp(context, patientMs);
+    proxy.mode = "reset-before-answer";
+    edge.setServiceUrls([edge.serviceUrls[0] ?? "", serviceUrl]);
+    const response = await fetch(`${url}/services/stock/sets?wood=spruce`, { headers: edge.headers });
+    expect([response.status, response.headers.get("x-orioleshelf-outcome")]).toEqual([200, "ran"]);
+    expect(service.calls.map(call => call.path)).toEqual(["/sets?wood=spruce", "/sets?wood=spruce"]);
+});
+
+test("an answer that is cut off does not look whole", async context => {
+    const { edge, url, proxy } = await setUp(context, patientMs);
+    proxy.mode = "cut-answer";
+    await expect(async () => {
+        const response = await fetch(`${url}/services/pumpline-jobs/callouts`, { method: "POST", headers: edge.headers, body: "{}" });
+        await response.text();
+    }).toBeRejected();
+});
+
+async function setUp(context: TestContext, plainSilenceLimitMs: number): Promise<{
+    edge: EdgeFixture;
+    url: string;
+    service: ServiceStandin;
+    serviceUrl: string;
+    proxy: TcpProxy;
+}> {
+    const stop = new AbortController();
+    const service = new ServiceStandin();
+    const serviceUrl = await service.start(stop.signal);
+    const proxy = new TcpProxy(serviceUrl);
+    const edge = new EdgeFixture({ serviceUrls: [await proxy.start(stop.signal)], callerLimits: { plainSilenceLimitMs } });
+    const url = await edge.start();
+    context.after(() => {
+        edge.close();
+        stop.abort();
+    });
+    return { edge, url, service, serviceUrl, proxy };
+}
+
+function book(edge: EdgeFixture, url: string, key: string | undefined, body = "wood set 12"): Promise<Response> {
+    const headers = key === undefined ? edge.headers : { ...edge.headers, "idempotency-key": key };
+    return fetch(`${url}/services/pumpline-jobs/callouts`, { method: "POST", headers, body: JSON.stringify({ body }) });
+}
+
+/** The URL of a port on which nothing listens any more. */
+async function closedUrl(): Promise<string> {
+    const stop = new AbortController();
+    const url = await new ServiceStandin().start(stop.signal);
+    stop.abort();
+    return url;
+}
--- a/src/node/caller/CallerParts.ts
+++ b/src/node/caller/CallerParts.ts
@@ -6,4 +6,6 @@
 export interface CallerParts extends Omit<CallerServerOptions, "callerLimits"> {
     readonly callerLimits: CallerLimits;
     readonly retryBudget: RetryBudget;
+    /** Keeps the VM from ending its drain before `work` has settled, also when its caller has gone. */
+    readonly holdDrain: <T>(work: Promise<T>) => Promise<T>;
 }
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -47,7 +47,12 @@
 
     constructor(options: CallerServerOptions) {
         const retryBudget = new RetryBudget(options.scheduler, retryBudgetOptions);
-        this.parts = { ...options, callerLimits: { ...defaultCallerLimits, ...options.callerLimits }, retryBudget };
+        this.parts = {
+            ...options,
+            callerLimits: { ...defaultCallerLimits, ...options.callerLimits },
+            retryBudget,
+            holdDrain: work => this.holdDrain(work),
+        };
         this.server = this.createServer();
     }
 
@@ -192,6 +197,20 @@
             wastedTokens: summary.wastedTokens,
             totalMs: Math.round(totalMs),
         });
+        this.release();
+    }
+
+    private async holdDrain<T>(work: Promise<T>): Promise<T> {
+        this.active++;
+        try {
+            return await work;
+        }
+        finally {
+            this.release();
+        }
+    }
+
+    private release(): void {
         this.active--;
         this.settleIdle();
     }
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -5,13 +5,13 @@
 import { choosePool } from "../../core/paths/choosePool.js";
 import { mayRetry } from "../../core/retry/mayRetry.js";
 import type { Pool } from "../../schema/config/Pool.js";
+import { BookingSendFailure } from "../booking/BookingSendFailure.js";
 import type { BookingAnswer } from "../services/BookingAnswer.js";
 import type { BookingError } from "../services/BookingError.js";
 import type { EngineError } from "../services/EngineError.js";
 import type { Grant } from "../services/Grant.js";
 import type { PlainRequest } from "../services/PlainRequest.js";
 import type { PlainResponse } from "../services/PlainResponse.js";
-import { SendFailure } from "../services/SendFailure.js";
 import { CallerFault } from "./CallerFault.js";
 import type { CallerParts } from "./CallerParts.js";
 import type { CallerRequest } from "./CallerRequest.js";
@@ -119,7 +119,11 @@
             digest: this.digest(body.value),
             upstreamDeduplicates: pool.deduplicatesByKey,
         };
-        const answer = await this.parts.bookings.run(call, () => this.sendBooking(pool, body.value), this.request.gone);
+        const answer = await this.parts.bookings.run(
+            call,
+            () => this.parts.holdDrain(this.sendBooking(pool, body.value)),
+            this.request.gone,
+        );
         if (answer.isErr()) {
             return err(faultOfBooking(answer.error));
         }
@@ -133,13 +137,16 @@
         const exchange = await this.exchangeWithRetries(pool, body, false, untilSent.signal);
         if (exchange.isErr()) {
             const { outcome, message, retryAfterMs } = exchange.error;
-            throw new SendFailure(outcome, message, retryAfterMs);
+            throw new BookingSendFailure(outcome, message, retryAfterMs);
         }
         const { response } = exchange.value;
         const whole = await readAnswer(response.body);
         this.endGrant(exchange.value, whole === undefined ? "failed" : "completed");
         if (whole === undefined) {
-            throw new SendFailure("unknown", "the answer of the upstream broke off; look the booking up before sending it under a new key");
+            throw new BookingSendFailure(
+                "unknown",
+                "the answer of the upstream broke off; look the booking up before sending it under a new key",
+            );
         }
         const contentType = response.headers["content-type"];
         return {
@@ -150,7 +157,7 @@
     }
 
     private async serveStreamed(pool: Pool): Promise<Result<void, CallerFault>> {
-        const body = await this.streamedBody(pool);
+        const body = await this.takeBody();
         if (body.isErr()) {
             return err(body.error);
         }
@@ -161,15 +168,15 @@
         return this.streamAnswer(exchange.value);
     }
 
-    /** A short body of a call that may be repeated is held; any other is streamed and can be sent only once. */
-    private async streamedBody(pool: Pool): Promise<Result<Buffer | Readable | undefined, CallerFault>> {
+    /** A short body is held, so that a call that surely did not run can go to another upstream; a long one is streamed and can be sent only once. */
+    private async takeBody(): Promise<Result<Buffer | Readable | undefined, CallerFault>> {
         const { incoming } = this.request;
         const lengthBytes = Number(incoming.headers["content-length"] ?? 0);
         const isChunked = incoming.headers["transfer-encoding"] !== undefined;
         if (lengthBytes === 0 && !isChunked) {
             return ok(undefined);
         }
-        if (pool.repeatable && !isChunked && lengthBytes <= this.parts.callerLimits.maxRepeatableBodyBytes) {
+        if (!isChunked && lengthBytes <= this.parts.callerLimits.maxRepeatableBodyBytes) {
             return readHeldBody(incoming, lengthBytes);
         }
         const { maxStreamedBodyBytes } = this.parts.callerLimits;
