--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -65,7 +65,7 @@
     bookings: BookingSettings.prefault({}),
     explain: z.strictObject({
         /** Memory of the ring of decisions kept for `explain`. */
-        ringBytes: SizeBytes.min(64 * 1024).default(16 * 1024 * 1024),
+        ringBytes: SizeBytes.min(64 * 1024).default(32 * 1024 * 1024),
     }).prefault({}),
     report: z.strictObject({
         /** How often each VM publishes its counted requests on the log. */
