Take settings out that nothing read, and let the rest reach their tasks

Six limits and timeouts were parsed and described but had no effect. They are gone or joined to their task now; a test finds a setting that no source reads.

--- a/proof/operatorDocs.test.ts
+++ b/proof/operatorDocs.test.ts
@@ -1,6 +1,8 @@
 import { expect } from "earl";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
 import { test } from "node:test";
+import { fileURLToPath } from "node:url";
 import { parse } from "yaml";
 import type { z } from "zod";
 import { ChangeFile } from "../src/cli/ChangeFile.js";
@@ -39,6 +41,20 @@
     expect(parseSettings(yamlOf("settings")).isOk()).toEqual(true);
 });
 
+/** Text of the sources that a VM is made of. */
+function sources(folder: string): string {
+    return readdirSync(folder, { recursive: true, encoding: "utf8" })
+        .filter(name => name.endsWith(".ts") && !name.endsWith(".test.ts"))
+        .map(name => readFileSync(join(folder, name), "utf8"))
+        .join("\n");
+}
+
+test("every setting is read by the program", () => {
+    const text = ["node", "cli/commands"].map(folder => sources(fileURLToPath(new URL(`../src/${folder}`, import.meta.url)))).join("\n");
+    const names = keysOf(Settings).map(key => key.split(".").pop() ?? "");
+    expect(names.filter(name => !new RegExp(`[.{ ]${name}\\b`).test(text))).toEqual([]);
+});
+
 test("the examples of a change and of a load plan are read as they stand", () => {
     expect(ChangeFile.safeParse(parse(yamlOf("rpc"))).success).toEqual(true);
     expect(LoadPlan.safeParse(parse(yamlOf("cli"))).success).toEqual(true);
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -85,7 +85,10 @@
         this.bookings = this.createBookings();
         this.dispatch = this.createDispatch();
         this.limits = this.createLimits();
-        this.engines = new HttpEngineClient(scheduler, { silenceLimitMs: settings.timeouts.upstreamGapMs });
+        this.engines = new HttpEngineClient(scheduler, {
+            headLimitMs: settings.timeouts.upstreamHeadMs,
+            silenceLimitMs: settings.timeouts.upstreamGapMs,
+        });
         this.plain = new HttpPlainClient(scheduler);
         const report = this.reportOptions();
         this.levels = new ServiceLevelRecorder({ vm: settings.vm.id, config: this.config, events: this.events, scheduler });
@@ -251,9 +254,11 @@
             callerLimits: {
                 maxHeaderBytes: settings.limits.maxHeaderBytes,
                 maxHeldBodyBytes: settings.limits.maxBodyBytes,
+                maxStreamedBodyBytes: settings.limits.maxStreamedBodyBytes,
                 headersTimeoutMs: settings.timeouts.callerHeadersMs,
                 requestTimeoutMs: settings.timeouts.callerBodyMs,
                 plainSilenceLimitMs: settings.timeouts.plainCallMs,
+                callerStallLimitMs: settings.timeouts.callerStallMs,
             },
         });
     }
--- a/src/node/fleet/startVm.ts
+++ b/src/node/fleet/startVm.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Settings } from "../../schema/settings/Settings.js";
 import { createLog } from "../logs/createLog.js";
+import { defaultPeerLinkLimits } from "../peer/defaultPeerLinkLimits.js";
 import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import { SystemScheduler } from "../timers/SystemScheduler.js";
 import { newIncarnation } from "./newIncarnation.js";
@@ -82,6 +83,7 @@
         listenPort: port,
         sharedKey: secrets.peerKey,
         scheduler,
+        limits: { ...defaultPeerLinkLimits, maxFrameBytes: settings.limits.maxPeerFrameBytes },
         tls: tls &&
             { certificate: tls.certificate, privateKey: tls.key, certificateAuthority: tls.certificateAuthority ?? tls.certificate },
     });
--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -38,22 +38,23 @@
         weightStore: PlatformService,
     }),
     limits: z.strictObject({
+        /** Largest completion request, and largest body of a keyed call, which are held in memory. */
         maxBodyBytes: SizeBytes.default(8 * 1024 * 1024),
+        /** Largest body that is streamed to or from a plain service. */
+        maxStreamedBodyBytes: SizeBytes.default(256 * 1024 * 1024),
         maxHeaderBytes: SizeBytes.default(16 * 1024),
-        maxOpenRequests: z.int().positive().default(4096),
-        maxBookingAnswerBytes: SizeBytes.default(256 * 1024),
         maxPeerFrameBytes: SizeBytes.default(4 * 1024 * 1024),
     }).prefault({}),
     timeouts: z.strictObject({
         callerHeadersMs: TimeMs.default(10_000),
         callerBodyMs: TimeMs.default(30_000),
-        upstreamConnectMs: TimeMs.default(1_000),
+        /** A caller that takes none of its answer for this long counts as gone. */
+        callerStallMs: TimeMs.default(120_000),
+        /** Longest wait for the head of an engine's answer, which engines send on accepting a request. */
+        upstreamHeadMs: TimeMs.default(5_000),
         /** Longest silence of an open upstream answer before its connection counts as dead. */
         upstreamGapMs: TimeMs.default(10_000),
-        /** Longest wait for the first byte of an upstream's answer. */
-        upstreamFirstByteMs: TimeMs.default(60_000),
         plainCallMs: TimeMs.default(60_000),
-        peerRequestMs: TimeMs.default(1_000),
         platformRequestMs: TimeMs.default(2_000),
     }).prefault({}),
     logs: z.strictObject({
