--- /dev/null
+++ b/src/core/paths/assignPath.test.ts
@@ -0,0 +1,34 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { assignPath } from "./assignPath.js";
+
+const percent = fc.integer({ min: 0, max: 100 });
+
+test("raising the share moves keys from old to new only", () => {
+    fc.assert(
+        fc.property(fc.string(), fc.string(), percent, percent, (customer, key, one, other) => {
+            const lower = assignPath(customer, key, Math.min(one, other));
+            const higher = assignPath(customer, key, Math.max(one, other));
+            expect(lower === "new" && higher === "old").toEqual(false);
+        }),
+        { seed: 31 },
+    );
+});
+
+test("0 percent is all old, 100 percent all new", () => {
+    fc.assert(
+        fc.property(fc.string(), fc.string(), (customer, key) => {
+            expect([assignPath(customer, key, 0), assignPath(customer, key, 100)]).toEqual(["old", "new"]);
+        }),
+        { seed: 32 },
+    );
+});
+
+test("the share of keys that take the new path is close to the share set, for consecutive keys too", () => {
+    for (const share of [1, 10, 50, 90]) {
+        const onNew = Array.from(Array(20_000).keys(), index =>
+            assignPath("litoral", `order-${index}`, share)).filter(path => path === "new").length;
+        expect(Math.abs(onNew / 200 - share)).toSatisfy(difference => difference < 1.5);
+    }
+});
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
+import { CircuitBreakers } from "../../core/retry/CircuitBreakers.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
 import type { Customer } from "../../schema/config/Customer.js";
 import type { ServiceClass } from "../../schema/config/ServiceClass.js";
@@ -51,6 +52,7 @@
             ...options,
             callerLimits: { ...defaultCallerLimits, ...options.callerLimits },
             retryBudget,
+            breakers: new CircuitBreakers(options.scheduler),
             holdDrain: work => this.holdDrain(work),
         };
         this.server = this.createServer();
--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -17,9 +17,9 @@
 import type { CompletionRequest } from "./CompletionRequest.js";
 import { faultOfEngineError } from "./faultOfEngineError.js";
 import { faultOfRefusal } from "./faultOfRefusal.js";
+import { GrantSource } from "./GrantSource.js";
 import { promptText } from "./promptText.js";
 import { recordDecision } from "./recordDecision.js";
-import { ticketFor } from "./ticketFor.js";
 import { TokenTimes } from "./TokenTimes.js";
 
 const charactersPerToken = 4;
@@ -44,10 +44,9 @@
     private readonly promptTokens: number;
     private readonly hashes: number[];
     private readonly maxOutputTokens: number;
-    private readonly excludedUpstreams: string[] = [];
+    private readonly grants: GrantSource;
     private readonly times = new TokenTimes();
     private readonly deliveredText: EventText;
-    private ticketAttempt = 0;
     private mayHaveRun = false;
 
     constructor(
@@ -56,6 +55,7 @@
         private readonly work: CompletionWork,
         private readonly summary: CallSummary,
     ) {
+        this.grants = new GrantSource(parts, request, summary);
         const prompt = promptText(work.body);
         this.promptTokens = Math.ceil(prompt.length / charactersPerToken);
         this.hashes = prefixHashes(prompt);
@@ -130,29 +130,17 @@
     }
 
     private async acquire(pool: Pool): Promise<Result<Grant, CallerFault>> {
-        const waitedFromMs = this.times.tokens === 0 ? this.request.arrivedMs : this.parts.scheduler.nowMs();
-        const ticket = ticketFor(this.parts, this.request, {
+        const hasStarted = this.times.tokens > 0;
+        const grant = await this.grants.acquire({
             pool,
             service: this.work.body.model,
             promptTokens: this.promptTokens + this.times.tokens,
             maxOutputTokens: Math.max(1, this.maxOutputTokens - this.times.tokens),
             prefixHashes: this.hashes,
-            attempt: this.ticketAttempt++,
-            excludedUpstreams: this.excludedUpstreams.slice(-16),
-            waitedMs: this.parts.scheduler.nowMs() - waitedFromMs,
-            maxQueueMs: this.times.tokens === 0 ? this.request.serviceClass.maxQueueMs : continuationQueueMs,
-        });
-        recordDecision(this.parts, this.request, "queued", { pool: pool.name, attempt: ticket.attempt });
-        const grant = await this.parts.dispatch.acquire(ticket, this.request.gone);
-        if (grant.isErr()) {
-            recordDecision(this.parts, this.request, grant.error.kind === "shed" ? "shed" : "refused", { kind: grant.error.kind });
-            return err(this.request.gone.aborted ? callerGone(this.mayHaveRun) : this.withOutcome(faultOfRefusal(grant.error)));
-        }
-        this.summary.queueMs ??= this.parts.scheduler.nowMs() - this.request.arrivedMs;
-        this.summary.upstreamId = grant.value.upstream.id;
-        this.summary.attempts++;
-        recordDecision(this.parts, this.request, "granted", { upstream: grant.value.upstream.id, attempt: ticket.attempt });
-        return ok(grant.value);
+            waitedMs: hasStarted ? 0 : this.parts.scheduler.nowMs() - this.request.arrivedMs,
+            maxQueueMs: hasStarted ? continuationQueueMs : this.request.serviceClass.maxQueueMs,
+        }, this.request.gone);
+        return grant.mapErr(refusal => this.request.gone.aborted ? callerGone(this.mayHaveRun) : this.withOutcome(faultOfRefusal(refusal)));
     }
 
     /** A refusal of the dispatcher says nothing of what earlier attempts did. */
@@ -174,6 +162,7 @@
             ? await this.relay(opened.value, grant, sentMs, attemptTimes)
             : this.endOf(opened.error, grant);
         this.mayHaveRun ||= opened.isOk() || mayHaveDoneWork(opened.error);
+        this.grants.used(grant, end.kind === "failed" ? end.error : cancelledUnlessWhole(end.kind));
         grant.end(grantEnd(end, attemptTimes, sentMs));
         return end;
     }
@@ -214,7 +203,7 @@
 
     /** Decides whether a failed attempt is followed by another one. */
     private goOnAfter(error: EngineError, grant: Grant, pool: Pool): boolean {
-        this.excludedUpstreams.push(grant.upstream.id);
+        this.grants.exclude(grant);
         const question = {
             failure: { mayHaveRun: mayHaveDoneWork(error), isRequestFault: error.kind === "refused" && isRequestFault(error.status) },
             isRepeatable: pool.repeatable,
@@ -283,6 +272,11 @@
     return error.kind === "broken" || error.kind === "silent" || error.kind === "cancelled";
 }
 
+/** A cancelled stream tells nothing about its engine. */
+function cancelledUnlessWhole(kind: AttemptEnd["kind"]): EngineError | undefined {
+    return kind === "whole" ? undefined : { kind: "cancelled", status: undefined, message: "the stream was cancelled" };
+}
+
 function isRequestFault(status: number | undefined): boolean {
     return status !== undefined && status >= 400 && status < 500;
 }
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -18,11 +18,11 @@
 import type { CallSummary } from "./CallSummary.js";
 import { faultOfEngineError } from "./faultOfEngineError.js";
 import { faultOfRefusal } from "./faultOfRefusal.js";
+import { GrantSource } from "./GrantSource.js";
 import { LimitedBody } from "./LimitedBody.js";
 import { readHeldBody } from "./readHeldBody.js";
 import { recordDecision } from "./recordDecision.js";
 import { sendFault } from "./sendFault.js";
-import { ticketFor } from "./ticketFor.js";
 
 const plainCallTokens = 1;
 /** Set by the router or meant for it alone. */
@@ -44,9 +44,8 @@
 
 /** One call to a plain service. A keyed call that may not be repeated goes through the booking service. */
 export class PlainCall {
-    private readonly excludedUpstreams: string[] = [];
+    private readonly grants: GrantSource;
     private mayHaveRun = false;
-    private ticketAttempt = 0;
 
     constructor(
         private readonly parts: CallerParts,
@@ -54,6 +53,7 @@
         private readonly work: PlainWork,
         private readonly summary: CallSummary,
     ) {
+        this.grants = new GrantSource(parts, request, summary);
         summary.service = work.service;
     }
 
@@ -205,6 +205,7 @@
             const sentMs = this.parts.scheduler.nowMs();
             recordDecision(this.parts, this.request, "sent", { upstream: grant.value.upstream.id });
             const response = await this.parts.plain.send(grant.value.upstream, this.plainRequest(body), signal);
+            this.grants.used(grant.value, response.isErr() ? response.error : undefined);
             if (response.isOk()) {
                 this.mayHaveRun = true;
                 return ok({ grant: grant.value, response: response.value, sentMs });
@@ -217,35 +218,25 @@
     }
 
     private async acquire(pool: Pool, signal: AbortSignal): Promise<Result<Grant, CallerFault>> {
-        const ticket = ticketFor(this.parts, this.request, {
+        const grant = await this.grants.acquire({
             pool,
             service: this.work.service,
             promptTokens: 0,
             maxOutputTokens: plainCallTokens,
             prefixHashes: [],
-            attempt: this.ticketAttempt++,
-            excludedUpstreams: this.excludedUpstreams.slice(-16),
             waitedMs: this.parts.scheduler.nowMs() - this.request.arrivedMs,
             maxQueueMs: this.request.serviceClass.maxQueueMs,
+        }, signal);
+        return grant.mapErr(refusal => {
+            const fault = faultOfRefusal(refusal);
+            return this.mayHaveRun ? new CallerFault({ ...fault, outcome: "unknown" }, fault.message) : fault;
         });
-        recordDecision(this.parts, this.request, "queued", { pool: pool.name, attempt: ticket.attempt });
-        const grant = await this.parts.dispatch.acquire(ticket, signal);
-        if (grant.isErr()) {
-            recordDecision(this.parts, this.request, grant.error.kind === "shed" ? "shed" : "refused", { kind: grant.error.kind });
-            const fault = faultOfRefusal(grant.error);
-            return err(this.mayHaveRun ? new CallerFault({ ...fault, outcome: "unknown" }, fault.message) : fault);
-        }
-        this.summary.queueMs ??= this.parts.scheduler.nowMs() - this.request.arrivedMs;
-        this.summary.upstreamId = grant.value.upstream.id;
-        this.summary.attempts++;
-        recordDecision(this.parts, this.request, "granted", { upstream: grant.value.upstream.id, attempt: ticket.attempt });
-        return ok(grant.value);
     }
 
     private goOnAfter(error: EngineError, grant: Grant, body: Buffer | Readable | undefined, isRepeatable: boolean): boolean {
         const mayHaveRun = error.kind === "broken" || error.kind === "silent" || error.kind === "cancelled";
         this.mayHaveRun ||= mayHaveRun;
-        this.excludedUpstreams.push(grant.upstream.id);
+        this.grants.exclude(grant);
         const canSendBodyAgain = body === undefined || Buffer.isBuffer(body);
         const question = {
             failure: { mayHaveRun, isRequestFault: false },
--- a/src/node/upstream/EventScanner.ts
+++ b/src/node/upstream/EventScanner.ts
@@ -1,3 +1,5 @@
+import { parseEvents } from "./parseEvents.js";
+
 const lineFeed = 0x0a;
 const digitZero = 0x30;
 const digitNine = 0x39;
@@ -80,11 +82,19 @@
         if (number < this.tokens) {
             return false;
         }
-        // The engine opens each stream with an event that tells the role. After a resume the caller already has one.
-        return !this.isResumed || !data.subarray(start, end).includes('"role"');
+        // Carries no new token. Until a resumed stream goes on, only what ends the answer is new to the caller.
+        return !this.isResumed || endsAnswer(data.subarray(start, end));
     }
 }
 
+/** The event tells the finish reason or the usage, which come after the last token. */
+function endsAnswer(event: Buffer): boolean {
+    return parseEvents(event).some(value => {
+        const choices = Array.isArray(value["choices"]) ? value["choices"] as { finish_reason?: unknown; }[] : [];
+        return Boolean(value["usage"]) || choices.some(choice => Boolean(choice.finish_reason));
+    });
+}
+
 function isAt(data: Buffer, start: number, text: Buffer): boolean {
     return data[start] === text[0] && data.length >= start + text.length &&
         data.compare(text, 0, text.length, start, start + text.length) === 0;
