Ask whether a keyed call may still start after it has waited for its upstream

The age of a claim was checked before the call queued for an upstream, so a VM paused in that queue for longer than keys are kept could have sent a call that another VM had run again. The call now asks right before its first byte leaves.

--- a/proof/edge/FakeBookings.ts
+++ b/proof/edge/FakeBookings.ts
@@ -14,11 +14,11 @@
 export class FakeBookings implements BookingService {
     private readonly entries = new Map<string, Entry>();
 
-    run(call: BookingCall, send: () => Promise<BookingAnswer>): ResultAsync<BookingAnswer, BookingError> {
+    run(call: BookingCall, send: (mayStart: () => boolean) => Promise<BookingAnswer>): ResultAsync<BookingAnswer, BookingError> {
         const name = `${call.customer}/${call.key}`;
         let entry = this.entries.get(name);
         if (entry === undefined) {
-            entry = { digest: call.digest, answer: send() };
+            entry = { digest: call.digest, answer: send(() => true) };
             this.entries.set(name, entry);
         }
         if (entry.digest !== call.digest) {
--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -1,4 +1,3 @@
-import debug from "debug";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
 import { AppendPacer } from "../../core/booking/AppendPacer.js";
@@ -10,6 +9,7 @@
 import type { RecordedAnswer } from "../../core/booking/RecordedAnswer.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { BookingSettings } from "../../schema/settings/BookingSettings.js";
+import { createLog } from "../logs/createLog.js";
 import { LogTail } from "../platform/log/LogTail.js";
 import type { BookingAnswer } from "../services/BookingAnswer.js";
 import type { BookingCall } from "../services/BookingCall.js";
@@ -25,10 +25,13 @@
 import { KeyWaiters } from "./KeyWaiters.js";
 import type { LocalClaim } from "./LocalClaim.js";
 
-const log = debug("orioleshelf:booking");
+const log = createLog("booking");
 const pollMs = 10_000;
 const ownerCheckMs = 500;
 const retryAfterMs = 1_000;
+/** Time without a sight of a claim's owner after which it counts as gone. */
+const ownerGoneMs = 2_000;
+const startShareOfRetention = 0.5;
 const maxClaimAttempts = 16;
 const logSlowMessage = "the platform's log is slow or down; repeat the call later";
 
@@ -46,7 +49,7 @@
     readonly call: BookingCall;
     readonly key: string;
     readonly digest: string;
-    readonly send: () => Promise<BookingAnswer>;
+    readonly send: (mayStart: () => boolean) => Promise<BookingAnswer>;
     readonly signal: AbortSignal;
 }
 
@@ -90,11 +93,11 @@
                 this.foldRecords(records);
             },
             onForgotten: firstOffset => {
-                log("log forgot records before %d; continue there", firstOffset);
+                log("the log forgot booking records; continue after them", { firstOffset });
                 this.nextOffset = Math.max(this.nextOffset, firstOffset);
             },
             onError: message => {
-                log("cannot read the booking stream: %s", message);
+                log("cannot read the booking stream", { reason: message });
             },
         });
         await tail.start(signal);
@@ -105,7 +108,11 @@
         return this.claims.size + this.commit.pendingCount;
     }
 
-    run(call: BookingCall, send: () => Promise<BookingAnswer>, signal: AbortSignal): ResultAsync<BookingAnswer, BookingError> {
+    run(
+        call: BookingCall,
+        send: (mayStart: () => boolean) => Promise<BookingAnswer>,
+        signal: AbortSignal,
+    ): ResultAsync<BookingAnswer, BookingError> {
         const key = hashBookingText(call.customer, call.key);
         return new ResultAsync(this.runCall({ call, key, digest: hashBookingText(call.digest), send, signal }));
     }
@@ -186,7 +193,7 @@
 
     private async sendAndRecord(keyed: KeyedCall, claim: LocalClaim): Promise<RunResult> {
         try {
-            const answer = await keyed.send();
+            const answer = await keyed.send(() => this.mayStart(keyed, claim));
             const body = answer.body.length <= this.options.settings.maxAnswerBytes ? answer.body : undefined;
             this.end(claim, {
                 type: "answer",
@@ -213,6 +220,7 @@
     private async useEntry(keyed: KeyedCall, first: ClaimEntry): Promise<RunResult | undefined> {
         const { scheduler, settings } = this.options;
         const deadlineMs = scheduler.nowMs() + settings.joinWaitMs;
+        let ownerSeenMs = scheduler.nowMs();
         for (let entry: ClaimEntry | undefined = first; entry !== undefined; entry = this.table.get(keyed.key)) {
             if (entry.digest !== keyed.digest) {
                 return err(keyReused());
@@ -223,8 +231,9 @@
             if (keyed.signal.aborted) {
                 return err(cancelled("unknown"));
             }
-            const isLost = entry.state === "lost" || scheduler.nowMs() >= deadlineMs || !this.isOwnerAlive(entry.owner);
-            if (isLost) {
+            ownerSeenMs = this.isOwnerAlive(entry.owner) ? scheduler.nowMs() : ownerSeenMs;
+            const isOwnerGone = scheduler.nowMs() - ownerSeenMs >= ownerGoneMs;
+            if (entry.state === "lost" || isOwnerGone || scheduler.nowMs() >= deadlineMs) {
                 return keyed.call.upstreamDeduplicates ? this.sendClaimed(keyed, this.newClaim(keyed)) : err(outcomeUnknown());
             }
             await this.waiters.wait(keyed.key, Math.min(ownerCheckMs, deadlineMs - scheduler.nowMs()), keyed.signal);
@@ -316,9 +325,18 @@
 
     /** A pause longer than the wait for a claim, by either clock, may have let others give the key up. */
     private isValid(claim: LocalClaim): boolean {
-        const { scheduler, settings } = this.options;
-        const elapsedMs = Math.max(scheduler.nowMs() - claim.createdMs, scheduler.wallMs() - claim.createdWallMs);
-        return elapsedMs < settings.claimWaitMs;
+        return this.ageMs(claim) < this.options.settings.claimWaitMs;
+    }
+
+    /** Whether a call whose claim has won may still leave: long before the other VMs forget its key. */
+    private mayStart(keyed: KeyedCall, claim: LocalClaim): boolean {
+        return keyed.call.upstreamDeduplicates || this.ageMs(claim) < this.options.settings.retentionMs * startShareOfRetention;
+    }
+
+    /** By the clock that says more, as one of them may have stood still or been set back. */
+    private ageMs(claim: LocalClaim): number {
+        const { scheduler } = this.options;
+        return Math.max(scheduler.nowMs() - claim.createdMs, scheduler.wallMs() - claim.createdWallMs);
     }
 
     private foldRecords(records: readonly LogRecord[]): void {
@@ -329,7 +347,7 @@
             this.nextOffset = record.offset + 1;
             const batch = decodeBookingBatch(record.payload);
             if (batch.isErr()) {
-                log("skip record %d of the booking stream: %s", record.offset, batch.error);
+                log("skip a malformed record of the booking stream", { offset: record.offset, reason: batch.error });
                 continue;
             }
             this.pacer.observe(batch.value.vm, this.options.scheduler.nowMs());
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -121,7 +121,7 @@
         };
         const answer = await this.parts.bookings.run(
             call,
-            () => this.parts.holdDrain(this.sendBooking(pool, body.value)),
+            mayStart => this.parts.holdDrain(this.sendBooking(pool, body.value, mayStart)),
             this.request.gone,
         );
         if (answer.isErr()) {
@@ -132,9 +132,9 @@
     }
 
     /** Runs once the claim is won, and to its end even when the caller goes: others may have joined the call. */
-    private async sendBooking(pool: Pool, body: Buffer): Promise<BookingAnswer> {
+    private async sendBooking(pool: Pool, body: Buffer, mayStart: () => boolean): Promise<BookingAnswer> {
         const untilSent = new AbortController();
-        const exchange = await this.exchangeWithRetries(pool, body, false, untilSent.signal);
+        const exchange = await this.exchangeWithRetries(pool, body, false, untilSent.signal, mayStart);
         if (exchange.isErr()) {
             const { outcome, message, retryAfterMs } = exchange.error;
             throw new BookingSendFailure(outcome, message, retryAfterMs);
@@ -196,12 +196,19 @@
         body: Buffer | Readable | undefined,
         isRepeatable: boolean,
         signal: AbortSignal,
+        mayStart = () => true,
     ): Promise<Result<Exchange, CallerFault>> {
         for (;;) {
             const grant = await this.acquire(pool, signal);
             if (grant.isErr()) {
                 return err(grant.error);
             }
+            if (!mayStart()) {
+                grant.value.end({ result: "unused", outputTokens: 0 });
+                return err(
+                    new CallerFault({ status: 503, code: "claim_expired", outcome: "not-run" }, "the call waited too long; repeat it"),
+                );
+            }
             const sentMs = this.parts.scheduler.nowMs();
             recordDecision(this.parts, this.request, "sent", { upstream: grant.value.upstream.id });
             const response = await this.parts.plain.send(grant.value.upstream, this.plainRequest(body), signal);
--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -1,4 +1,3 @@
-import debug from "debug";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
 import { ConfigFold } from "../../core/config/ConfigFold.js";
@@ -11,6 +10,7 @@
 import { ConfigChange } from "../../schema/config/ConfigChange.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { ConfigSettings } from "../../schema/settings/ConfigSettings.js";
+import { createLog } from "../logs/createLog.js";
 import { LogTail } from "../platform/log/LogTail.js";
 import type { ApplyAnswer } from "../services/ApplyAnswer.js";
 import type { ApplyError } from "../services/ApplyError.js";
@@ -23,7 +23,7 @@
 import { encodeSnapshot } from "./encodeSnapshot.js";
 import { RecentRecords } from "./RecentRecords.js";
 
-const log = debug("orioleshelf:config");
+const log = createLog("config");
 const pollMs = 2_000;
 const peerCheckMs = 250;
 const peerTimeoutMs = 1_000;
@@ -222,11 +222,11 @@
                 }
             },
             onForgotten: firstOffset => {
-                log("log forgot changes before %d; look for a snapshot", firstOffset);
+                log("the log forgot changes; look for a snapshot", { firstOffset });
                 this.nextSnapshotRecord = 0;
             },
             onError: message => {
-                log("cannot read the configuration stream: %s", message);
+                log("cannot read the configuration stream", { reason: message });
             },
         });
         await tail.start(signal);
@@ -276,7 +276,7 @@
                 this.takeSnapshot(snapshot.value);
                 return;
             }
-            log("skip snapshot record %d: %s", record.offset, snapshot.error);
+            log("skip a malformed snapshot", { offset: record.offset, reason: snapshot.error });
         }
     }
 
@@ -310,7 +310,7 @@
         this.recent.add(record);
         if (result.verdict === "skipped") {
             this.skipped++;
-            log("SKIP record %d of the configuration stream: %s", record.offset, result.message);
+            log("SKIP a record of the configuration stream", { offset: record.offset, reason: result.message });
         }
         if (result.changeId !== undefined && this.verdicts.has(result.changeId) && this.verdicts.get(result.changeId) === undefined) {
             this.verdicts.set(result.changeId, result);
@@ -327,7 +327,7 @@
     private becomeReady(source: string): void {
         if (!this.ready) {
             this.ready = true;
-            log("configuration is at %d, from %s", this.fold.offset, source);
+            log("configuration is loaded", { offset: this.fold.offset, source });
         }
     }
 
