Rely on an upstream's own deduplication only when one pool serves the service

With one pool on each path the upstreams do not know each other's keys: a call sent without a claim on the old path, while the log was down, could have run again on the new path after a share change.

--- a/src/node/booking/LogBookingService.test.ts
+++ b/src/node/booking/LogBookingService.test.ts
@@ -72,6 +72,24 @@
         expect(a.service.unfinishedCount + b.service.unfinishedCount).toEqual(0);
     });
 
+    test("a repeat on the other path joins the call, before, during and after a crash of a third VM", async () => {
+        const old = startVm("a");
+        const moved = startVm("b");
+        const crash = new AbortController();
+        startVm("c", "1", crash.signal);
+        const first = old.service.run(call, sendFrom("old path", 500), never);
+        await scheduler.advanceAsync(100);
+        const during = moved.service.run(call, sendFrom("new path"), never);
+        crash.abort();
+        dead.add("c");
+        await scheduler.advanceAsync(1_000);
+        const after = moved.service.run(call, sendFrom("new path"), never);
+        await scheduler.advanceAsync(100);
+        const answers = [await first, await during, await after].map(result => new TextDecoder().decode(result._unsafeUnwrap().body));
+        expect(answers).toEqual(["booked by old path", "booked by old path", "booked by old path"]);
+        expect(sends).toEqual(["old path"]);
+    });
+
     test("refuses the same key with another digest", async () => {
         const { service } = startVm("a");
         void service.run(call, sendFrom("a"), never);
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -2,6 +2,7 @@
 import { createHash } from "node:crypto";
 import type { Readable } from "node:stream";
 import { pipeline } from "node:stream/promises";
+import { deduplicatesOnEveryPath } from "../../core/booking/deduplicatesOnEveryPath.js";
 import { choosePool } from "../../core/paths/choosePool.js";
 import { mayRetry } from "../../core/retry/mayRetry.js";
 import type { Pool } from "../../schema/config/Pool.js";
@@ -117,7 +118,7 @@
             customer: this.request.customer.name,
             key,
             digest: this.digest(body.value),
-            upstreamDeduplicates: pool.deduplicatesByKey,
+            upstreamDeduplicates: deduplicatesOnEveryPath(this.request.view.pools.values(), this.work.service),
         };
         const answer = await this.parts.bookings.run(
             call,
