Keep long streams inside their zone where that costs little

A stream between zones breaks when they are cut off from each other, and the longer it runs the likelier and dearer that is. Choosing an engine now adds the square of the predicted time over 10 s for another zone.

--- a/src/core/dispatch/DispatchOptions.ts
+++ b/src/core/dispatch/DispatchOptions.ts
@@ -24,6 +24,8 @@
     readonly health: boolean;
     /** Extra time to an engine in another availability zone. */
     readonly zoneHopMs: number;
+    /** A stream of this length to another zone is taken to cost twice its time, as a cut would break it; longer ones more. Infinity for no risk. */
+    readonly zoneRiskScaleMs: number;
     /** A grant that shows no sign of life for this long is taken as lost. */
     readonly staleGrantMs: number;
 }
--- a/src/core/dispatch/EngineRanker.ts
+++ b/src/core/dispatch/EngineRanker.ts
@@ -87,12 +87,14 @@
         const slowness = this.options.health ? this.health.slowness(id, nowMs) : 1;
         const aheadTokens = engine.unreadTokensUpTo(ticket.tier);
         const prefillTokens = aheadTokens + uncachedTokens;
-        const hopMs = ticket.availabilityZone === availabilityZone ? 0 : this.options.zoneHopMs;
+        const isLocal = ticket.availabilityZone === availabilityZone;
+        const hopMs = isLocal ? 0 : this.options.zoneHopMs;
         const firstTokenMs = this.speed.firstTokenMs(prefillTokens, engine.batchSize) * slowness + hopMs;
         const lowerReadMs = (engine.unreadTokensUpTo(Infinity) - aheadTokens) * this.speed.readMsPerToken;
         const writeMs = expectedOutputTokens * this.speed.gapMs(Math.min(maxInFlight, engine.inFlight + 1)) + lowerReadMs;
         const finishMs = firstTokenMs + writeMs * slowness;
-        const costMs = finishMs + this.harmMs(engine, waiting, uncachedTokens, writeMs) + this.random() * tieBreakMs;
+        const riskMs = isLocal ? 0 : finishMs * finishMs / this.options.zoneRiskScaleMs;
+        const costMs = finishMs + riskMs + this.harmMs(engine, waiting, uncachedTokens, writeMs) + this.random() * tieBreakMs;
         return { upstreamId: id, firstTokenMs, finishMs, costMs, uncachedTokens, prefillTokens };
     }
 
--- a/src/core/dispatch/defaultDispatchOptions.ts
+++ b/src/core/dispatch/defaultDispatchOptions.ts
@@ -14,5 +14,6 @@
     hedgeShare: 0,
     health: true,
     zoneHopMs: 0.5,
+    zoneRiskScaleMs: 10_000,
     staleGrantMs: 30_000,
 };
