Add hedging decisions under a budget, and settings by pool

A first token that is late by 1.5 times its prediction and 40 ms may open a second stream for short work.

--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -106,6 +106,13 @@
     { fromMs: 50_000, toMs: 54_000, load: 2.5 },
 ];
 
+/** Questions and manuals in one tier, so that order by tier does not help the short work. */
+const oneTier: readonly JobClass[] = [
+    question,
+    { ...manual, serviceClass: { ...manual.serviceClass, tier: 0, floorShare: 0 } },
+    { ...summary, serviceClass: { ...summary.serviceClass, tier: 0, floorShare: 0 } },
+];
+
 const sevenTiers: readonly JobClass[] = [...Array(7).keys()].map(tier => ({
     ...(tier % 2 === 0 ? question : summary),
     serviceClass: ServiceClass.parse({
@@ -132,6 +139,7 @@
         name: "vatukoula-manual-burst",
         swings: [{ fromMs: 15_000, toMs: 25_000, load: 2.5, onlyClass: "manual" }],
     },
+    { ...vatukoula, name: "vatukoula-one-tier", classes: oneTier, baseLoad: 0.9 },
     {
         ...vatukoula,
         name: "vatukoula-slow",
--- a/src/core/dispatch/DispatchOptions.ts
+++ b/src/core/dispatch/DispatchOptions.ts
@@ -10,12 +10,14 @@
     readonly shortSlotShare: number;
     /** Work predicted to hold its slot longer than this is long. */
     readonly longWorkMs: number;
-    /** Requests beyond its slots that an engine is given for a higher tier; it pauses as many lower-tier streams meanwhile. */
+    /** Requests beyond its slots that an engine is given for a higher tier; it pauses as many lower-tier streams meanwhile. 0: it cannot. */
     readonly pausedSlots: number;
     /** Share of a higher-tier stream's spare time between tokens, in [0, 1], that reading lower-tier prompts may take; Infinity for no limit. */
     readonly gapBudgetShare: number;
     /** Cancel and resume lower-tier streams when a higher tier would miss its target. */
     readonly preemption: boolean;
+    /** Move streams off engines that turn out slow. */
+    readonly moving: boolean;
     /** Share of the tokens worked on, in [0, 1), that cancelling and moving streams may make engines read again. */
     readonly wasteShare: number;
     /** Share of grants, in [0, 1), that hedging may add. */
--- a/src/core/dispatch/GrantTable.ts
+++ b/src/core/dispatch/GrantTable.ts
@@ -42,9 +42,20 @@
         }
         const { requestId, serviceClass } = grant.ticket;
         if (this.byRequest.get(requestId) === grant) {
-            this.byRequest.delete(requestId);
+            this.handOverRequest(requestId, grant);
         }
         this.countByClass.set(serviceClass, this.inFlightOfClass(serviceClass) - 1);
         return true;
     }
+
+    /** The other of a hedged pair goes on for the request. */
+    private handOverRequest(requestId: string, grant: RunningGrant): void {
+        const other = grant.hedgeGrantId === undefined ? undefined : this.byId.get(grant.hedgeGrantId);
+        if (other === undefined) {
+            this.byRequest.delete(requestId);
+        }
+        else {
+            this.byRequest.set(requestId, other);
+        }
+    }
 }
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -28,6 +28,10 @@
 /** A first token that is this many times later than predicted, and `overdueSlackMs`, tells of a slow engine. */
 const overdueRatio = 2;
 const overdueSlackMs = 60;
+/** A first token that is this many times later than predicted, and `hedgeSlackMs`, is worth a second stream. */
+const hedgeRatio = 1.5;
+const hedgeSlackMs = 40;
+const maxHedgedPromptTokens = 2_048;
 /** Batch size at which the slot time of a waiting ticket is predicted. */
 const usualBatchSize = 8;
 /** Streams are moved off an engine that is slower than its peers by this much: two observations show it. */
@@ -434,7 +438,7 @@
 
     /** Moves streams off an engine that turned out slow, where that is predicted to pay and the waste budget allows. */
     private moveOffSlow(engine: Engine, nowMs: number): void {
-        if (!this.options.health || this.health.slowness(engine.upstream.id, nowMs) < moveSlowness) {
+        if (!this.options.moving || this.health.slowness(engine.upstream.id, nowMs) < moveSlowness) {
             return;
         }
         for (const grant of engine.running) {
@@ -470,6 +474,34 @@
         return false;
     }
 
+    /** Opens a second stream for short work whose first token is late, while the budget lasts. */
+    private hedge(grant: RunningGrant, nowMs: number): void {
+        const { ticket } = grant;
+        const isShort = !grant.isLong && ticket.promptTokens <= maxHedgedPromptTokens && ticket.isResumed !== true;
+        if (!isShort || grant.isPreempted || grant.hedgeGrantId !== undefined || !this.hedges.canSpend) {
+            return;
+        }
+        const waiting = this.toWaiting({ ...ticket, excludedUpstreams: [...ticket.excludedUpstreams, grant.upstreamId] }, nowMs);
+        const [best] = this.ranker.rank(this.engineList, waiting, this.classes.floorShareBelow(ticket.tier), false, nowMs);
+        if (best === undefined) {
+            return;
+        }
+        this.hedges.spend();
+        const second = this.place(waiting, best, true, nowMs);
+        grant.hedgeGrantId = second.grantId;
+        second.hedgeGrantId = grant.grantId;
+        this.actions.push({
+            type: "hedge",
+            entryVm: ticket.entryVm,
+            requestId: ticket.requestId,
+            attempt: ticket.attempt,
+            grantId: second.grantId,
+            hedgedGrantId: grant.grantId,
+            upstreamId: second.upstreamId,
+            priority: ticket.tier,
+        });
+    }
+
     private refuse(waiting: WaitingTicket, kind: Extract<DispatchAction, { type: "refuse"; }>["kind"]): void {
         const { entryVm, requestId, attempt, tier } = waiting.ticket;
         const retryAfterMs = Math.ceil(this.predictedWaitMs(tier));
@@ -594,9 +626,12 @@
             return;
         }
         const expectedMs = this.latestFirstTokenMs(engine, grant);
+        if (ageMs > expectedMs * hedgeRatio + hedgeSlackMs) {
+            this.hedge(grant, nowMs);
+        }
         const overdueMs = expectedMs * overdueRatio + overdueSlackMs;
         if (ageMs < overdueMs) {
-            grant.nextOverdueMs = overdueMs;
+            grant.nextOverdueMs = grant.hedgeGrantId === undefined && this.options.hedgeShare > 0 ? 0 : overdueMs;
             return;
         }
         grant.nextOverdueMs = ageMs * overdueRatio;
--- a/src/core/dispatch/defaultDispatchOptions.ts
+++ b/src/core/dispatch/defaultDispatchOptions.ts
@@ -10,6 +10,7 @@
     pausedSlots: 16,
     gapBudgetShare: 0.4,
     preemption: true,
+    moving: true,
     wasteShare: 0.01,
     hedgeShare: 0,
     health: true,
--- a/src/core/health/HedgeBudget.ts
+++ b/src/core/health/HedgeBudget.ts
@@ -12,12 +12,12 @@
         this.saved = Math.min(maxSavedHedges, this.saved + this.share);
     }
 
-    /** Takes one hedge out of the budget, if there is one. */
-    spend(): boolean {
-        if (this.saved < 1) {
-            return false;
-        }
+    get canSpend(): boolean {
+        return this.share > 0 && this.saved >= 1;
+    }
+
+    /** Takes one hedge out of the budget; ask `canSpend` first. */
+    spend(): void {
         this.saved--;
-        return true;
     }
 }
