Read short prompts before long ones of their tier, and keep slots for short work

The priority sent to the engine is now by tier and, inside it, by prompt length, and reading a long prompt is held back for the gaps of short streams of the same tier too. Work predicted to take over 4 s (10 s before) cannot fill a quarter of an engine's slots.

--- a/bench/policy/Workload.ts
+++ b/bench/policy/Workload.ts
@@ -10,7 +10,14 @@
     readonly durationMs: number;
     readonly baseLoad: number;
     /** Demand is multiplied for a while; `onlyClass` alone grows when it is set. */
-    readonly swings: readonly { readonly fromMs: number; readonly toMs: number; readonly load: number; readonly onlyClass?: string; }[];
+    readonly swings: readonly {
+        readonly fromMs: number;
+        readonly toMs: number;
+        readonly load: number;
+        readonly onlyClass?: string;
+        /** Top-tier demand alone does not fit. */
+        readonly exceedsTopTier?: boolean;
+    }[];
     readonly slowdowns: readonly {
         readonly fromMs: number;
         readonly toMs: number;
--- a/bench/policy/checkBounds.ts
+++ b/bench/policy/checkBounds.ts
@@ -81,7 +81,10 @@
 }
 
 /** The least share of the clairvoyant's attainment among the classes below the top tier. */
-function worstOtherClass({ ours, clairvoyant }: SeedRuns): number {
+function worstOtherClass({ ours, clairvoyant }: SeedRuns): number | undefined {
     const others = Object.keys(ours.attainment).filter(name => !ours.topTierClasses.includes(name));
+    if (others.length === 0) {
+        return undefined;
+    }
     return Math.min(...others.map(name => (ours.attainment[name] as number) / Math.max(1e-9, clairvoyant.attainment[name] as number)));
 }
--- a/bench/policy/figuresOf.ts
+++ b/bench/policy/figuresOf.ts
@@ -37,9 +37,9 @@
     };
 }
 
-/** Top-tier demand alone fits in every swing of the workloads. */
+/** The worst of the swings in which top-tier demand alone fits. */
 function worstSwing(workload: Workload, jobs: readonly Job[]): number | undefined {
-    const shares = workload.swings.map(swing =>
+    const shares = workload.swings.filter(swing => swing.exceedsTopTier !== true).map(swing =>
         share(
             jobs.filter(job => isTopTier(job.jobClass.serviceClass) && swing.fromMs <= job.arrivalMs && job.arrivalMs < swing.toMs),
             attains,
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -139,7 +139,12 @@
         name: "vatukoula-manual-burst",
         swings: [{ fromMs: 15_000, toMs: 25_000, load: 2.5, onlyClass: "manual" }],
     },
-    { ...vatukoula, name: "vatukoula-one-tier", classes: oneTier, baseLoad: 0.9 },
+    {
+        ...vatukoula,
+        name: "vatukoula-one-tier",
+        classes: oneTier,
+        swings: [{ fromMs: 15_000, toMs: 25_000, load: 5, onlyClass: "manual", exceedsTopTier: true }],
+    },
     {
         ...vatukoula,
         name: "vatukoula-slow",
--- a/src/core/dispatch/DispatchAction.ts
+++ b/src/core/dispatch/DispatchAction.ts
@@ -9,6 +9,7 @@
         readonly attempt: number;
         readonly grantId: string;
         readonly upstreamId: string;
+        readonly tier: number;
         /** Priority on the engine; 0 is most urgent. */
         readonly priority: number;
         /** Time from the offer to this grant, with what had been waited before. */
--- a/src/core/dispatch/Engine.ts
+++ b/src/core/dispatch/Engine.ts
@@ -5,7 +5,7 @@
 export class Engine {
     readonly running: RunningGrant[] = [];
     private readonly countByTier: number[] = [];
-    private readonly unreadByTier: number[] = [];
+    private readonly unreadByPriority: number[] = [];
     private unreadAtMost = 0;
     private longCount = 0;
     private batchMs = 0;
@@ -37,11 +37,11 @@
         return this.longCount < this.upstream.maxInFlight - Math.floor(this.upstream.maxInFlight * shortSlotShare);
     }
 
-    /** Prompt tokens that the engine still has to read before those of a new request of this tier. */
-    unreadTokensUpTo(tier: number): number {
+    /** Prompt tokens that the engine still has to read before those of a new request of this priority. */
+    unreadTokensUpTo(priority: number): number {
         let tokens = 0;
-        for (let above = 0; above <= tier && above < this.unreadByTier.length; above++) {
-            tokens += this.unreadByTier[above] as number;
+        for (let above = 0; above <= priority && above < this.unreadByPriority.length; above++) {
+            tokens += this.unreadByPriority[above] as number;
         }
         return tokens;
     }
@@ -113,15 +113,16 @@
         const { tier } = grant.ticket;
         while (this.countByTier.length <= tier) {
             this.countByTier.push(0);
-            this.unreadByTier.push(0);
         }
         this.countByTier[tier] = (this.countByTier[tier] as number) + change;
         this.longCount += grant.isLong ? change : 0;
     }
 
     private countUnread(grant: RunningGrant, sign: 1 | -1): void {
-        const { tier, promptTokens } = grant.ticket;
-        this.unreadByTier[tier] = (this.unreadByTier[tier] as number) + sign * grant.uncachedTokens;
-        this.unreadAtMost += sign * promptTokens;
+        while (this.unreadByPriority.length <= grant.priority) {
+            this.unreadByPriority.push(0);
+        }
+        this.unreadByPriority[grant.priority] = (this.unreadByPriority[grant.priority] as number) + sign * grant.uncachedTokens;
+        this.unreadAtMost += sign * grant.ticket.promptTokens;
     }
 }
--- a/src/core/dispatch/EngineRanker.ts
+++ b/src/core/dispatch/EngineRanker.ts
@@ -85,7 +85,7 @@
         const { ticket, expectedOutputTokens } = waiting;
         const { id, availabilityZone, maxInFlight } = engine.upstream;
         const slowness = this.options.health ? this.health.slowness(id, nowMs) : 1;
-        const aheadTokens = engine.unreadTokensUpTo(ticket.tier);
+        const aheadTokens = engine.unreadTokensUpTo(waiting.priority);
         const prefillTokens = aheadTokens + uncachedTokens;
         const isLocal = ticket.availabilityZone === availabilityZone;
         const hopMs = isLocal ? 0 : this.options.zoneHopMs;
@@ -110,15 +110,15 @@
         return weighted * (readMs + waiting.expectedOutputTokens * this.speed.gapPerRequestMs);
     }
 
-    /** Whether streams of higher tiers there still meet their gap targets with this request beside them. */
+    /** Whether more urgent streams there still meet their gap targets with this request beside them. */
     private keepsGaps(engine: Engine, waiting: WaitingTicket, uncachedTokens: number, nowMs: number): boolean {
-        if (waiting.ticket.tier === 0 || this.options.gapBudgetShare === Infinity) {
+        if (waiting.priority === 0 || this.options.gapBudgetShare === Infinity) {
             return true;
         }
         const slowness = this.options.health ? this.health.slowness(engine.upstream.id, nowMs) : 1;
         const gapMs = this.speed.gapMs(Math.min(engine.upstream.maxInFlight, engine.inFlight + 1)) * slowness;
         for (const grant of engine.running) {
-            if (grant.ticket.tier < waiting.ticket.tier && !this.keepsGap(engine, grant, gapMs, uncachedTokens)) {
+            if (grant.priority < waiting.priority && !this.keepsGap(engine, grant, gapMs, uncachedTokens)) {
                 return false;
             }
         }
--- a/src/core/dispatch/RunningGrant.ts
+++ b/src/core/dispatch/RunningGrant.ts
@@ -6,6 +6,8 @@
     readonly ticket: Ticket;
     readonly upstreamId: string;
     readonly grantedMs: number;
+    /** Priority on the engine; 0 is most urgent. */
+    readonly priority: number;
     readonly isLong: boolean;
     /** Requests in flight on the engine when this one was granted, with it. */
     readonly batchSize: number;
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -43,6 +43,8 @@
 const maxPreemptionsPerDecision = 4;
 /** Prompt tokens that an engine reads in one step beside its decoding. */
 const assumedChunkTokens = 512;
+/** Prompts longer than this are read after the shorter ones of their tier. */
+const longPromptTokens = 2_048;
 
 /**
  * Owns the queue of one shard and the exact in-flight work of its engines. Every call takes the time and gives back the decisions that
@@ -382,6 +384,7 @@
             ticket,
             upstreamId: on.upstreamId,
             grantedMs: nowMs,
+            priority: waiting.priority,
             isLong: waiting.isLong,
             batchSize: engine.batchSize,
             prefillTokens: on.prefillTokens,
@@ -498,7 +501,7 @@
             grantId: second.grantId,
             hedgedGrantId: grant.grantId,
             upstreamId: second.upstreamId,
-            priority: ticket.tier,
+            priority: second.priority,
         });
     }
 
@@ -522,6 +525,7 @@
             latestStartMs,
             expiresMs: expiresEarly ? latestStartMs : boundMs,
             expiresEarly,
+            priority: 2 * ticket.tier + (ticket.promptTokens > longPromptTokens ? 1 : 0),
             isLong: serviceMs > this.options.longWorkMs,
             expectedOutputTokens,
             serviceMs,
@@ -541,6 +545,7 @@
             ticket,
             upstreamId,
             grantedMs: nowMs - ageMs,
+            priority: waiting.priority,
             isLong: waiting.isLong,
             batchSize: engine.batchSize,
             prefillTokens: ticket.promptTokens,
@@ -730,7 +735,8 @@
         attempt: ticket.attempt,
         grantId,
         upstreamId,
-        priority: ticket.tier,
+        tier: ticket.tier,
+        priority: running.priority,
         waitedMs: ticket.waitedMs + Math.max(0, running.grantedMs - offeredMs),
         predictedFirstTokenMs: Math.round(predictedFirstTokenMs),
         predictedFinishMs: Math.round(finishMs),
--- a/src/core/dispatch/WaitingTicket.ts
+++ b/src/core/dispatch/WaitingTicket.ts
@@ -11,6 +11,8 @@
     readonly expiresMs: number;
     /** It expires because its target can no longer be met, and not because it has waited for the longest. */
     readonly expiresEarly: boolean;
+    /** Priority that it will have on an engine: by tier, and within it short prompts before long ones. */
+    readonly priority: number;
     readonly isLong: boolean;
     readonly expectedOutputTokens: number;
     /** Predicted time in a slot, for the wait of those behind. */
--- a/src/core/dispatch/defaultDispatchOptions.ts
+++ b/src/core/dispatch/defaultDispatchOptions.ts
@@ -6,7 +6,7 @@
     order: "slack",
     maxWaiting: 20_000,
     shortSlotShare: 0.25,
-    longWorkMs: 10_000,
+    longWorkMs: 4_000,
     pausedSlots: 16,
     gapBudgetShare: 0.4,
     preemption: true,
--- a/src/node/dispatch/ShardHost.ts
+++ b/src/node/dispatch/ShardHost.ts
@@ -183,7 +183,7 @@
             predictedFinishMs: action.predictedFinishMs,
             runnersUp: action.runnersUp.map(runner => `${runner.upstreamId} ${runner.predictedFinishMs} ms`).join(", "),
         });
-        const waitMs = expectedWaitMs(dispatcher, priority);
+        const waitMs = expectedWaitMs(dispatcher, action.tier);
         this.send(action.entryVm, {
             type: "ticketGrant",
             shard,
