Compare with direct choice, shard sizes and each part left out

Baselines know their own VM's calls beside the late reports, and direct choice (power of two with engine priorities, no dispatcher) is a policy of its own. Shards are cut with an eighth to spare.

--- a/bench/policy/DispatchPolicy.ts
+++ b/bench/policy/DispatchPolicy.ts
@@ -43,7 +43,12 @@
     private shardsByZone = new Map<string, readonly Shard[]>();
     private taskCount = 0;
 
-    constructor(private readonly world: World, private readonly options: DispatchOptions, private readonly random: () => number) {
+    constructor(
+        private readonly world: World,
+        private readonly options: DispatchOptions,
+        private readonly random: () => number,
+        private readonly maxShardEngines?: number,
+    ) {
         const { zones, vmCount } = world.workload;
         this.members = [...Array(vmCount).keys()].map(index => ({
             vm: `vm-${index}`,
@@ -148,7 +153,8 @@
             maxInFlight: engineProfile.maxBatch,
             placements: [],
         };
-        return shardMap(pool, this.members.filter(member => this.world.isConnected(zone, member.availabilityZone)));
+        const reachable = this.members.filter(member => this.world.isConnected(zone, member.availabilityZone));
+        return shardMap(pool, reachable, this.maxShardEngines);
     }
 
     private taskOf(shard: Shard): DispatcherTask {
@@ -175,7 +181,12 @@
         const ticket = this.ticketOf(entry);
         this.tell(entry, { type: "ticketOffer", shard: 1, ticket }, atTask => {
             this.checker.noteOffer(atTask.dispatcher, ticket.requestId, ticket.tier);
-            return atTask.dispatcher.offer({ ...ticket, waitedMs: ticket.waitedMs + engineProfile.hopMs }, this.nowMs);
+            const actions = atTask.dispatcher.offer({ ...ticket, waitedMs: ticket.waitedMs + engineProfile.hopMs }, this.nowMs);
+            if (atTask.dispatcher.isWaiting(ticket.requestId)) {
+                const { requestId, attempt } = ticket;
+                this.countMessage(atTask.vm, entry.entryVm, { type: "ticketQueued", shard: 1, requestId, attempt, expectedWaitMs: 1 });
+            }
+            return actions;
         });
     }
 
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -4,14 +4,13 @@
 import { ClairvoyantPolicy } from "./ClairvoyantPolicy.js";
 import { DispatchPolicy } from "./DispatchPolicy.js";
 import type { EngineFake } from "./EngineFake.js";
-import type { Job } from "./Job.js";
 import type { Policy } from "./Policy.js";
 import type { World } from "./World.js";
 
 type PolicyFactory = (world: World, random: () => number) => Policy;
 
-function dispatchWith(options: Partial<DispatchOptions>): PolicyFactory {
-    return (world, random) => new DispatchPolicy(world, { ...defaultDispatchOptions, ...options }, random);
+function dispatchWith(options: Partial<DispatchOptions>, maxShardEngines?: number): PolicyFactory {
+    return (world, random) => new DispatchPolicy(world, { ...defaultDispatchOptions, ...options }, random, maxShardEngines);
 }
 
 function randomChoice(engines: readonly EngineFake[], random: () => number): EngineFake | undefined {
@@ -32,16 +31,18 @@
     };
 }
 
-/** Two at random; the one with less by its last report and this VM's own sends since. */
-function powerOfTwo(random: () => number): (engines: readonly EngineFake[], job: Job) => EngineFake | undefined {
-    return engines => {
+/** Two at random; the one with less by its last report and this VM's own calls. */
+function powerOfTwo(
+    random: () => number,
+): (engines: readonly EngineFake[], loadOf: (engine: EngineFake) => number) => EngineFake | undefined {
+    return (engines, loadOf) => {
         const first = randomChoice(engines, random);
         const second = randomChoice(engines, random);
-        return first !== undefined && second !== undefined && second.reportedLoad < first.reportedLoad ? second : first;
+        return first !== undefined && second !== undefined && loadOf(second) < loadOf(first) ? second : first;
     };
 }
 
-/** Every policy that the benchmark compares, by name. */
+/** Every policy that the benchmark compares, by name. The last ones leave out or change one part of the project's own. */
 export const policies: ReadonlyMap<string, PolicyFactory> = new Map<string, PolicyFactory>([
     ["random", (world, random) => new BaselinePolicy(world, engines => randomChoice(engines, random))],
     ["round-robin", world => new BaselinePolicy(world, roundRobin())],
@@ -49,8 +50,14 @@
     ["power-of-two", (world, random) => new BaselinePolicy(world, powerOfTwo(random))],
     ["clairvoyant", world => new ClairvoyantPolicy(world)],
     ["orioleshelf", dispatchWith({})],
+    ["direct", (world, random) => new BaselinePolicy(world, powerOfTwo(random), job => job.jobClass.serviceClass.tier)],
     ["fifo-in-tier", dispatchWith({ order: "arrival" })],
     ["no-preemption", dispatchWith({ preemption: false })],
+    ["no-pausing", dispatchWith({ pausedSlots: 0 })],
     ["no-short-slots", dispatchWith({ shortSlotShare: 0 })],
-    ["no-health", dispatchWith({ health: false })],
+    ["no-gap-budget", dispatchWith({ gapBudgetShare: Infinity })],
+    ["no-health", dispatchWith({ health: false, moving: false })],
+    ["hedging", dispatchWith({ hedgeShare: 0.02 })],
+    ["shards-of-4", dispatchWith({}, 4)],
+    ["shards-of-8", dispatchWith({}, 8)],
 ]);
--- a/src/core/dispatch/shardMap.ts
+++ b/src/core/dispatch/shardMap.ts
@@ -6,32 +6,40 @@
 import type { Shard } from "./Shard.js";
 
 /** Most engines in one shard. */
-const maxShardEngines = 16;
+const defaultMaxShardEngines = 16;
+/** Room that shards are cut with, so that an engine more or less moves few others. */
+const spareShare = 0.125;
 
 /**
  * Cuts a pool into shards and gives each one its dispatcher. Depends on the pool and the set of ready members alone, so that VMs with
  * the same view agree. A shard spans zones while the whole pool fits into one; beyond that each shard stays inside a zone.
  */
-export function shardMap(pool: Pool, members: readonly Member[]): readonly Shard[] {
+export function shardMap(pool: Pool, members: readonly Member[], maxShardEngines = defaultMaxShardEngines): readonly Shard[] {
     const ready = members.filter(member => member.state === "ready");
     if (pool.upstreams.length <= maxShardEngines) {
         return [toShard(pool, undefined, 0, byId(pool.upstreams), ready)];
     }
-    return [...groupByZone(pool.upstreams)].flatMap(([zone, upstreams]) => cutZone(pool, zone, upstreams, ready));
+    return [...groupByZone(pool.upstreams)].flatMap(([zone, upstreams]) => cutZone(pool, zone, upstreams, ready, maxShardEngines));
 }
 
 /** Engines of one zone, cut so that one engine more or less moves few others: each engine goes to its rendezvous shard. */
-function cutZone(pool: Pool, zone: string, upstreams: readonly Upstream[], ready: readonly Member[]): readonly Shard[] {
-    const shardCount = Math.ceil(upstreams.length / maxShardEngines);
+function cutZone(
+    pool: Pool,
+    zone: string,
+    upstreams: readonly Upstream[],
+    ready: readonly Member[],
+    maxShardEngines: number,
+): readonly Shard[] {
+    const shardCount = Math.ceil(upstreams.length / Math.max(1, maxShardEngines * (1 - spareShare)));
     const groups: Upstream[][] = Array.from({ length: shardCount }, () => []);
     for (const upstream of byId(upstreams)) {
-        roomiestOf(groups, upstream).push(upstream);
+        groupFor(groups, upstream, maxShardEngines).push(upstream);
     }
     return groups.map((group, index) => toShard(pool, zone, index, group, ready));
 }
 
 /** The shard that this engine hashes to, or the next best with room. */
-function roomiestOf(groups: Upstream[][], upstream: Upstream): Upstream[] {
+function groupFor(groups: Upstream[][], upstream: Upstream, maxShardEngines: number): Upstream[] {
     const open = groups.map((group, index) => ({ group, index })).filter(({ group }) => group.length < maxShardEngines);
     const best = highest(open, ({ index }) => hashText(`${upstream.id}/${index}`));
     return (best ?? { group: groups[0] as Upstream[] }).group;
