--- a/src/core/dispatch/GrantTable.ts
+++ b/src/core/dispatch/GrantTable.ts
@@ -5,6 +5,7 @@
     private readonly byId = new Map<string, RunningGrant>();
     private readonly byRequest = new Map<string, RunningGrant>();
     private readonly countByClass = new Map<string, number>();
+    private readonly askedBackByClass = new Map<string, number>();
 
     get size(): number {
         return this.byId.size;
@@ -26,6 +27,18 @@
         return this.countByClass.get(serviceClass) ?? 0;
     }
 
+    /** Those that the dispatcher has not asked back. */
+    keptOfClass(serviceClass: string): number {
+        return this.inFlightOfClass(serviceClass) - (this.askedBackByClass.get(serviceClass) ?? 0);
+    }
+
+    /** The dispatcher asks for the slot back; it stays taken until the grant ends. */
+    askBack(grant: RunningGrant): void {
+        grant.isPreempted = true;
+        const { serviceClass } = grant.ticket;
+        this.askedBackByClass.set(serviceClass, (this.askedBackByClass.get(serviceClass) ?? 0) + 1);
+    }
+
     add(grant: RunningGrant, isHedge: boolean): void {
         const { requestId, serviceClass } = grant.ticket;
         this.byId.set(grant.grantId, grant);
@@ -45,6 +58,9 @@
             this.handOverRequest(requestId, grant);
         }
         this.countByClass.set(serviceClass, this.inFlightOfClass(serviceClass) - 1);
+        if (grant.isPreempted) {
+            this.askedBackByClass.set(serviceClass, (this.askedBackByClass.get(serviceClass) ?? 0) - 1);
+        }
         return true;
     }
 
--- /dev/null
+++ b/src/core/dispatch/IndexedHeap.test.ts
@@ -0,0 +1,41 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { IndexedHeap } from "./IndexedHeap.js";
+
+interface Entry {
+    readonly key: number;
+    position: number;
+}
+
+/** Comparisons that a push and a removal of the first entry take together, on average, in a heap of this size. */
+function comparisonsPerCycle(size: number): number {
+    let comparisons = 0;
+    const heap = new IndexedHeap<Entry>(
+        (left, right) => {
+            comparisons++;
+            return left.key < right.key;
+        },
+        entry => entry.position,
+        (entry, position) => {
+            entry.position = position;
+        },
+    );
+    let key = 1;
+    const nextEntry = () => ({ key: key = key * 48_271 % 2_147_483_647, position: -1 });
+    for (let count = 0; count < size; count++) {
+        heap.push(nextEntry());
+    }
+    comparisons = 0;
+    const cycles = 1_000;
+    for (let count = 0; count < cycles; count++) {
+        heap.push(nextEntry());
+        heap.remove(heap.peek() as Entry);
+    }
+    return comparisons / cycles;
+}
+
+test("queue operations take a number of comparisons that grows with the logarithm of the tickets waiting", () => {
+    for (const size of [100, 1_000, 10_000, 100_000]) {
+        expect(comparisonsPerCycle(size) <= 4 * Math.log2(size)).toEqual(true);
+    }
+});
--- a/src/core/dispatch/ShardDispatcher.test.ts
+++ b/src/core/dispatch/ShardDispatcher.test.ts
@@ -4,6 +4,8 @@
 import type { Ticket } from "../../schema/peer/Ticket.js";
 import { defaultDispatchOptions } from "./defaultDispatchOptions.js";
 import type { DispatchAction } from "./DispatchAction.js";
+import type { DispatchOptions } from "./DispatchOptions.js";
+import { dispatchOptionsFor } from "./dispatchOptionsFor.js";
 import { ShardDispatcher } from "./ShardDispatcher.js";
 
 const classes = [
@@ -34,8 +36,8 @@
     };
 }
 
-function dispatcherOf(engineCount: number, maxInFlight: number): ShardDispatcher {
-    const dispatcher = new ShardDispatcher({ ...defaultDispatchOptions, preemption: false }, () => 0);
+function dispatcherOf(engineCount: number, maxInFlight: number, options: Partial<DispatchOptions> = {}): ShardDispatcher {
+    const dispatcher = new ShardDispatcher({ ...defaultDispatchOptions, preemption: false, pausedSlots: 0, ...options }, () => 0);
     dispatcher.setClasses(classes);
     const upstreams = [...Array(engineCount).keys()].map(index => ({
         id: `engine-${index}`,
@@ -109,3 +111,119 @@
     dispatcher.setUpstreams([{ id: "engine-0", availabilityZone: "nadi", maxInFlight: 2, leaving: true }], 1);
     expect(dispatcher.offer(ticketOf("b"), 2)).toEqual([]);
 });
+
+test("a late ticket waits behind those that can still make it, but for one pick in nine", () => {
+    const dispatcher = dispatcherOf(1, 1);
+    let [running] = grantsIn(dispatcher.offer(ticketOf("held"), 0));
+    dispatcher.offer(ticketOf("late", { waitedMs: 440 }), 0);
+    const order: string[] = [];
+    for (let count = 0; count < 10; count++) {
+        dispatcher.offer(ticketOf(`on-time-${count}`), 20);
+    }
+    while (running !== undefined) {
+        [running] = grantsIn(dispatcher.end(running.grantId, { result: "cancelled", outputTokens: 0 }, 20));
+        order.push(running?.requestId ?? "end");
+    }
+    // "held" was the first of the eight on-time picks.
+    expect(order.indexOf("late")).toEqual(7);
+});
+
+test("a class under its floor gets the next slot, whatever waits above it", () => {
+    const dispatcher = dispatcherOf(1, 2);
+    dispatcher.setClasses([classes[0] as ServiceClass, { ...(classes[1] as ServiceClass), floorShare: 0.5 }]);
+    const [first] = grantsIn(dispatcher.offer(ticketOf("a"), 0));
+    dispatcher.offer(ticketOf("b"), 0);
+    dispatcher.offer(ticketOf("c"), 0);
+    dispatcher.offer(ticketOf("low", { tier: 1 }), 0);
+    expect(grantsIn(dispatcher.end(first?.grantId ?? "", { result: "cancelled", outputTokens: 0 }, 1)).map(it => it.requestId)).toEqual([
+        "low",
+    ]);
+});
+
+test("a class that says so is refused once its first-token target is out of reach, but not an answer that has begun", () => {
+    const dispatcher = dispatcherOf(1, 1);
+    dispatcher.setClasses(classes.map(serviceClass => ({ ...serviceClass, refuseEarly: true })));
+    dispatcher.offer(ticketOf("held"), 0);
+    dispatcher.offer(ticketOf("fresh"), 0);
+    dispatcher.offer(ticketOf("resumed", { isResumed: true }), 0);
+    const refusals = dispatcher.tick(449).filter(action => action.type === "refuse");
+    expect(refusals.map(refusal => `${refusal.requestId} ${refusal.kind}`)).toEqual(["fresh target-unreachable"]);
+    expect((refusals[0]?.retryAfterMs ?? 0) > 0).toEqual(true);
+});
+
+test("an engine gets more than its slots for a higher tier only, and keeps the floor of the lower one", () => {
+    const dispatcher = dispatcherOf(1, 4, { pausedSlots: 4 });
+    dispatcher.setClasses([classes[0] as ServiceClass, { ...(classes[1] as ServiceClass), floorShare: 0.25 }]);
+    const granted = (id: string, tier: number) => grantsIn(dispatcher.offer(ticketOf(id, { tier }), 0)).length;
+    expect([0, 1, 2, 3, 4].map(index => granted(`low-${index}`, 1))).toEqual([1, 1, 1, 1, 0]);
+    expect([0, 1, 2, 3].map(index => granted(`high-${index}`, 0))).toEqual([1, 1, 1, 0]);
+});
+
+test("without pausing, a lower-tier stream is asked back when a higher tier would miss its target, and never below the floor", () => {
+    const dispatcher = dispatcherOf(1, 2, { preemption: true });
+    dispatcher.setClasses([classes[0] as ServiceClass, { ...(classes[1] as ServiceClass), floorShare: 0.5 }]);
+    dispatcher.offer(ticketOf("low-1", { tier: 1, promptTokens: 900 }), 0);
+    dispatcher.offer(ticketOf("low-2", { tier: 1, promptTokens: 500 }), 0);
+    expect(dispatcher.offer(ticketOf("high-1", { waitedMs: 400 }), 0).map(action => `${action.type} ${action.requestId}`)).toEqual([
+        "preempt low-2",
+    ]);
+    expect(dispatcher.offer(ticketOf("high-2", { waitedMs: 400 }), 0)).toEqual([]);
+});
+
+test("a stream that an engine slows down is asked back for another engine after two observations", () => {
+    const dispatcher = dispatcherOf(3, 4);
+    const started = [0, 1, 2].flatMap(index => grantsIn(dispatcher.offer(ticketOf(`r-${index}`), 0)));
+    const slow = started[0];
+    for (const { grantId } of started) {
+        dispatcher.progress(grantId, 1, 40, 40);
+    }
+    expect(dispatcher.progress(slow?.grantId ?? "", 3, 40, 200, 120)).toEqual([]);
+    const [move] = dispatcher.progress(slow?.grantId ?? "", 4, 40, 320, 120);
+    expect(move?.type === "preempt" && move.reason).toEqual("slow-upstream");
+    const [next] = grantsIn(dispatcher.offer(ticketOf("next"), 330));
+    expect(next?.upstreamId === slow?.upstreamId).toEqual(false);
+});
+
+test("short work whose first token is late gets a second stream once, and its slot returns with either", () => {
+    const dispatcher = dispatcherOf(2, 4, { hedgeShare: 0.5, moving: false });
+    const [grant] = grantsIn(dispatcher.offer(ticketOf("a"), 0));
+    expect(dispatcher.tick(60)).toEqual([]);
+    const [hedge] = dispatcher.tick(120).filter(action => action.type === "hedge");
+    expect(hedge !== undefined && hedge.upstreamId !== grant?.upstreamId).toEqual(true);
+    expect(dispatcher.tick(130)).toEqual([]);
+    dispatcher.end(grant?.grantId ?? "", { result: "cancelled", outputTokens: 0 }, 150);
+    expect(dispatcher.inFlight().get(grant?.upstreamId ?? "")).toEqual(0);
+    const [again] = grantsIn(dispatcher.offer(ticketOf("a"), 160));
+    expect(again?.grantId).toEqual(hedge?.grantId);
+});
+
+test("a prompt whose blocks an engine has read goes to that engine", () => {
+    const dispatcher = dispatcherOf(8, 4);
+    const prompt = { promptTokens: 4_000, prefixHashes: [...Array(14).keys()] };
+    const [first] = grantsIn(dispatcher.offer(ticketOf("a", prompt), 0));
+    dispatcher.end(first?.grantId ?? "", { result: "completed", outputTokens: 20 }, 400);
+    dispatcher.offer(ticketOf("other"), 500);
+    const [second] = grantsIn(dispatcher.offer(ticketOf("b", prompt), 500));
+    expect(second?.upstreamId).toEqual(first?.upstreamId);
+});
+
+test("a long prompt goes where no stream above it would miss its gap target, or waits", () => {
+    const dispatcher = dispatcherOf(1, 8, { pausedSlots: 8 });
+    dispatcher.offer(ticketOf("question"), 0);
+    expect(grantsIn(dispatcher.offer(ticketOf("manual", { tier: 1, promptTokens: 40_000 }), 0))).toEqual([]);
+    expect(grantsIn(dispatcher.withdraw("question", 0, 10)).map(it => it.requestId)).toEqual(["manual"]);
+});
+
+test("calls that may not be repeated are neither asked back nor sent twice", () => {
+    const pool = { name: "jobs", path: "new", kind: "plain", services: ["pumpline-jobs"], upstreams: [], repeatable: false } as const;
+    const options = dispatchOptionsFor({
+        ...pool,
+        services: [...pool.services],
+        upstreams: [],
+        deduplicatesByKey: false,
+        checksFencing: false,
+        maxInFlight: 4,
+        placements: [],
+    }, "vm/1");
+    expect([options.preemption, options.moving, options.hedgeShare, options.pausedSlots]).toEqual([false, false, 0, 0]);
+});
--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -432,7 +432,7 @@
     }
 
     private askBack(grant: RunningGrant, reason: "higher-tier" | "slow-upstream", forTier: number): void {
-        grant.isPreempted = true;
+        this.grants.askBack(grant);
         this.pendingPreemptions++;
         const { entryVm, requestId, tier } = grant.ticket;
         const { grantId, upstreamId } = grant;
--- a/src/core/dispatch/VictimChooser.ts
+++ b/src/core/dispatch/VictimChooser.ts
@@ -30,7 +30,7 @@
         if (tier <= waiting.ticket.tier || grant.isPreempted || isResumed === true || grant.isLong) {
             return false;
         }
-        return this.grants.inFlightOfClass(serviceClass) > this.classes.floorSlotsOf(serviceClass, totalSlots);
+        return this.grants.keptOfClass(serviceClass) > this.classes.floorSlotsOf(serviceClass, totalSlots);
     }
 }
 
