--- /dev/null
+++ b/proof/processes/ProcessFleet.ts
@@ -0,0 +1,118 @@
+import { randomBytes } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { stringify } from "yaml";
+import { applyExample } from "../../src/cli/quickstart/applyExample.js";
+import { exampleZones } from "../../src/cli/quickstart/exampleZones.js";
+import { operatorClient } from "../../src/cli/quickstart/operatorClient.js";
+import type { StandinUrls } from "../../src/cli/quickstart/StandinUrls.js";
+import type { EngineStandin } from "../../standins/engine/EngineStandin.js";
+import type { LogStandin } from "../../standins/log/LogStandin.js";
+import type { ServiceStandin } from "../../standins/service/ServiceStandin.js";
+import type { VmListStandin } from "../../standins/vmlist/VmListStandin.js";
+import { startPlatform } from "./startPlatform.js";
+import { VmProcess } from "./VmProcess.js";
+import { waitUntil } from "./waitUntil.js";
+
+/** The stand-ins of a process fleet, which run in the test's own process. */
+interface Platform {
+    readonly urls: StandinUrls;
+    readonly log: LogStandin;
+    readonly vmList: VmListStandin;
+    readonly engines: ReadonlyMap<string, EngineStandin>;
+    readonly services: ReadonlyMap<string, ServiceStandin>;
+}
+
+/** Three VMs in processes of their own, one a zone, before stand-ins in this process; the example configuration is in force. */
+export class ProcessFleet {
+    readonly vms: VmProcess[] = [];
+    readonly operatorToken = randomBytes(24).toString("hex");
+    private readonly peerKey = randomBytes(24).toString("hex");
+    private readonly folder = mkdtempSync(join(tmpdir(), "orioleshelf-fleet-"));
+    private readonly controller = new AbortController();
+    private startedCount = 0;
+
+    private constructor(readonly platform: Platform) {}
+
+    static async start(): Promise<ProcessFleet> {
+        const controller = new AbortController();
+        const fleet = new ProcessFleet(await startPlatform(controller.signal));
+        fleet.controller.signal.addEventListener("abort", () => {
+            controller.abort();
+        });
+        const first = await fleet.startVm(exampleZones[0]);
+        fleet.vms.push(first);
+        fleet.vms.push(...await Promise.all(exampleZones.slice(1).map(zone => fleet.startVm(zone))));
+        await fleet.waitUntilWhole();
+        await applyExample(fleet);
+        return fleet;
+    }
+
+    get standins(): StandinUrls {
+        return this.platform.urls;
+    }
+
+    /** Starts one more VM in a zone and adds it to the platform's list; the caller puts it into `vms`. */
+    async startVm(availabilityZone: string): Promise<VmProcess> {
+        const id = `${availabilityZone}-${++this.startedCount}`;
+        const file = join(this.folder, `${id}.yaml`);
+        writeFileSync(file, stringify(this.settings(id, availabilityZone)));
+        const vm = await VmProcess.start(id, file, { ORIOLESHELF_PEER_KEY: this.peerKey, ORIOLESHELF_OPERATOR_TOKEN: this.operatorToken });
+        this.platform.vmList.setVm({ vm: id, availabilityZone, peerUrl: vm.peerUrl, leaving: false });
+        return vm;
+    }
+
+    /** Waits until every running VM is ready and sees as many ready members as there are running VMs. */
+    async waitUntilWhole(): Promise<void> {
+        const running = this.vms.filter(vm => vm.isRunning);
+        for (const vm of running) {
+            await waitUntil(`${vm.id} is ready`, () => vm.isReady());
+            await waitUntil(`${vm.id} sees the others`, async () => (await this.readyMembers(vm)).length === running.length);
+        }
+    }
+
+    async stop(): Promise<void> {
+        for (const vm of this.vms) {
+            vm.signal("SIGCONT");
+        }
+        await Promise.all(this.vms.map(vm => vm.destroy()));
+        this.controller.abort();
+        rmSync(this.folder, { recursive: true });
+    }
+
+    /** How often each idempotency key was executed, over all plain services of both paths. */
+    executionsByKey(): Map<string, number> {
+        const counts = new Map<string, number>();
+        for (const service of this.platform.services.values()) {
+            for (const { idempotencyKey } of service.calls) {
+                if (idempotencyKey !== undefined) {
+                    counts.set(idempotencyKey, (counts.get(idempotencyKey) ?? 0) + 1);
+                }
+            }
+        }
+        return counts;
+    }
+
+    private async readyMembers(vm: VmProcess): Promise<string[]> {
+        const { members } = await operatorClient({ ...this.operated(), vms: [vm] }).status({});
+        return members.filter(member => member.state === "ready").map(member => member.vm);
+    }
+
+    private operated() {
+        return { standins: this.standins, operatorToken: this.operatorToken };
+    }
+
+    private settings(id: string, availabilityZone: string): unknown {
+        const { log, vmList, weightStore } = this.standins;
+        return {
+            vm: { id, availabilityZone, region: "fiji-west" },
+            listen: { caller: { port: 0 }, operator: { port: 0 }, peer: { port: 0 } },
+            peers: { seeds: this.vms.map(vm => vm.peerUrl), key: { env: "ORIOLESHELF_PEER_KEY" } },
+            operator: { token: { env: "ORIOLESHELF_OPERATOR_TOKEN" } },
+            platform: { log: { url: log }, vmList: { url: vmList }, weightStore: { url: weightStore } },
+            config: { zones: [...exampleZones] },
+            logs: { parts: process.env["ORIOLESHELF_TEST_LOGS"] ?? "" },
+        };
+    }
+}
--- /dev/null
+++ b/proof/processes/VmProcess.ts
@@ -0,0 +1,72 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createInterface } from "node:readline";
+import { request } from "undici";
+
+interface ServeLine {
+    readonly callerUrl: string;
+    readonly operatorUrl: string;
+    readonly peerUrl: string;
+}
+
+/** One VM in a process of its own, started by `orioleshelf serve`. */
+export class VmProcess {
+    private hasExited = false;
+
+    private constructor(
+        readonly id: string,
+        readonly callerUrl: string,
+        readonly operatorUrl: string,
+        readonly peerUrl: string,
+        private readonly child: ChildProcess,
+        readonly exited: Promise<number | string>,
+    ) {
+        child.once("exit", () => {
+            this.hasExited = true;
+        });
+    }
+
+    /** Starts a VM with a settings file; resolves when its listeners are open. */
+    static async start(id: string, settingsFile: string, environment: Record<string, string>): Promise<VmProcess> {
+        const child = spawn(process.execPath, ["--import", "tsx", "src/cli/main.ts", "serve", "--settings", settingsFile], {
+            env: { ...process.env, ...environment },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        const exited = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
+        const lines = createInterface({ input: child.stdout });
+        const line = await Promise.race([once(lines, "line").then(([first]) => String(first)), exited]);
+        if (typeof line !== "string" || !line.startsWith("{")) {
+            throw new Error(`VM ${id} did not start: ${line}`);
+        }
+        const urls = JSON.parse(line) as ServeLine;
+        return new VmProcess(id, urls.callerUrl, urls.operatorUrl, urls.peerUrl, child, exited);
+    }
+
+    get isRunning(): boolean {
+        return !this.hasExited;
+    }
+
+    /** Sends a signal to this process alone. */
+    signal(name: NodeJS.Signals): void {
+        this.child.kill(name);
+    }
+
+    /** Ends the process at once, if it still runs. */
+    async destroy(): Promise<void> {
+        if (this.isRunning) {
+            this.child.kill("SIGKILL");
+        }
+        await this.exited;
+    }
+
+    async isReady(): Promise<boolean> {
+        try {
+            const response = await request(`${this.callerUrl}/readyz`);
+            await response.body.dump();
+            return response.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/proof/processes/book.ts
@@ -0,0 +1,23 @@
+import { request } from "undici";
+import { exampleCustomers } from "../../src/cli/quickstart/exampleCustomers.js";
+import type { BookingResult } from "./BookingResult.js";
+
+/** Sends one booking through a VM. Never throws: a broken connection is a result. */
+export async function book(callerUrl: string, key: string): Promise<BookingResult> {
+    try {
+        const response = await request(`${callerUrl}/services/pumpline-jobs/callouts`, {
+            method: "POST",
+            headers: {
+                "authorization": `Bearer ${exampleCustomers[0].key}`,
+                "content-type": "application/json",
+                "idempotency-key": key,
+            },
+            body: JSON.stringify({ callout: key }),
+        });
+        const body = await response.body.text();
+        return { status: response.statusCode, outcome: String(response.headers["x-orioleshelf-outcome"]), body };
+    }
+    catch {
+        return { status: 0, outcome: "", body: "" };
+    }
+}
--- /dev/null
+++ b/src/cli/quickstart/OperatedFleet.ts
@@ -0,0 +1,8 @@
+import type { StandinUrls } from "./StandinUrls.js";
+
+/** A fleet on loopback as its operator sees it. */
+export interface OperatedFleet {
+    readonly vms: readonly { readonly operatorUrl: string; }[];
+    readonly standins: StandinUrls;
+    readonly operatorToken: string;
+}
--- a/src/cli/quickstart/applyExample.ts
+++ b/src/cli/quickstart/applyExample.ts
@@ -1,13 +1,13 @@
 import { objectToProto } from "../../node/operator/objectToProto.js";
 import { ApplyStatus } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
-import type { EmbeddedFleet } from "./EmbeddedFleet.js";
 import { exampleObjects } from "./exampleObjects.js";
+import type { OperatedFleet } from "./OperatedFleet.js";
 import { operatorClient } from "./operatorClient.js";
 
 const waitMs = 10_000;
 
 /** Applies the example configuration through the operator RPC of the first VM. Resolves when it is in force in every zone. */
-export async function applyExample(fleet: EmbeddedFleet): Promise<void> {
+export async function applyExample(fleet: OperatedFleet): Promise<void> {
     const operations = exampleObjects(fleet.standins).map(object => ({
         operation: { case: "put" as const, value: objectToProto(object) },
     }));
