--- /dev/null
+++ b/src/node/explain/FleetWatcher.test.ts
@@ -0,0 +1,67 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import type { Member } from "../../core/membership/Member.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import { exampleObjects } from "../operator/testing/exampleObjects.js";
+import { FakeConfigService } from "../operator/testing/FakeConfigService.js";
+import { EventRing } from "./EventRing.js";
+import { FleetWatcher } from "./FleetWatcher.js";
+
+function member(vm: string, availabilityZone: string, change: Partial<Member> = {}): Member {
+    return { vm, incarnation: "1", availabilityZone, region: "r", peerUrl: "ws://a", state: "ready", configOffset: 0, ...change };
+}
+
+function watch(first: readonly Member[]) {
+    const ring = new EventRing(1_000_000);
+    const config = new FakeConfigService();
+    let listener: (members: readonly Member[]) => void = () => undefined;
+    const membership = {
+        members: first,
+        onChange: (added: typeof listener) => {
+            listener = added;
+        },
+    };
+    const scheduler = new VirtualScheduler(5_000);
+    new FleetWatcher({ vm: "nadi-1", config, membership, events: ring, scheduler }).start(new AbortController().signal);
+    const taken = () =>
+        ring.find(() => true, 100).map(({ kind, subject, facts }) => `${kind} ${subject} ${Object.values(facts).join(" ")}`);
+    return { config, taken, change: (members: readonly Member[]) => listener(members) };
+}
+
+test("members that come, drain, restart and go are told, and a zone with no VM left", () => {
+    const { taken, change } = watch([member("nadi-1", "nadi"), member("ba-1", "ba"), member("ba-2", "ba")]);
+    change([
+        member("nadi-1", "nadi", { state: "draining" }),
+        member("ba-1", "ba", { incarnation: "2" }),
+        member("ba-2", "ba", { configOffset: 9 }),
+    ]);
+    change([member("nadi-1", "nadi", { state: "draining" }), member("lautoka-1", "lautoka", { state: "starting" })]);
+    expect(taken()).toEqual([
+        "drain nadi-1 nadi draining",
+        "member ba-1 ba ready restarted or replaced",
+        "member lautoka-1 lautoka starting seen",
+        "member ba-1 ba gone",
+        "member ba-2 ba gone",
+        "zone ba no VM seen",
+        "zone lautoka seen",
+    ]);
+});
+
+test("configuration that changes and upstreams that leave are told, unchanged objects are not", async () => {
+    const { config, taken } = watch([]);
+    const [serviceClass, , pool] = exampleObjects;
+    await config.apply({ author: "", operations: [{ op: "put", object: serviceClass! }, { op: "put", object: pool! }] });
+    const leaving = pool!.kind === "pool" ? pool!.value.upstreams.map(upstream => ({ ...upstream, leaving: true })) : [];
+    await config.apply({
+        author: "",
+        operations: [{ op: "put", object: { kind: "pool", value: { ...pool!.value, upstreams: leaving } as never } }],
+    });
+    await config.apply({ author: "", operations: [{ op: "delete", kind: "serviceClass", name: "urgent" }] });
+    expect(taken()).toEqual([
+        "config serviceClass urgent put 0",
+        "config pool engines-old put 0",
+        "config pool engines-old put 1",
+        "upstream e1 engines-old true",
+        "config serviceClass urgent deleted 2",
+    ]);
+});
--- /dev/null
+++ b/src/node/explain/FleetWatcher.ts
@@ -0,0 +1,42 @@
+import { configEvents } from "../../core/explain/configEvents.js";
+import type { EventDraft } from "../../core/explain/EventDraft.js";
+import { memberEvents } from "../../core/explain/memberEvents.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { ConfigService } from "../services/ConfigService.js";
+import type { EventRecorder } from "../services/EventRecorder.js";
+import type { MembershipService } from "../services/MembershipService.js";
+
+interface WatcherOptions {
+    readonly vm: string;
+    readonly config: ConfigService;
+    readonly membership: MembershipService;
+    readonly events: EventRecorder;
+    readonly scheduler: Scheduler;
+}
+
+/** Records what this VM sees of the fleet: members, zones and configuration as they change. */
+export class FleetWatcher {
+    constructor(private readonly options: WatcherOptions) {}
+
+    /** Records until `signal` aborts. */
+    start(signal: AbortSignal): void {
+        const { vm, config, membership } = this.options;
+        let members = [...membership.members];
+        membership.onChange(changed => {
+            this.record(memberEvents(members, changed, vm));
+            members = [...changed];
+        }, signal);
+        let { view } = config;
+        config.onChange(changed => {
+            this.record(configEvents(view, changed));
+            view = changed;
+        }, signal);
+    }
+
+    private record(drafts: readonly EventDraft[]): void {
+        const atMs = this.options.scheduler.wallMs();
+        for (const draft of drafts) {
+            this.options.events.record({ ...draft, atMs, vm: this.options.vm });
+        }
+    }
+}
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -7,6 +7,7 @@
 import { DispatchTask } from "../dispatch/DispatchTask.js";
 import { EventRing } from "../explain/EventRing.js";
 import { FleetExplainer } from "../explain/FleetExplainer.js";
+import { FleetWatcher } from "../explain/FleetWatcher.js";
 import { QuotaLimitService } from "../limits/QuotaLimitService.js";
 import { createLog } from "../logs/createLog.js";
 import { GossipMembership } from "../membership/GossipMembership.js";
@@ -59,6 +60,7 @@
     private readonly events: EventRing;
     private readonly peers: MeteredPeerLinks;
     private readonly explainer: FleetExplainer;
+    private readonly watcher: FleetWatcher;
     private readonly levels: ServiceLevelRecorder;
     private readonly publisher: ReportPublisher;
     private readonly reporter: FleetReporter;
@@ -95,6 +97,7 @@
         this.publisher = new ReportPublisher({ ...report, recorder: this.levels, publishIntervalMs: settings.report.publishIntervalMs });
         this.reporter = new FleetReporter({ ...report, recorder: this.levels });
         this.explainer = new FleetExplainer({ ...report, ring: this.events });
+        this.watcher = new FleetWatcher({ ...report, events: this.events });
         this.caller = this.createCaller();
         this.operator = this.createOperator();
     }
@@ -117,6 +120,7 @@
         this.publisher.start(signal);
         this.reporter.start(signal);
         this.explainer.start(signal);
+        this.watcher.start(signal);
         this.runTask("config", this.config.start(signal));
         this.runTask("booking", this.bookings.start(signal));
         this.options.scheduler.every(readinessPollMs, () => {
