--- a/src/node/logs/configureLogs.ts
+++ b/src/node/logs/configureLogs.ts
@@ -1,8 +1,18 @@
 import debug from "debug";
+import { format } from "node:util";
 import { logOutput } from "./logOutput.js";
 
-/** Sets the format of the process's logs and the parts that write. */
+const formatPlain = debug.formatArgs;
+
+/** Sets the format of the process's logs and the parts that write, also for parts that use the debug library by itself. */
 export function configureLogs(logs: { readonly format: "plain" | "json"; readonly parts: string; }): void {
     logOutput.format = logs.format;
+    debug.log = (...parts: unknown[]) => {
+        logOutput.write(format(...parts));
+    };
+    debug.formatArgs = logs.format === "plain" ? formatPlain : function(this: debug.Debugger, parts: unknown[]): void {
+        const line = JSON.stringify({ time: new Date().toISOString(), part: this.namespace, message: format(...parts) });
+        parts.splice(0, parts.length, "%s", line);
+    };
     debug.enable(logs.parts);
 }
--- a/src/node/logs/createLog.test.ts
+++ b/src/node/logs/createLog.test.ts
@@ -1,3 +1,4 @@
+import debug from "debug";
 import { expect } from "earl";
 import { afterEach, test } from "node:test";
 import { configureLogs } from "./configureLogs.js";
@@ -59,3 +60,13 @@
         expect(lines[0] ?? "").toMatchRegex(/promptTokens.{1,2}7.*tokens.{1,2}9/);
     });
 }
+
+test("parts that use the debug library by itself follow the format too", () => {
+    const lines = capture("json", "orioleshelf:*");
+    debug("orioleshelf:other")("link to %s closed, %d left: 100%", "ba-1", 2);
+    const { part, message } = JSON.parse(lines[0] ?? "") as Record<string, unknown>;
+    expect([lines.length, part, message]).toEqual([1, "orioleshelf:other", "link to ba-1 closed, 2 left: 100%"]);
+    const plain = capture("plain", "orioleshelf:*");
+    debug("orioleshelf:other")("link to %s closed", "ba-1");
+    expect(plain[0] ?? "").toMatchRegex(/orioleshelf:other link to ba-1 closed/);
+});
