Prove that broken, silent, preempted and late streams become whole answers

Each token once and in order over crashes, lost connections, swallowed requests and preemption; limits on silence run on a virtual clock. A whole answer starts over when no engine can resume it, and its tokens count as wasted. Failures are logged with the request id and kinds only.

--- a/proof/edge/EdgeFixture.ts
+++ b/proof/edge/EdgeFixture.ts
@@ -1,6 +1,7 @@
 import { errAsync, okAsync } from "neverthrow";
 import { createHash } from "node:crypto";
 import type { ConfigView } from "../../src/core/config/ConfigView.js";
+import type { Scheduler } from "../../src/core/util/Scheduler.js";
 import type { CallerLimits } from "../../src/node/caller/CallerLimits.js";
 import { CallerServer } from "../../src/node/caller/CallerServer.js";
 import type { LimitRefusal } from "../../src/node/services/LimitRefusal.js";
@@ -22,8 +23,8 @@
     readonly pool?: Partial<Pool>;
     readonly newPathPercent?: number;
     readonly callerLimits?: Partial<CallerLimits>;
-    readonly headLimitMs?: number;
-    readonly silenceLimitMs?: number;
+    /** A virtual one makes the limits on silence fall due when the test says so. */
+    readonly scheduler?: Scheduler;
 }
 
 /** One VM's caller API and upstream clients, with the other parts faked. */
@@ -44,11 +45,8 @@
         this.serviceUrls = options.serviceUrls ?? [];
         this.view = viewOf(this.key, options);
         this.dispatch = new FakeDispatch(() => this.view);
-        const scheduler = new SystemScheduler();
-        const engines = new HttpEngineClient(scheduler, {
-            ...(options.headLimitMs === undefined ? {} : { headLimitMs: options.headLimitMs }),
-            ...(options.silenceLimitMs === undefined ? {} : { silenceLimitMs: options.silenceLimitMs }),
-        });
+        const scheduler = options.scheduler ?? new SystemScheduler();
+        const engines = new HttpEngineClient(scheduler);
         const plain = new HttpPlainClient(scheduler);
         engines.start(this.stop.signal);
         plain.start(this.stop.signal);
--- a/proof/edge/outcomes.test.ts
+++ b/proof/edge/outcomes.test.ts
@@ -1,37 +1,43 @@
 import { expect } from "earl";
 import { test, type TestContext } from "node:test";
+import { VirtualScheduler } from "../../src/core/util/VirtualScheduler.js";
 import { ServiceStandin } from "../../standins/service/ServiceStandin.js";
 import { TcpProxy } from "../../standins/shared/TcpProxy.js";
 import { EdgeFixture } from "./EdgeFixture.js";
-
-const patientMs = 10_000;
-const impatientMs = 100;
+import { passSilenceLimit } from "./passSilenceLimit.js";
+import { until } from "./until.js";
 
 interface Case {
     readonly mode: TcpProxy["mode"];
     /** A reset right on accepting may reach the client before or after it has begun to write. */
     readonly outcomes: readonly string[];
     readonly executions: number;
-    readonly silenceLimitMs: number;
+    readonly isSilent?: boolean;
 }
 
 /** What the caller of a call that may not be repeated is told, and how often the service ran it. */
 const cases: readonly Case[] = [
-    { mode: "pass", outcomes: ["ran"], executions: 1, silenceLimitMs: patientMs },
-    { mode: "late-answer", outcomes: ["ran"], executions: 1, silenceLimitMs: patientMs },
-    { mode: "reset-on-accept", outcomes: ["unknown", "not-run"], executions: 0, silenceLimitMs: patientMs },
-    { mode: "reset-after-request", outcomes: ["unknown"], executions: 0, silenceLimitMs: patientMs },
-    { mode: "reset-before-answer", outcomes: ["unknown"], executions: 1, silenceLimitMs: patientMs },
-    { mode: "swallow-request", outcomes: ["unknown"], executions: 0, silenceLimitMs: impatientMs },
-    { mode: "swallow-answer", outcomes: ["unknown"], executions: 1, silenceLimitMs: impatientMs },
+    { mode: "pass", outcomes: ["ran"], executions: 1 },
+    { mode: "late-answer", outcomes: ["ran"], executions: 1 },
+    { mode: "reset-on-accept", outcomes: ["unknown", "not-run"], executions: 0 },
+    { mode: "reset-after-request", outcomes: ["unknown"], executions: 0 },
+    { mode: "reset-before-answer", outcomes: ["unknown"], executions: 1 },
+    { mode: "swallow-request", outcomes: ["unknown"], executions: 0, isSilent: true },
+    { mode: "swallow-answer", outcomes: ["unknown"], executions: 1, isSilent: true },
 ];
 
-for (const { mode, outcomes, executions, silenceLimitMs } of cases) {
+for (const { mode, outcomes, executions, isSilent } of cases) {
     for (const key of ["booking-1", undefined]) {
         test(`${key === undefined ? "a call without a key" : "a keyed call"}, connection does ${mode}: sent once, told ${outcomes.join(" or ")}`, async context => {
-            const { edge, url, service, proxy } = await setUp(context, silenceLimitMs);
+            const scheduler = new VirtualScheduler();
+            const { edge, url, service, proxy } = await setUp(context, scheduler);
             proxy.mode = mode;
-            const response = await book(edge, url, key);
+            const answered = book(edge, url, key);
+            if (isSilent === true) {
+                await until(() => proxy.accepted === 1 && service.calls.length === executions);
+                await passSilenceLimit(edge, scheduler);
+            }
+            const response = await answered;
             const outcome = response.headers.get("x-orioleshelf-outcome") ?? "";
             expect(outcomes).toInclude(outcome);
             if (outcome !== "ran") {
@@ -45,7 +51,7 @@
 }
 
 test("a call that found no listener goes to the next upstream", async context => {
-    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    const { edge, url, service, serviceUrl } = await setUp(context);
     edge.setServiceUrls([await closedUrl(), serviceUrl]);
     const response = await book(edge, url, "booking-2");
     expect([response.status, response.headers.get("x-orioleshelf-outcome")]).toEqual([200, "ran"]);
@@ -54,7 +60,7 @@
 });
 
 test("with no listener at all the call is told not-run, and its key runs once when there is one again", async context => {
-    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    const { edge, url, service, serviceUrl } = await setUp(context);
     edge.setServiceUrls([await closedUrl()]);
     const refused = await book(edge, url, "booking-3");
     expect([refused.status, refused.headers.get("x-orioleshelf-outcome")]).toEqual([503, "not-run"]);
@@ -65,7 +71,7 @@
 });
 
 test("an upstream that states it did nothing is told as not-run, and the call goes to another", async context => {
-    const { edge, url, service, serviceUrl } = await setUp(context, patientMs);
+    const { edge, url, service, serviceUrl } = await setUp(context);
     const stop = new AbortController();
     context.after(() => stop.abort());
     const leaving = new ServiceStandin();
@@ -76,7 +82,7 @@
 });
 
 test("a repeated key gets the answer of the first call, another body is refused, and the service runs once", async context => {
-    const { edge, url, service } = await setUp(context, patientMs);
+    const { edge, url, service } = await setUp(context);
     const [first, second] = await Promise.all([book(edge, url, "booking-4"), book(edge, url, "booking-4")]);
     expect(await first.text()).toEqual(await second.text());
     const other = await book(edge, url, "booking-4", "another wood set");
@@ -85,7 +91,7 @@
 });
 
 test("a call of a service that may be repeated is sent again after a reset", async context => {
-    const { edge, url, service, serviceUrl, proxy } = await setUp(context, patientMs);
+    const { edge, url, service, serviceUrl, proxy } = await setUp(context);
     proxy.mode = "reset-before-answer";
     edge.setServiceUrls([edge.serviceUrls[0] ?? "", serviceUrl]);
     const response = await fetch(`${url}/services/stock/sets?wood=spruce`, { headers: edge.headers });
@@ -94,7 +100,7 @@
 });
 
 test("an answer that is cut off does not look whole", async context => {
-    const { edge, url, proxy } = await setUp(context, patientMs);
+    const { edge, url, proxy } = await setUp(context);
     proxy.mode = "cut-answer";
     await expect(async () => {
         const response = await fetch(`${url}/services/pumpline-jobs/callouts`, { method: "POST", headers: edge.headers, body: "{}" });
@@ -102,7 +108,7 @@
     }).toBeRejected();
 });
 
-async function setUp(context: TestContext, plainSilenceLimitMs: number): Promise<{
+async function setUp(context: TestContext, scheduler?: VirtualScheduler): Promise<{
     edge: EdgeFixture;
     url: string;
     service: ServiceStandin;
@@ -113,7 +119,7 @@
     const service = new ServiceStandin();
     const serviceUrl = await service.start(stop.signal);
     const proxy = new TcpProxy(serviceUrl);
-    const edge = new EdgeFixture({ serviceUrls: [await proxy.start(stop.signal)], callerLimits: { plainSilenceLimitMs } });
+    const edge = new EdgeFixture({ serviceUrls: [await proxy.start(stop.signal)], ...(scheduler === undefined ? {} : { scheduler }) });
     const url = await edge.start();
     context.after(() => {
         edge.close();
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -9,6 +9,7 @@
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
 import type { Customer } from "../../schema/config/Customer.js";
 import type { ServiceClass } from "../../schema/config/ServiceClass.js";
+import { createLog } from "../logs/createLog.js";
 import { CallerFault } from "./CallerFault.js";
 import type { CallerParts } from "./CallerParts.js";
 import type { CallerRequest } from "./CallerRequest.js";
@@ -27,6 +28,7 @@
 import { StreamedAnswer } from "./StreamedAnswer.js";
 import { WholeAnswer } from "./WholeAnswer.js";
 
+const log = createLog("caller");
 const classHeader = "x-orioleshelf-class";
 const keepAliveTimeoutMs = 65_000;
 const keepAliveProbeMs = 15_000;
@@ -168,7 +170,8 @@
             recordDecision(this.parts, identified.value, "received", { customer: identified.value.customer.name });
             await serve(identified.value, summary);
         }
-        catch {
+        catch (error) {
+            log("request failed unexpectedly", { requestId, error: error instanceof Error ? error.name : typeof error });
             const outcome = summary.attempts === 0 ? "not-run" : "unknown";
             sendFault(
                 plainOutgoing,
@@ -192,6 +195,10 @@
             totalMs,
             isAbandoned: gone.aborted,
         });
+        if (!summary.isComplete) {
+            const { status, errorCode, outcome, attempts, upstreamId } = summary;
+            log("request failed", { requestId, status, errorCode, outcome, attempts, upstream: upstreamId, isAbandoned: gone.aborted });
+        }
         recordDecision(this.parts, request, summary.isComplete ? "finished" : "refused", {
             status: summary.status,
             outcome: summary.outcome,
--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -46,7 +46,7 @@
     private readonly maxOutputTokens: number;
     private readonly grants: GrantSource;
     private readonly times = new TokenTimes();
-    private readonly deliveredText: EventText;
+    private deliveredText: EventText;
     private mayHaveRun = false;
 
     constructor(
@@ -60,7 +60,7 @@
         this.promptTokens = Math.ceil(prompt.length / charactersPerToken);
         this.hashes = prefixHashes(prompt);
         this.maxOutputTokens = work.body.max_completion_tokens ?? work.body.max_tokens ?? request.serviceClass.defaultMaxOutputTokens;
-        this.deliveredText = new EventText(work.endpoint === "/v1/chat/completions");
+        this.deliveredText = this.newText();
         summary.service = work.body.model;
     }
 
@@ -204,6 +204,9 @@
     /** Decides whether a failed attempt is followed by another one. */
     private goOnAfter(error: EngineError, grant: Grant, pool: Pool): boolean {
         this.grants.exclude(grant);
+        if (isResumeRefusal(error) && this.times.tokens > 0 && !this.startOver()) {
+            return false;
+        }
         const question = {
             failure: { mayHaveRun: mayHaveDoneWork(error), isRequestFault: error.kind === "refused" && isRequestFault(error.status) },
             isRepeatable: pool.repeatable,
@@ -222,6 +225,21 @@
         return goesOn;
     }
 
+    /** No engine that is left can resume: the answer starts over when the caller has none of it yet. */
+    private startOver(): boolean {
+        if (!this.work.sink.restart()) {
+            return false;
+        }
+        this.summary.wastedTokens += this.times.tokens;
+        this.times.restart();
+        this.deliveredText = this.newText();
+        return true;
+    }
+
+    private newText(): EventText {
+        return new EventText(this.work.endpoint === "/v1/chat/completions");
+    }
+
     private engineRequest(grant: Grant): EngineRequest {
         return {
             requestId: this.request.requestId,
@@ -277,6 +295,10 @@
     return kind === "whole" ? undefined : { kind: "cancelled", status: undefined, message: "the stream was cancelled" };
 }
 
+function isResumeRefusal(error: EngineError): boolean {
+    return error.kind === "refused" && error.status === undefined;
+}
+
 function isRequestFault(status: number | undefined): boolean {
     return status !== undefined && status >= 400 && status < 500;
 }
--- a/src/node/caller/StreamedAnswer.ts
+++ b/src/node/caller/StreamedAnswer.ts
@@ -25,6 +25,10 @@
         return waitForDrain(this.response, this.scheduler, this.stallLimitMs);
     }
 
+    restart(): boolean {
+        return !this.response.headersSent;
+    }
+
     finish(): void {
         this.response.end();
     }
--- a/src/node/caller/TokenTimes.ts
+++ b/src/node/caller/TokenTimes.ts
@@ -17,6 +17,11 @@
         this.tokens += tokenCount;
     }
 
+    /** Counts the tokens anew; the times stay, as they are what the caller sees. */
+    restart(): void {
+        this.tokens = 0;
+    }
+
     get meanGapMs(): number | undefined {
         if (this.firstTokenAtMs === undefined || this.tokens < 2) {
             return undefined;
--- a/src/node/caller/WholeAnswer.ts
+++ b/src/node/caller/WholeAnswer.ts
@@ -9,8 +9,8 @@
 
 /** Puts a whole answer together out of streamed events. */
 export class WholeAnswer implements AnswerSink {
-    private readonly texts: string[] = [];
-    private readonly toolCalls = new Map<number, ToolCall>();
+    private texts: string[] = [];
+    private toolCalls = new Map<number, ToolCall>();
     private refusal = "";
     private head: Record<string, unknown> = {};
     private finishReason: string | undefined;
@@ -28,6 +28,14 @@
         return undefined;
     }
 
+    restart(): boolean {
+        this.texts = [];
+        this.toolCalls = new Map();
+        this.refusal = "";
+        this.finishReason = undefined;
+        return true;
+    }
+
     finish(): void {
         this.response.writeHead(200, {
             "content-type": "application/json",
--- a/src/node/upstream/HttpEngineClient.ts
+++ b/src/node/upstream/HttpEngineClient.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Upstream } from "../../schema/config/Upstream.js";
+import { createLog } from "../logs/createLog.js";
 import type { EngineClient } from "../services/EngineClient.js";
 import type { EngineError } from "../services/EngineError.js";
 import type { EngineRequest } from "../services/EngineRequest.js";
@@ -21,6 +22,7 @@
     readonly silenceLimitMs: number;
 }
 
+const log = createLog("upstream");
 const defaultOptions: HttpEngineClientOptions = { headLimitMs: 5_000, silenceLimitMs: 20_000 };
 const silenceSweepMs = 100;
 const maxErrorBytes = 64 * 1024;
@@ -73,6 +75,10 @@
             checkResumed(head.headers, request, stream);
             return stream;
         }
+        catch (error) {
+            log("engine did not take a request", { requestId: request.requestId, upstream: upstream.id, kind: toEngineError(error).kind });
+            throw error;
+        }
         finally {
             release();
         }
@@ -115,6 +121,14 @@
         this.streams.add(stream);
         stream.onClosed = failure => {
             this.streams.delete(stream);
+            if (failure !== undefined && failure.kind !== "cancelled") {
+                log("stream broke", {
+                    requestId: request.requestId,
+                    upstream: upstream.id,
+                    kind: failure.kind,
+                    tokens: stream.receivedTokens,
+                });
+            }
             if (failure?.kind === "silent") {
                 this.cancelOnEngine(upstream, request);
             }
--- a/standins/engine/CompletionRun.ts
+++ b/standins/engine/CompletionRun.ts
@@ -26,10 +26,11 @@
 export class CompletionRun implements BatchRequest {
     readonly priority: number;
     readonly prefillTokens: number;
+    /** The reader is too slow: nothing is produced until it has caught up. */
+    isBlocked = false;
     private sentTokens: number;
     private text = "";
     private isRoleSent = false;
-    private isBlocked = false;
     private readonly eventStart: string;
     private readonly eventEnd: string;
 
--- a/standins/engine/EngineStandin.ts
+++ b/standins/engine/EngineStandin.ts
@@ -71,6 +71,11 @@
         return this.server.calls.list();
     }
 
+    /** Runs whose reader is too slow for them to go on. */
+    get blockedRuns(): number {
+        return [...this.runs.values()].filter(({ run }) => run.isBlocked).length;
+    }
+
     /** Faults, for tests in the same process. */
     get faults(): StandinServer["faults"] {
         return this.server.faults;
@@ -147,7 +152,7 @@
         const run = new CompletionRun({
             id: `chatcmpl-${requestId}`,
             isChat: path === "/v1/chat/completions",
-            body,
+            body: this.options.canResume ? body : { ...body, resume_from_token: 0 },
             promptHash: promptHash(prompt, this.options.seed),
             promptTokens: Math.ceil(prompt.length / charactersPerToken),
             cachedTokens: this.cache.use(prompt),
@@ -169,7 +174,7 @@
             response.writeHead(200, {
                 "content-type": "text/event-stream",
                 "cache-control": "no-cache",
-                "x-resumed-from": String(body.resume_from_token),
+                ...(this.options.canResume ? { "x-resumed-from": String(body.resume_from_token) } : {}),
             });
             response.flushHeaders();
         }
--- a/standins/engine/EngineStandinOptions.ts
+++ b/standins/engine/EngineStandinOptions.ts
@@ -10,6 +10,8 @@
     /** Added to the step for each running request beyond the first. */
     readonly stepMsPerRequest: number;
     readonly prefillMsPerToken: number;
+    /** Honour `resume_from_token`; an engine that does not starts over and does not confirm an offset. */
+    readonly canResume: boolean;
     /** Length of an answer when the caller asks for no less. */
     readonly naturalAnswerTokens: number;
     /** Load reports tell the state of this long ago. */
--- a/standins/engine/defaultEngineOptions.ts
+++ b/standins/engine/defaultEngineOptions.ts
@@ -8,6 +8,7 @@
     stepMs: 2,
     stepMsPerRequest: 0,
     prefillMsPerToken: 0.01,
+    canResume: true,
     naturalAnswerTokens: 32,
     loadReportDelayMs: 500,
     cacheEventDelayMs: 200,
