--- /dev/null
+++ b/proof/edge/callers.test.ts
@@ -0,0 +1,128 @@
+import { expect } from "earl";
+import { connect } from "node:net";
+import { test } from "node:test";
+import OpenAI from "openai";
+import { answerText } from "../../standins/engine/answerText.js";
+import { Fault } from "../../standins/shared/Fault.js";
+import { setUpEngines } from "./setUpEngines.js";
+import { streamText } from "./streamText.js";
+import { until } from "./until.js";
+
+const model = "pumpline-model";
+const prompt = "the hose leaks at the swivel";
+const messages = [{ role: "user" as const, content: prompt }];
+const limits = { timeout: 15_000 };
+const endless = { naturalAnswerTokens: 1_000_000 };
+
+test("aborting a stream cancels the work on the engine and is told to the observer", limits, async context => {
+    const { client, edge, first } = await setUpEngines(context, [endless]);
+    const stream = await client.chat.completions.create({ model, stream: true, messages });
+    let chunks = 0;
+    for await (const chunk of stream) {
+        chunks += chunk.choices.length;
+        if (chunks === 5) {
+            stream.controller.abort();
+        }
+    }
+    const [end] = await edge.ended(1);
+    expect([end?.isAbandoned, end?.isComplete, end?.errorCode]).toEqual([true, false, "caller_gone"]);
+    await until(() => first.calls[0]?.state === "cancelled");
+    expect(edge.dispatch.ends.map(grant => grant.result)).toEqual(["cancelled"]);
+});
+
+test("a caller that goes while its request waits for an engine leaves nothing behind", limits, async context => {
+    const { client, edge, first } = await setUpEngines(context, [{ maxBatchSize: 1, ...endless }]);
+    const abort = new AbortController();
+    const answer = client.chat.completions.create({ model, messages }, { signal: abort.signal });
+    await until(() => first.calls.length === 1);
+    abort.abort();
+    await expect(answer).toBeRejected();
+    await edge.ended(1);
+    await until(() => first.calls[0]?.state === "cancelled");
+    expect(edge.dispatch.open.size).toEqual(0);
+});
+
+test("a caller that reads slowly holds the engine back, and nothing piles up in between", limits, async context => {
+    const { edge, url, first } = await setUpEngines(context, [{ ...endless, stepMs: 0 }]);
+    const abort = new AbortController();
+    const answer = await fetch(`${url}/v1/chat/completions`, {
+        method: "POST",
+        headers: edge.headers,
+        body: JSON.stringify({ model, messages, stream: true }),
+        signal: abort.signal,
+    });
+    await until(() => first.blockedRuns === 1);
+    const reader = answer.body!.getReader();
+    const producedMeanwhile = first.calls[0]!.tokens;
+    while (first.calls[0]!.tokens === producedMeanwhile) {
+        await reader.read();
+    }
+    abort.abort();
+    await edge.ended(1);
+});
+
+test("a drain refuses new work as not run and lets the stream in flight finish", limits, async context => {
+    const { client, edge, url, first } = await setUpEngines(context, [{ stepMs: 10 }]);
+    const text = streamText(client, prompt);
+    await until(() => (first.calls[0]?.tokens ?? 0) > 2);
+    let isDrained = false;
+    const drained = edge.server.drain().then(() => {
+        isDrained = true;
+    });
+    expect((await fetch(`${url}/readyz`)).status).toEqual(503);
+    expect((await fetch(`${url}/healthz`)).status).toEqual(200);
+    const refused = await fetch(`${url}/v1/chat/completions`, { method: "POST", headers: edge.headers, body: "{}" });
+    expect([refused.status, refused.headers.get("x-orioleshelf-outcome")]).toEqual([503, "not-run"]);
+    expect([isDrained, edge.server.activeRequests]).toEqual([false, 1]);
+    expect(await text).toEqual(answerText(prompt, 32, 1));
+    await drained;
+    expect(edge.server.activeRequests).toEqual(0);
+});
+
+test("the openai client raises its own class for each kind of error", limits, async context => {
+    const { client, edge, url } = await setUpEngines(context, [{}]);
+    const create = (with_: { client?: OpenAI; model?: string; headers?: Record<string, string>; } = {}) =>
+        (with_.client ?? client).chat.completions.create({ model: with_.model ?? model, messages }, { headers: with_.headers });
+    const stranger = new OpenAI({ apiKey: "sk-nobody", baseURL: `${url}/v1`, maxRetries: 0 });
+    await expect(() => create({ client: stranger })).toBeRejectedWith(OpenAI.AuthenticationError);
+    await expect(() => create({ headers: { "x-orioleshelf-class": "manual" } })).toBeRejectedWith(OpenAI.PermissionDeniedError);
+    await expect(() => create({ model: "no-such-model" })).toBeRejectedWith(OpenAI.NotFoundError);
+    await expect(() => client.chat.completions.create({ model, messages: [] })).toBeRejectedWith(OpenAI.BadRequestError);
+    edge.limitRefusal = { kind: "tokens-per-minute", retryAfterMs: 10 };
+    await expect(() => create()).toBeRejectedWith(OpenAI.RateLimitError);
+    edge.limitRefusal = undefined;
+    edge.dispatch.refusal = { kind: "shed", retryAfterMs: 20, message: "too much work; send again later" };
+    await expect(() => create()).toBeRejectedWith(OpenAI.InternalServerError);
+    expect(edge.ends.every(end => end.outcome === "not-run")).toEqual(true);
+});
+
+test("the openai client sends again what was refused as not run, after the time told", limits, async context => {
+    const { client, edge } = await setUpEngines(context, [{}], {}, 1);
+    edge.dispatch.refusal = { kind: "shed", retryAfterMs: 1, message: "too much work; send again later" };
+    const text = streamText(client, prompt);
+    await until(() => edge.dispatch.tickets.length === 1);
+    edge.dispatch.refusal = undefined;
+    expect(await text).toEqual(answerText(prompt, 32, 1));
+    expect((await edge.ended(2)).map(end => end.status)).toEqual([503, 200]);
+});
+
+test("the openai client does not repeat a call that may have run", limits, async context => {
+    const { client, edge, first } = await setUpEngines(context, [{}], {}, 3);
+    first.faults.set(Fault.parse({ kind: "crash-mid-stream", afterTokens: 0 }));
+    await expect(() => client.chat.completions.create({ model, messages })).toBeRejected();
+    expect((await edge.ended(1)).map(end => end.outcome)).toEqual(["unknown"]);
+    expect(edge.ends.length).toEqual(1);
+});
+
+test("a caller that takes nothing of its answer for too long is disconnected and its engine freed", limits, async context => {
+    const { edge, url, first } = await setUpEngines(context, [{ ...endless, stepMs: 0 }], { callerLimits: { callerStallLimitMs: 50 } });
+    const body = JSON.stringify({ model, messages, stream: true });
+    const socket = connect(Number(new URL(url).port), "127.0.0.1");
+    context.after(() => socket.destroy());
+    socket.write(
+        `POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer ${edge.key}\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+    );
+    const [end] = await edge.ended(1);
+    expect([end?.isComplete, end?.isAbandoned]).toEqual([false, true]);
+    await until(() => first.calls[0]?.state === "cancelled");
+});
--- a/standins/shared/TcpProxy.ts
+++ b/standins/shared/TcpProxy.ts
@@ -67,7 +67,7 @@
             this.onRequestBytes(near, far, bytes);
         });
         far.on("data", bytes => {
-            this.onAnswerBytes(near, bytes);
+            this.onAnswerBytes(near, far, bytes);
         });
     }
 
@@ -76,11 +76,11 @@
             near.resetAndDestroy();
         }
         else if (this.mode !== "swallow-request") {
-            far.write(bytes);
+            passOn(near, far, bytes);
         }
     }
 
-    private onAnswerBytes(near: Socket, bytes: Buffer): void {
+    private onAnswerBytes(near: Socket, far: Socket, bytes: Buffer): void {
         switch (this.mode) {
             case "reset-before-answer":
                 near.resetAndDestroy();
@@ -95,7 +95,7 @@
                 setTimeout(() => near.write(bytes), this.delayMs);
                 break;
             default:
-                near.write(bytes);
+                passOn(far, near, bytes);
         }
     }
 
@@ -109,3 +109,11 @@
         });
     }
 }
+
+/** Holds the sender back while the receiver is slow. */
+function passOn(from: Socket, to: Socket, bytes: Buffer): void {
+    if (!to.write(bytes)) {
+        from.pause();
+        to.once("drain", () => from.resume());
+    }
+}
