--- a/proof/membership/FakeFleet.ts
+++ b/proof/membership/FakeFleet.ts
@@ -5,6 +5,8 @@
 
 const tickMs = 100;
 const greetMs = 1000;
+/** VMs that one without any members dials at once. */
+const seedCount = 3;
 
 /** One VM of the fake fleet. */
 interface FakeVm {
@@ -146,14 +148,14 @@
         }, target.stop.signal);
     }
 
-    /** Dials one VM that is not in the view, or all when there is none yet; the link opens when both directions work. */
+    /** Dials a VM that is not in the view, or some when there is none yet; the link opens when both directions work. */
     private greet(vm: FakeVm): void {
         if (this.isPaused(vm)) {
             return;
         }
         const view = new Set(this.view(vm.vm));
         const missing = this.names.filter(name => !view.has(name));
-        const count = view.size === 1 ? missing.length : Math.min(1, missing.length);
+        const count = Math.min(view.size === 1 ? seedCount : 1, missing.length);
         for (let index = 0; index < count; index++) {
             const name = missing[vm.rotation++ % missing.length] as string;
             const other = this.vms.get(name);
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -60,7 +60,8 @@
     private readonly lastTriedMs = new Map<string, number>();
     private readonly zoneOffsets = new Map<string, { offset: number; change: number; }>();
     private listed: ReadonlySet<string> = new Set();
-    private watched: readonly string[] = [];
+    private watched: ReadonlySet<string> = new Set();
+    private watchedAtChanges = -1;
     private version = 0;
     private state: MemberRecord["state"] = "starting";
     private unreachableZones: readonly string[] = [];
@@ -138,7 +139,7 @@
         const { vm, incarnation } = this.options.self;
         const gone: GoneStatement = { vm, incarnation, version: this.version, ageMs: 0 };
         for (const neighbour of this.targets()) {
-            this.options.send(neighbour, { ...this.bareHeartbeatTo(neighbour), gone: [gone] });
+            this.options.send(neighbour, { ...this.bareHeartbeatTo(neighbour, false), gone: [gone] });
         }
     }
 
@@ -244,7 +245,9 @@
         if (entry.isGone) {
             this.tellGone(from, entry);
         }
-        this.greetGuest(from);
+        if (heartbeat.wantsHeartbeats) {
+            this.greetGuest(from);
+        }
     }
 
     /** Beyond one period without a heartbeat from here, the peer did not hear this VM; that time does not count as heard. */
@@ -257,13 +260,13 @@
         }
     }
 
-    /** A VM that sends heartbeats gets them in turn, the first at once. */
+    /** A VM that watches this one gets heartbeats in turn, the first at once. */
     private greetGuest(vm: string): void {
         const neighbour = this.neighbourOf(vm);
-        const isNew = neighbour.guestUntilMs < this.nowMs && !this.watched.includes(vm);
+        const isNew = neighbour.guestUntilMs < this.nowMs && !this.watched.has(vm);
         neighbour.guestUntilMs = this.nowMs + guestPeriods * this.settings.heartbeatMs;
         if (isNew) {
-            this.options.send(vm, this.bareHeartbeatTo(vm));
+            this.options.send(vm, this.bareHeartbeatTo(vm, false));
         }
     }
 
@@ -338,7 +341,7 @@
             }
         }
         const zoneOffsets = [...this.zoneOffsets].map(([zone, { offset }]): [string, number] => [zone, offset]);
-        this.options.send(from, { ...this.bareHeartbeatTo(from), records, gone, offsets, zoneOffsets });
+        this.options.send(from, { ...this.bareHeartbeatTo(from, false), records, gone, offsets, zoneOffsets });
         if (sync.wantsList) {
             this.sync(from, false);
         }
@@ -405,7 +408,12 @@
         }
     }
 
+    /** Finds out whom to watch, after each change of what is known. */
     private updateWatched(): void {
+        if (this.watchedAtChanges === this.store.changes) {
+            return;
+        }
+        this.watchedAtChanges = this.store.changes;
         const zones = this.vmsByZone();
         const { vm, availabilityZone } = this.options.self;
         const ownZone = zones.get(availabilityZone) ?? [];
@@ -421,7 +429,7 @@
                 this.addPartners(watched, zone, vms, ownZone);
             }
         }
-        this.watched = [...watched];
+        this.watched = watched;
     }
 
     /** Adds the VMs of another zone that this VM is linked to as a representative of its own. */
@@ -597,20 +605,22 @@
     private sendHeartbeat(vm: string, onlyNews = false): void {
         const neighbour = this.neighbourOf(vm);
         const news = this.newsFor(vm, neighbour);
-        const isSent = (onlyNews && Object.keys(news).length === 0) || this.options.send(vm, { ...this.bareHeartbeatTo(vm), ...news });
+        const isSent = (onlyNews && Object.keys(news).length === 0) ||
+            this.options.send(vm, { ...this.bareHeartbeatTo(vm, this.watched.has(vm)), ...news });
         if (isSent) {
             neighbour.toldRecordChanges = this.store.changes;
             neighbour.toldOffsetChanges = this.store.changes;
         }
     }
 
-    private bareHeartbeatTo(vm: string): Heartbeat {
+    private bareHeartbeatTo(vm: string, wantsHeartbeats = true): Heartbeat {
         const heardAtMs = this.store.get(vm)?.heardAtMs ?? -Infinity;
         return {
             type: "heartbeat",
             incarnation: this.options.self.incarnation,
             heardMs: heardAtMs === -Infinity ? -1 : Math.max(0, Math.round(this.nowMs - heardAtMs)),
             digest: this.store.digest,
+            wantsHeartbeats,
         };
     }
 
@@ -641,7 +651,7 @@
     }
 
     private tellGone(vm: string, entry: MemberEntry): void {
-        this.options.send(vm, { ...this.bareHeartbeatTo(vm), gone: [this.statementOf(entry)] });
+        this.options.send(vm, { ...this.bareHeartbeatTo(vm, false), gone: [this.statementOf(entry)] });
     }
 
     private statementOf(entry: MemberEntry): GoneStatement {
--- a/src/core/util/VirtualScheduler.ts
+++ b/src/core/util/VirtualScheduler.ts
@@ -11,7 +11,7 @@
 export class VirtualScheduler implements Scheduler {
     private timeMs = 0;
     private sequence = 0;
-    private timers: Timer[] = [];
+    private readonly timers: Timer[] = [];
 
     constructor(private readonly epochMs = 0) {}
 
@@ -26,6 +26,7 @@
     after(delayMs: number, callback: () => void, signal: AbortSignal): void {
         const timer = { dueMs: this.timeMs + Math.max(0, delayMs), sequence: this.sequence++, callback, signal };
         this.timers.push(timer);
+        this.moveUp(this.timers.length - 1);
     }
 
     every(periodMs: number, callback: () => void, signal: AbortSignal): void {
@@ -63,15 +64,51 @@
     }
 
     private takeDue(endMs: number): Timer | undefined {
-        let first = -1;
-        for (let index = 0; index < this.timers.length; index++) {
-            const timer = this.timers[index] as Timer;
-            const best = this.timers[first];
-            if (timer.dueMs <= endMs && (best === undefined || isEarlier(timer, best))) {
-                first = index;
+        const first = this.timers[0];
+        if (first === undefined || first.dueMs > endMs) {
+            return undefined;
+        }
+        const last = this.timers.pop();
+        if (last !== undefined && last !== first) {
+            this.timers[0] = last;
+            this.moveDown(0);
+        }
+        return first;
+    }
+
+    /** The timers form a binary heap with the earliest on top; a timer moves up past later ones. */
+    private moveUp(start: number): void {
+        let index = start;
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            if (!this.swapIfEarlier(index, parent)) {
+                return;
             }
+            index = parent;
+        }
+    }
+
+    private moveDown(start: number): void {
+        let index = start;
+        while (2 * index + 1 < this.timers.length) {
+            const left = 2 * index + 1;
+            const isRightEarlier = left + 1 < this.timers.length && isEarlier(this.timers[left + 1] as Timer, this.timers[left] as Timer);
+            const child = isRightEarlier ? left + 1 : left;
+            if (!this.swapIfEarlier(child, index)) {
+                return;
+            }
+            index = child;
+        }
+    }
+
+    private swapIfEarlier(lower: number, upper: number): boolean {
+        const [lowerTimer, upperTimer] = [this.timers[lower] as Timer, this.timers[upper] as Timer];
+        if (!isEarlier(lowerTimer, upperTimer)) {
+            return false;
         }
-        return first < 0 ? undefined : this.timers.splice(first, 1)[0];
+        this.timers[lower] = upperTimer;
+        this.timers[upper] = lowerTimer;
+        return true;
     }
 
     /** Lets every promise that is ready settle; a macrotask runs after all queued microtasks. */
--- a/src/node/membership/GossipMembership.ts
+++ b/src/node/membership/GossipMembership.ts
@@ -1,14 +1,14 @@
-import createDebug from "debug";
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
 import type { Member } from "../../core/membership/Member.js";
 import type { MembershipSettings } from "../../core/membership/MembershipSettings.js";
 import { MembershipTable } from "../../core/membership/MembershipTable.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { VmList } from "../../schema/platform/VmList.js";
+import { createLog } from "../logs/createLog.js";
 import type { MembershipService } from "../services/MembershipService.js";
 import type { MembershipLinks } from "./MembershipLinks.js";
 
-const log = createDebug("orioleshelf:membership");
+const log = createLog("membership");
 
 /** Least time between two attempts to reach VMs that are not in the view. */
 const greetPeriodMs = 1000;
@@ -38,7 +38,7 @@
             self: options.self,
             send: (vm, message) => options.links.send(vm, message),
             onEvent: ({ kind, subject }) => {
-                log("%s %s", kind, subject);
+                log(kind, { subject });
             },
             settings: this.settings,
         }, options.scheduler.nowMs());
--- a/src/node/peer/PeerCodec.ts
+++ b/src/node/peer/PeerCodec.ts
@@ -5,9 +5,12 @@
 
 const frameKinds = ["message", "request", "reply", "ping", "pong"] as const;
 
+/** Keys of the message that is sent most, agreed beforehand so that they are not sent each time. Part of the protocol version. */
+const heartbeatKeys = ["type", "incarnation", "heardMs", "digest", "wantsHeartbeats"];
+
 /** Turns frames into MessagePack bytes and back; what arrives is checked against the schema of peer messages. */
 export class PeerCodec {
-    private readonly packr = new Packr({ useRecords: false, mapsAsObjects: true });
+    private readonly packr = new Packr({ structures: [[...heartbeatKeys]], maxSharedStructures: 1 } as object);
 
     /** A frame is `[kind, id, message]`, for a ping `[kind, quietMs]`; fields that a kind does not have are left out. */
     encode(frame: PeerFrame): Uint8Array {
--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -1,4 +1,3 @@
-import createDebug from "debug";
 import { errAsync, ResultAsync } from "neverthrow";
 import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -6,6 +5,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import { createLog } from "../logs/createLog.js";
 import type { PeerError } from "../services/PeerError.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
 import { bestConnection } from "./bestConnection.js";
@@ -18,7 +18,7 @@
 import type { PeerState } from "./PeerState.js";
 import type { PeerTls } from "./PeerTls.js";
 
-const log = createDebug("orioleshelf:peer");
+const log = createLog("peer");
 
 const checkPeriodMs = 100;
 /** A check that comes later than this means that this process itself was paused. */
@@ -247,7 +247,7 @@
         const state = this.peers.get(vm) ?? newPeerState(undefined);
         this.peers.set(vm, state);
         state.connections.push(connection);
-        log("link to VM %s is open, generation %d", vm, connection.generation);
+        log("link is open", { vm, generation: connection.generation });
         this.retireOthers(state);
         const waiting = state.waiting;
         state.waiting = [];
@@ -281,7 +281,7 @@
     private onClosed(connection: PeerConnection, reason: string): void {
         this.opening.delete(connection);
         const vm = connection.peer?.vm;
-        log("link to VM %s closed: %s", vm ?? "unknown", reason);
+        log("link closed", { vm: vm ?? "unknown", reason });
         const state = vm === undefined ? undefined : this.peers.get(vm);
         if (vm === undefined || state === undefined) {
             return;
@@ -342,14 +342,14 @@
     private async handle(from: string, message: PeerMessage): Promise<PeerMessage | undefined> {
         const handler = this.handlers.get(message.type);
         if (handler === undefined) {
-            log("no task handles %s from VM %s; the message is dropped", message.type, from);
+            log("no task handles this message; it is dropped", { type: message.type, vm: from });
             return undefined;
         }
         try {
             return await handler(from, message);
         }
         catch (error) {
-            log("handling %s from VM %s failed: %s", message.type, from, String(error));
+            log("handling a message failed", { type: message.type, vm: from, error: String(error) });
             return undefined;
         }
     }
--- a/src/node/platform/vmlist/VmListTask.ts
+++ b/src/node/platform/vmlist/VmListTask.ts
@@ -1,10 +1,10 @@
-import createDebug from "debug";
 import type { Scheduler } from "../../../core/util/Scheduler.js";
 import type { VmList } from "../../../schema/platform/VmList.js";
+import { createLog } from "../../logs/createLog.js";
 import type { LeavingList } from "./LeavingList.js";
 import type { VmListClient } from "./VmListClient.js";
 
-const log = createDebug("orioleshelf:vmlist");
+const log = createLog("vmlist");
 
 interface VmListTaskOptions {
     readonly client: VmListClient;
@@ -48,7 +48,7 @@
         this.isPolling = false;
         if (answer.isErr()) {
             if (!this.isFailing && !signal.aborted) {
-                log("%s", answer.error.message);
+                log(answer.error.message);
             }
             this.isFailing = true;
             return;
@@ -64,7 +64,7 @@
             return;
         }
         this.leaving = leaving;
-        log("leaving by the platform's list: %s", [...leaving].join(", ") || "none");
+        log("upstreams leaving by the platform's list", { upstreams: [...leaving].join(" ") });
         for (const listener of this.listeners) {
             listener(leaving);
         }
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -19,6 +19,8 @@
         heardMs: z.int(),
         /** Hash over the records of all members, by which two VMs find out that they know different ones. */
         digest: z.int(),
+        /** The sender watches this peer, which sends heartbeats in turn. */
+        wantsHeartbeats: z.boolean(),
         records: z.array(MemberRecord).optional(),
         gone: z.array(GoneStatement).optional(),
         /** Offset of the configuration in force on VMs of the sender's zone. */
