--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -19,19 +19,19 @@
 import type { LogRecord } from "../services/LogRecord.js";
 import type { MembershipService } from "../services/MembershipService.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
+import { ChangePublisher } from "./ChangePublisher.js";
 import { decodeSnapshot } from "./decodeSnapshot.js";
 import { encodeSnapshot } from "./encodeSnapshot.js";
+import { pause } from "./pause.js";
 import { RecentRecords } from "./RecentRecords.js";
+import { SnapshotWriter } from "./SnapshotWriter.js";
 
 const log = createLog("config");
 const pollMs = 2_000;
 const peerCheckMs = 250;
 const peerTimeoutMs = 1_000;
-const publishRetryMs = 200;
-const readBackMs = 500;
 const confirmCheckMs = 50;
 const snapshotCheckMs = 5_000;
-const snapshotRankDelayMs = 10_000;
 
 type ChangeRequest = Omit<ConfigChange, "type" | "formatVersion" | "changeId">;
 
@@ -51,19 +51,18 @@
     private readonly fold = new ConfigFold();
     private readonly recent = new RecentRecords(-1);
     private readonly zones: ZoneConfirmations;
+    private readonly publisher: ChangePublisher;
+    private readonly snapshots: SnapshotWriter;
     private readonly listeners = new Set<(view: ConfigView) => void>();
-    /** First verdict on each change that is being applied here. */
-    private readonly verdicts = new Map<string, FoldResult | undefined>();
     private ready = false;
     private isFetching = false;
     private nextSnapshotRecord = 0;
-    private lastSnapshotOffset = -1;
-    private lastSnapshotWallMs = 0;
-    private snapshotDueSinceMs: number | undefined;
     private skipped = 0;
     private signal: AbortSignal | undefined;
 
     constructor(private readonly options: LogConfigServiceOptions) {
+        this.publisher = new ChangePublisher({ log: options.log, scheduler: options.scheduler, stream: options.settings.stream });
+        this.snapshots = new SnapshotWriter(options);
         this.zones = new ZoneConfirmations(options.settings.zones, options.settings.zoneMemoryMs);
     }
 
@@ -101,7 +100,9 @@
             void this.fetchFromPeers(signal);
         }, signal);
         scheduler.every(snapshotCheckMs, () => {
-            void this.writeSnapshotIfDue(signal);
+            if (this.ready) {
+                void this.snapshots.writeIfDue(this.fold.offset, () => this.fold.snapshot(), signal);
+            }
         }, signal);
         await this.readSnapshots(signal);
         await Promise.all([this.tailChanges(signal), this.tailSnapshots(signal)]);
@@ -147,40 +148,8 @@
         return exists ? operation : { ...operation, readRevision: this.fold.offset };
     }
 
-    /** Appends the change until it is read back. Every append of it after the first that lands is rejected by the fold. */
-    private async publish(change: ConfigChange, deadlineMs: number): Promise<Result<FoldResult, ApplyError>> {
-        const payload = new TextEncoder().encode(JSON.stringify(change));
-        const { changeId } = change;
-        this.verdicts.set(changeId, undefined);
-        let mayHaveLanded = false;
-        let hasLanded = false;
-        while (this.verdicts.get(changeId) === undefined && this.options.scheduler.nowMs() < deadlineMs) {
-            if (hasLanded) {
-                await this.pause(confirmCheckMs);
-                continue;
-            }
-            const appended = await this.append(this.options.settings.stream, payload);
-            hasLanded = appended.isOk();
-            mayHaveLanded ||= hasLanded || (appended.isErr() && appended.error.kind !== "not-appended");
-            if (!hasLanded) {
-                await this.awaitVerdict(changeId, mayHaveLanded ? readBackMs : publishRetryMs, deadlineMs);
-            }
-        }
-        const verdict = this.verdicts.get(changeId);
-        this.verdicts.delete(changeId);
-        if (verdict !== undefined) {
-            return ok(verdict);
-        }
-        return mayHaveLanded
-            ? err({ kind: "unknown", message: `change ${changeId} may take effect or not; read the objects again before repeating it` })
-            : err({ kind: "not-published", message: "the platform's log took no append; repeat the change when it is back" });
-    }
-
-    private async awaitVerdict(changeId: string, waitMs: number, deadlineMs: number): Promise<void> {
-        const untilMs = Math.min(deadlineMs, this.options.scheduler.nowMs() + waitMs);
-        while (this.verdicts.get(changeId) === undefined && this.options.scheduler.nowMs() < untilMs) {
-            await this.pause(confirmCheckMs);
-        }
+    private publish(change: ConfigChange, deadlineMs: number): Promise<Result<FoldResult, ApplyError>> {
+        return this.publisher.publish(change, deadlineMs, this.signal ?? AbortSignal.abort());
     }
 
     private async awaitZones(offset: number, deadlineMs: number): Promise<ApplyAnswer> {
@@ -192,7 +161,7 @@
             if (this.options.scheduler.nowMs() >= deadlineMs) {
                 return { status: "pending", offset, pendingZones };
             }
-            await this.pause(confirmCheckMs);
+            await pause(this.options.scheduler, confirmCheckMs);
         }
     }
 
@@ -281,8 +250,7 @@
     }
 
     private takeSnapshot(snapshot: ConfigSnapshot): void {
-        this.lastSnapshotOffset = Math.max(this.lastSnapshotOffset, snapshot.offset);
-        this.lastSnapshotWallMs = Math.max(this.lastSnapshotWallMs, snapshot.writtenAtMs ?? 0);
+        this.snapshots.observe(snapshot);
         this.loadSnapshot(snapshot);
     }
 
@@ -312,9 +280,7 @@
             this.skipped++;
             log("SKIP a record of the configuration stream", { offset: record.offset, reason: result.message });
         }
-        if (result.changeId !== undefined && this.verdicts.has(result.changeId) && this.verdicts.get(result.changeId) === undefined) {
-            this.verdicts.set(result.changeId, result);
-        }
+        this.publisher.observe(result);
     }
 
     private notify(): void {
@@ -382,38 +348,4 @@
             this.becomeReady(`peer ${peer.vm}`);
         }
     }
-
-    /** The first VM by name writes a snapshot that is due; the others follow one after another while it is still missing. */
-    private async writeSnapshotIfDue(signal: AbortSignal): Promise<void> {
-        const { membership, scheduler, settings, vm } = this.options;
-        if (!this.isSnapshotDue()) {
-            this.snapshotDueSinceMs = undefined;
-            return;
-        }
-        this.snapshotDueSinceMs ??= scheduler.nowMs();
-        const rank = membership.members.filter(member => member.state === "ready" && member.vm < vm).length;
-        if (scheduler.nowMs() - this.snapshotDueSinceMs >= rank * snapshotRankDelayMs) {
-            const snapshot = { ...this.fold.snapshot(), writtenAtMs: scheduler.wallMs() };
-            await this.options.log.append(settings.snapshotStream, encodeSnapshot(snapshot), signal);
-        }
-    }
-
-    private isSnapshotDue(): boolean {
-        const { scheduler, settings } = this.options;
-        if (!this.ready || this.fold.offset < 0) {
-            return false;
-        }
-        const isDueByCount = this.fold.offset - this.lastSnapshotOffset >= settings.snapshotEveryRecords;
-        return isDueByCount || scheduler.wallMs() - this.lastSnapshotWallMs >= settings.snapshotPeriodMs;
-    }
-
-    private append(stream: string, payload: Uint8Array): ResultAsync<number, { kind: string; }> {
-        return this.options.log.append(stream, payload, this.signal ?? AbortSignal.abort());
-    }
-
-    private pause(durationMs: number): Promise<void> {
-        return new Promise(resolve => {
-            this.options.scheduler.after(durationMs, resolve, new AbortController().signal);
-        });
-    }
 }
