--- a/src/core/config/ConfigFold.test.ts
+++ b/src/core/config/ConfigFold.test.ts
@@ -101,6 +101,21 @@
     expect(fold(base, ...refused).verdicts).toEqual(["applied", ...refused.map(() => "invalid")]);
 });
 
+test("keys move between customers within one change, and are free once their holder is gone", () => {
+    const [first, second] = ["a".repeat(64), "b".repeat(64)];
+    const put = (name: string, hashes: string[], readRevision?: number) => putCustomer(name, ["urgent"], readRevision, hashes);
+    const { verdicts } = fold(
+        change("1", putClass("urgent", 0), put("c", [first]), put("d", [second])),
+        change("2", put("c", [second], 0), put("d", [first], 0)),
+        change("3", put("e", [first])),
+        change("4", { op: "delete", kind: "customer", name: "d", readRevision: 1 }),
+        change("5", put("e", [first])),
+        change("6", put("c", [first], 1)),
+        change("7", put("f", [second, second])),
+    );
+    expect(verdicts).toEqual(["applied", "applied", "invalid", "applied", "applied", "invalid", "invalid"]);
+});
+
 test("malformed, foreign, large and newer records are skipped and do not move the state", () => {
     const records = ["{", "", "[]", `{"type":"change","formatVersion":2}`, `{"type":"change","formatVersion":1}`, "x".repeat(1_048_577)];
     const { verdicts, fold: folded } = fold(...records.map(text => encoder.encode(text)), Uint8Array.of(0xff, 0xfe));
--- a/src/core/config/ConfigFold.ts
+++ b/src/core/config/ConfigFold.ts
@@ -6,6 +6,7 @@
 import type { ConfigView } from "./ConfigView.js";
 import { decodeConfigRecord } from "./decodeConfigRecord.js";
 import type { FoldResult } from "./FoldResult.js";
+import { ownedNames } from "./ownedNames.js";
 import type { StoredObject } from "./StoredObject.js";
 
 type Operation = ConfigChange["operations"][number];
@@ -22,6 +23,8 @@
 export class ConfigFold {
     private lastOffset = -1;
     private readonly objects = new Map<ConfigKind, Map<string, StoredObject>>();
+    /** Holder of each name that only one object of its kind may hold, by `kind/name`. */
+    private readonly owners = new Map<string, string>();
     /** Offsets of deletions by `kind/name`, oldest first. */
     private readonly deletions = new Map<string, number>();
     private deletionFloor = -1;
@@ -124,13 +127,14 @@
         for (const kind of kinds) {
             this.objects.get(kind)?.clear();
         }
+        this.owners.clear();
         this.deletions.clear();
         this.invalidIds.clear();
         for (const id of snapshot.invalidIds) {
             this.invalidIds.add(id);
         }
         for (const stored of snapshot.objects) {
-            this.objects.get(stored.object.kind)?.set(stored.object.value.name, stored);
+            this.store(stored);
         }
         for (const { kind, name, revision } of snapshot.deletions) {
             this.deletions.set(idOf(kind, name), revision);
@@ -168,9 +172,27 @@
             written: [...written].map(([id, object]) => ({ ...parseId(id), object })),
             get: (kind, name) => written.has(idOf(kind, name)) ? written.get(idOf(kind, name)) : this.objects.get(kind)?.get(name)?.object,
             all: kind => this.allAfter(kind, written),
+            otherOwner: (object, ownedName) => this.otherOwnerAfter(object, ownedName, written),
         });
     }
 
+    private otherOwnerAfter(
+        object: ConfigObject,
+        ownedName: string,
+        written: ReadonlyMap<string, ConfigObject | undefined>,
+    ): string | undefined {
+        const owner = this.owners.get(idOf(object.kind, ownedName));
+        if (owner !== undefined && owner !== object.value.name && !written.has(idOf(object.kind, owner))) {
+            return owner;
+        }
+        for (const other of written.values()) {
+            if (other?.kind === object.kind && other.value.name !== object.value.name && ownedNames(other).includes(ownedName)) {
+                return other.value.name;
+            }
+        }
+        return undefined;
+    }
+
     private *allAfter(kind: ConfigKind, written: ReadonlyMap<string, ConfigObject | undefined>): Iterable<ConfigObject> {
         for (const [name, stored] of this.objects.get(kind) ?? []) {
             if (!written.has(idOf(kind, name))) {
@@ -188,15 +210,34 @@
         const { kind, name } = targetOf(operation);
         const id = idOf(kind, name);
         this.deletions.delete(id);
+        this.remove(kind, name);
         if (operation.op === "put") {
-            this.objects.get(kind)?.set(name, { object: operation.object, revision: offset });
+            this.store({ object: operation.object, revision: offset });
             return;
         }
-        this.objects.get(kind)?.delete(name);
         this.deletions.set(id, offset);
         this.forgetDeletions();
     }
 
+    private store(stored: StoredObject): void {
+        const { kind, value } = stored.object;
+        this.objects.get(kind)?.set(value.name, stored);
+        for (const ownedName of ownedNames(stored.object)) {
+            this.owners.set(idOf(kind, ownedName), value.name);
+        }
+    }
+
+    /** Names that another object of the same change has taken over already stay with it. */
+    private remove(kind: ConfigKind, name: string): void {
+        const stored = this.objects.get(kind)?.get(name);
+        this.objects.get(kind)?.delete(name);
+        for (const ownedName of stored === undefined ? [] : ownedNames(stored.object)) {
+            if (this.owners.get(idOf(kind, ownedName)) === name) {
+                this.owners.delete(idOf(kind, ownedName));
+            }
+        }
+    }
+
     private rememberInvalid(changeId: string, verdict: FoldResult["verdict"]): void {
         if (verdict !== "invalid") {
             return;
--- a/src/core/config/checkReferences.ts
+++ b/src/core/config/checkReferences.ts
@@ -2,7 +2,7 @@
 import type { ConfigObject } from "../../schema/config/ConfigObject.js";
 import type { Customer } from "../../schema/config/Customer.js";
 import type { PathShare } from "../../schema/config/PathShare.js";
-import type { Pool } from "../../schema/config/Pool.js";
+import { ownedNames } from "./ownedNames.js";
 
 interface Changed {
     readonly kind: ConfigKind;
@@ -15,6 +15,8 @@
     readonly written: readonly Changed[];
     readonly get: (kind: ConfigKind, name: string) => ConfigObject | undefined;
     readonly all: (kind: ConfigKind) => Iterable<ConfigObject>;
+    /** Name of another object of the kind that holds a name which only one may hold. */
+    readonly otherOwner: (object: ConfigObject, ownedName: string) => string | undefined;
 }
 
 const maxFloorShareSum = 0.9;
@@ -35,9 +37,9 @@
         case "serviceClass":
             return checkFloorShares(state);
         case "customer":
-            return checkCustomer(object.value, state);
+            return checkCustomer(object.value, state) ?? checkOwnedNames(object, state);
         case "pool":
-            return checkPool(object.value, state);
+            return checkOwnedNames(object, state);
         case "pathShare":
             return checkPathShare(object.value, state);
     }
@@ -78,29 +80,18 @@
     if (!customer.classes.includes(customer.defaultClass)) {
         return `customer "${customer.name}" has default class "${customer.defaultClass}", which is not among its classes; add it there`;
     }
-    const hashes = new Set(customer.keyHashes);
-    for (const object of state.all("customer")) {
-        const isShared = object.kind === "customer" && object.value.name !== customer.name &&
-            object.value.keyHashes.some(hash => hashes.has(hash));
-        if (isShared) {
-            return `customer "${customer.name}" shares a key with customer "${object.value.name}"; give each its own keys`;
-        }
-    }
     return undefined;
 }
 
-function checkPool(pool: Pool, state: StateAfter): string | undefined {
-    const ids = new Set(pool.upstreams.map(upstream => upstream.id));
-    if (ids.size < pool.upstreams.length) {
-        return `pool "${pool.name}" names an upstream id twice; give each upstream its own id`;
+function checkOwnedNames(object: ConfigObject, state: StateAfter): string | undefined {
+    const names = ownedNames(object);
+    if (new Set(names).size < names.length) {
+        return `${object.kind} "${object.value.name}" names a key or an upstream id twice; name each once`;
     }
-    for (const object of state.all("pool")) {
-        if (object.kind !== "pool" || object.value.name === pool.name) {
-            continue;
-        }
-        const shared = object.value.upstreams.find(upstream => ids.has(upstream.id));
-        if (shared !== undefined) {
-            return `upstream "${shared.id}" is in pools "${pool.name}" and "${object.value.name}"; give each upstream its own id`;
+    for (const name of names) {
+        const other = state.otherOwner(object, name);
+        if (other !== undefined) {
+            return `${object.kind} "${object.value.name}" shares a key or an upstream id with "${other}"; give each its own`;
         }
     }
     return undefined;
