Append no abandon for a claim that cannot have landed, and do not wait for a vain claim

A log that refuses every append no longer collects one abandon for each call it refused. Calls whose upstream deduplicates wait 200 ms for their claim instead of 3 s while the log cannot be read.

--- a/src/node/booking/GroupCommit.ts
+++ b/src/node/booking/GroupCommit.ts
@@ -67,21 +67,27 @@
         this.inFlight++;
         this.lastAppendMs = this.options.scheduler.nowMs();
         this.schedule();
+        batch.forEach(item => item.onAppending?.());
         const appended = await this.options.append(batch.map(item => item.record), signal);
         this.inFlight--;
         if (appended.isOk()) {
             this.retryMs = 0;
-            for (const item of batch) {
-                item.onAppended?.();
-            }
+            batch.forEach(item => item.onAppended?.());
         }
         else {
-            this.retryMs = Math.min(maxRetryMs, Math.max(firstRetryMs, this.retryMs * 2));
-            this.queue = [...batch, ...this.queue];
+            this.requeue(batch, appended.error.kind === "not-appended");
         }
         this.schedule();
     }
 
+    private requeue(batch: readonly GroupCommitItem[], isSurelyNotAppended: boolean): void {
+        this.retryMs = Math.min(maxRetryMs, Math.max(firstRetryMs, this.retryMs * 2));
+        if (isSurelyNotAppended) {
+            batch.forEach(item => item.onNotAppended?.());
+        }
+        this.queue = [...batch, ...this.queue];
+    }
+
     private takeBatch(): GroupCommitItem[] {
         const wanted = this.queue.filter(item => item.isWanted());
         const batch = wanted.slice(0, maxBatchRecords);
--- a/src/node/booking/GroupCommitItem.ts
+++ b/src/node/booking/GroupCommitItem.ts
@@ -4,6 +4,10 @@
 export interface GroupCommitItem {
     readonly record: BookingRecord;
     readonly isWanted: () => boolean;
+    /** Called before each append that holds the record. */
+    readonly onAppending?: () => void;
+    /** Called when such an append surely did not land. */
+    readonly onNotAppended?: () => void;
     /** Called when the log has confirmed an append that holds the record. */
     readonly onAppended?: () => void;
 }
--- a/src/node/booking/LocalClaim.ts
+++ b/src/node/booking/LocalClaim.ts
@@ -8,5 +8,7 @@
     /** `pending`: not read back; `won` and `lost`: read back; `sent`: the call went out. */
     /** The claim has been read back from the log as the first of its key. */
     isConfirmed: boolean;
+    /** Appends that landed, may have landed or are under way; with none the claim cannot be in the log. */
+    uncertainAppends: number;
     status: "pending" | "won" | "lost" | "sent";
 }
--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -6,7 +6,6 @@
 import type { ClaimEntry } from "../../core/booking/ClaimEntry.js";
 import type { ClaimOwner } from "../../core/booking/ClaimOwner.js";
 import { ClaimTable } from "../../core/booking/ClaimTable.js";
-import type { RecordedAnswer } from "../../core/booking/RecordedAnswer.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { BookingSettings } from "../../schema/settings/BookingSettings.js";
 import { createLog } from "../logs/createLog.js";
@@ -17,6 +16,7 @@
 import type { BookingService } from "../services/BookingService.js";
 import type { LogClient } from "../services/LogClient.js";
 import type { LogRecord } from "../services/LogRecord.js";
+import { bookingErrors } from "./bookingErrors.js";
 import { BookingSendFailure } from "./BookingSendFailure.js";
 import { decodeBookingBatch } from "./decodeBookingBatch.js";
 import { encodeBookingBatch } from "./encodeBookingBatch.js";
@@ -24,16 +24,17 @@
 import { hashBookingText } from "./hashBookingText.js";
 import { KeyWaiters } from "./KeyWaiters.js";
 import type { LocalClaim } from "./LocalClaim.js";
+import { readRecordedAnswer } from "./readRecordedAnswer.js";
 
 const log = createLog("booking");
 const pollMs = 10_000;
 const ownerCheckMs = 500;
-const retryAfterMs = 1_000;
 /** Time without a sight of a claim's owner after which it counts as gone. */
 const ownerGoneMs = 2_000;
+/** Wait for a claim while the log cannot be read and the call may go out without one. */
+const vainClaimWaitMs = 200;
 const startShareOfRetention = 0.5;
 const maxClaimAttempts = 16;
-const logSlowMessage = "the platform's log is slow or down; repeat the call later";
 
 interface LogBookingServiceOptions {
     readonly log: LogClient;
@@ -68,6 +69,7 @@
     private readonly pendingKeys = new Set<string>();
     private nextNonce = 0;
     private nextOffset = 0;
+    private isLogReadable = true;
 
     constructor(private readonly options: LogBookingServiceOptions) {
         this.table = new ClaimTable(options.settings.retentionMs, options.settings.answerMemoryBytes);
@@ -90,6 +92,7 @@
             pollMs,
             nextOffset: () => this.nextOffset,
             onRecords: records => {
+                this.isLogReadable = true;
                 this.foldRecords(records);
             },
             onForgotten: firstOffset => {
@@ -97,6 +100,7 @@
                 this.nextOffset = Math.max(this.nextOffset, firstOffset);
             },
             onError: message => {
+                this.isLogReadable = false;
                 log("cannot read the booking stream", { reason: message });
             },
         });
@@ -120,7 +124,7 @@
     private async runCall(keyed: KeyedCall): Promise<RunResult> {
         for (let attempt = 0; attempt < maxClaimAttempts; attempt++) {
             if (keyed.signal.aborted) {
-                return err(cancelled("not-run"));
+                return err(bookingErrors.cancelled("not-run"));
             }
             const entry = this.table.get(keyed.key);
             const result = entry === undefined ? await this.claimAndSend(keyed) : await this.useEntry(keyed, entry);
@@ -128,16 +132,17 @@
                 return result;
             }
         }
-        return err(notClaimed("the key changed hands too often; repeat the call"));
+        return err(bookingErrors.notClaimed("the key changed hands too often; repeat the call"));
     }
 
     /** Claims the key and sends the call when the claim wins; undefined when another claim has won. */
     private async claimAndSend(keyed: KeyedCall): Promise<RunResult | undefined> {
         const { scheduler, settings } = this.options;
-        const deadlineMs = scheduler.nowMs() + settings.claimWaitMs;
+        const isClaimVain = keyed.call.upstreamDeduplicates && !this.isLogReadable;
+        const deadlineMs = scheduler.nowMs() + Math.min(settings.claimWaitMs, isClaimVain ? vainClaimWaitMs : Infinity);
         while (this.pendingKeys.has(keyed.key) && this.table.get(keyed.key) === undefined) {
             if (scheduler.nowMs() >= deadlineMs || keyed.signal.aborted) {
-                return err(notClaimed(logSlowMessage));
+                return err(bookingErrors.logSlow());
             }
             await this.waiters.wait(keyed.key, deadlineMs - scheduler.nowMs(), keyed.signal);
         }
@@ -145,7 +150,7 @@
             return undefined;
         }
         if (this.table.size >= settings.maxKeys) {
-            return err(notClaimed("the table of keys is full; raise booking.maxKeys or shorten booking.retentionMs"));
+            return err(bookingErrors.notClaimed("the table of keys is full; raise booking.maxKeys or shorten booking.retentionMs"));
         }
         const claim = this.addClaim(keyed);
         while (claim.status === "pending" && scheduler.nowMs() < deadlineMs && !keyed.signal.aborted) {
@@ -163,7 +168,7 @@
         }
         if (keyed.signal.aborted) {
             this.abandon(claim);
-            return err(cancelled("not-run"));
+            return err(bookingErrors.cancelled("not-run"));
         }
         if (claim.status === "won" && this.isValid(claim)) {
             return this.sendClaimed(keyed, claim);
@@ -172,7 +177,7 @@
             return this.sendClaimed(keyed, claim);
         }
         this.abandon(claim);
-        return err(notClaimed(logSlowMessage));
+        return err(bookingErrors.logSlow());
     }
 
     /** Sends the call, once. The outcome is appended also when the caller has gone away meanwhile. */
@@ -181,7 +186,7 @@
         const sent = this.sendAndRecord(keyed, claim);
         return new Promise(resolve => {
             const onAbort = () => {
-                resolve(err(cancelled("unknown")));
+                resolve(err(bookingErrors.cancelled("unknown")));
             };
             keyed.signal.addEventListener("abort", onAbort, { once: true });
             void sent.then(result => {
@@ -223,18 +228,20 @@
         let ownerSeenMs = scheduler.nowMs();
         for (let entry: ClaimEntry | undefined = first; entry !== undefined; entry = this.table.get(keyed.key)) {
             if (entry.digest !== keyed.digest) {
-                return err(keyReused());
+                return err(bookingErrors.keyReused());
             }
             if (entry.state === "answered") {
                 return this.replay(entry, keyed.signal);
             }
             if (keyed.signal.aborted) {
-                return err(cancelled("unknown"));
+                return err(bookingErrors.cancelled("unknown"));
             }
             ownerSeenMs = this.isOwnerAlive(entry.owner) ? scheduler.nowMs() : ownerSeenMs;
             const isOwnerGone = scheduler.nowMs() - ownerSeenMs >= ownerGoneMs;
             if (entry.state === "lost" || isOwnerGone || scheduler.nowMs() >= deadlineMs) {
-                return keyed.call.upstreamDeduplicates ? this.sendClaimed(keyed, this.newClaim(keyed)) : err(outcomeUnknown());
+                return keyed.call.upstreamDeduplicates
+                    ? this.sendClaimed(keyed, this.newClaim(keyed))
+                    : err(bookingErrors.outcomeUnknown());
             }
             await this.waiters.wait(keyed.key, Math.min(ownerCheckMs, deadlineMs - scheduler.nowMs()), keyed.signal);
         }
@@ -242,28 +249,20 @@
     }
 
     private async replay(entry: ClaimEntry, signal: AbortSignal): Promise<RunResult> {
-        const answer = entry.answer ?? await this.readAnswer(entry, signal);
+        const answer = entry.answer ?? await readRecordedAnswer(this.options.log, this.options.settings.stream, entry, signal);
         if (answer === undefined) {
-            return err(ranWithoutAnswer("the call ran; its answer cannot be read from the platform's log now, repeat the call later"));
+            return err(
+                bookingErrors.ranWithoutAnswer(
+                    "the call ran; its answer cannot be read from the platform's log now, repeat the call later",
+                ),
+            );
         }
         if (answer.body === undefined) {
-            return err(ranWithoutAnswer("the call ran; its answer was too large to keep"));
+            return err(bookingErrors.ranWithoutAnswer("the call ran; its answer was too large to keep"));
         }
         return ok({ status: answer.status, contentType: answer.contentType, body: answer.body });
     }
 
-    /** Reads an answer that is no longer in memory from the log. */
-    private async readAnswer(entry: ClaimEntry, signal: AbortSignal): Promise<RecordedAnswer | undefined> {
-        if (entry.endOffset === undefined) {
-            return undefined;
-        }
-        const read = await this.options.log.read(this.options.settings.stream, entry.endOffset, 0, signal);
-        const payload = read.isOk() ? read.value.find(record => record.offset === entry.endOffset)?.payload : undefined;
-        const batch = payload === undefined ? undefined : decodeBookingBatch(payload).unwrapOr(undefined);
-        const found = batch?.records.find(record => record.type === "answer" && record.nonce === entry.nonce);
-        return found?.type === "answer" ? { status: found.status, contentType: found.contentType, body: found.body } : undefined;
-    }
-
     private isOwnerAlive(owner: ClaimOwner): boolean {
         return this.isOwn(owner) || this.options.isAlive(owner.vm, owner.incarnation);
     }
@@ -278,6 +277,12 @@
         this.commit.add({
             record: claimRecord(claim),
             isWanted: () => claim.status === "pending" && this.claims.has(claim.nonce),
+            onAppending: () => {
+                claim.uncertainAppends++;
+            },
+            onNotAppended: () => {
+                claim.uncertainAppends--;
+            },
         });
         return claim;
     }
@@ -291,6 +296,7 @@
             createdMs: scheduler.nowMs(),
             createdWallMs: scheduler.wallMs(),
             isConfirmed: false,
+            uncertainAppends: 0,
             status: "pending",
         };
         this.claims.set(claim.nonce, claim);
@@ -300,7 +306,9 @@
     /** Gives up a claim under which nothing was sent; its nonce is never used again. */
     private abandon(claim: LocalClaim): void {
         this.claims.delete(claim.nonce);
-        this.appendAbandon(claim.key, claim.nonce);
+        if (claim.uncertainAppends > 0) {
+            this.appendAbandon(claim.key, claim.nonce);
+        }
         this.waiters.wake(claim.key);
     }
 
@@ -390,25 +398,3 @@
 function claimRecord(claim: LocalClaim): BookingRecord {
     return { type: "claim", key: claim.key, digest: claim.digest, nonce: claim.nonce };
 }
-
-function keyReused(): BookingError {
-    const message = "this idempotency key was used with another request; use a new key for a new request";
-    return { kind: "key-reused", outcome: "not-run", retryAfterMs: undefined, message };
-}
-
-function notClaimed(message: string): BookingError {
-    return { kind: "log-unavailable", outcome: "not-run", retryAfterMs, message };
-}
-
-function ranWithoutAnswer(message: string): BookingError {
-    return { kind: "outcome-unknown", outcome: "ran", retryAfterMs, message };
-}
-
-function outcomeUnknown(): BookingError {
-    const message = "the call was claimed and its answer is not recorded; check whether it took effect before using a new key";
-    return { kind: "outcome-unknown", outcome: "unknown", retryAfterMs: undefined, message };
-}
-
-function cancelled(outcome: BookingError["outcome"]): BookingError {
-    return { kind: "cancelled", outcome, retryAfterMs: undefined, message: "the caller went away" };
-}
--- /dev/null
+++ b/src/node/booking/readRecordedAnswer.ts
@@ -0,0 +1,21 @@
+import type { ClaimEntry } from "../../core/booking/ClaimEntry.js";
+import type { RecordedAnswer } from "../../core/booking/RecordedAnswer.js";
+import type { LogClient } from "../services/LogClient.js";
+import { decodeBookingBatch } from "./decodeBookingBatch.js";
+
+/** Reads an answer that is no longer in memory from the log; undefined when it cannot be read now. */
+export async function readRecordedAnswer(
+    log: LogClient,
+    stream: string,
+    entry: ClaimEntry,
+    signal: AbortSignal,
+): Promise<RecordedAnswer | undefined> {
+    if (entry.endOffset === undefined) {
+        return undefined;
+    }
+    const read = await log.read(stream, entry.endOffset, 0, signal);
+    const payload = read.isOk() ? read.value.find(record => record.offset === entry.endOffset)?.payload : undefined;
+    const batch = payload === undefined ? undefined : decodeBookingBatch(payload).unwrapOr(undefined);
+    const found = batch?.records.find(record => record.type === "answer" && record.nonce === entry.nonce);
+    return found?.type === "answer" ? { status: found.status, contentType: found.contentType, body: found.body } : undefined;
+}
