--- a/proof/bookings/BookingFleet.ts
+++ b/proof/bookings/BookingFleet.ts
@@ -43,8 +43,15 @@
     private nextCallId = 0;
     private incarnations = 0;
 
-    /** `plant` may spoil each service, to show that the checker notices. */
-    constructor(private readonly plant: (service: LogBookingService) => void = () => undefined) {
+    /**
+     * `plant` may spoil each service, to show that the checker notices. The log forgets records that landed more than
+     * `logKeepsMs` ago.
+     */
+    constructor(
+        private readonly plant: (service: LogBookingService) => void = () => undefined,
+        private readonly settings = BookingFleet.settings,
+        private readonly logKeepsMs = Infinity,
+    ) {
         this.log.onLanded = (stream, offset, payload) => {
             this.record({ type: "landed", atMs: this.scheduler.nowMs(), stream, offset, payload });
         };
@@ -54,6 +61,7 @@
     }
 
     async perform(step: BookingStep): Promise<void> {
+        this.forgetOldRecords();
         if (step.kind === "advance") {
             await this.scheduler.advanceAsync(step.durationMs);
             return;
@@ -118,6 +126,12 @@
         await this.scheduler.advanceAsync(lastCallsMs);
     }
 
+    private forgetOldRecords(): void {
+        const oldestMs = this.scheduler.nowMs() - this.logKeepsMs;
+        const kept = this.history.filter(event => event.type === "landed" && event.atMs >= oldestMs).length;
+        this.log.forget(this.settings.stream, kept);
+    }
+
     private wasSent(callId: number): boolean {
         return this.history.some(event => event.type === "sent" && event.callId === callId);
     }
@@ -140,7 +154,7 @@
         const service = new LogBookingService({
             log: client,
             scheduler: process.scheduler,
-            settings: BookingFleet.settings,
+            settings: this.settings,
             vm,
             incarnation,
             isAlive: (other, otherIncarnation) =>
--- a/proof/bookings/bookingSchedules.ts
+++ b/proof/bookings/bookingSchedules.ts
@@ -13,13 +13,15 @@
     plant?: (service: LogBookingService) => void,
     onViolations: (violations: readonly Violation[]) => void = () => undefined,
     isFailure: (violations: readonly Violation[]) => boolean = violations => violations.length > 0,
+    createFleet = () => new BookingFleet(plant),
+    limits = BookingFleet.settings,
 ): fc.IAsyncProperty<[Iterable<fc.AsyncCommand<object, BookingFleet>>]> {
     const commands = fc.commands([bookingStepArbitrary.map(step => new BookingCommand(step))], { maxCommands: maxSteps, size: "max" });
     return fc.asyncProperty(commands, async steps => {
-        const fleet = new BookingFleet(plant);
+        const fleet = createFleet();
         await fc.asyncModelRun(() => ({ model: {}, real: fleet }), steps);
         await fleet.finish();
-        const violations = checkBookings(fleet.history, BookingFleet.settings);
+        const violations = checkBookings(fleet.history, limits);
         onViolations(violations);
         if (isFailure(violations)) {
             throw new Error(violations.map(({ invariant, detail }) => `${invariant}: ${detail}`).join("; "));
--- a/proof/bookings/bookingStepArbitrary.ts
+++ b/proof/bookings/bookingStepArbitrary.ts
@@ -26,7 +26,10 @@
     { weight: 6, arbitrary: call },
     {
         weight: 6,
-        arbitrary: fc.record({ kind: fc.constant("advance" as const), durationMs: fc.constantFrom(1, 5, 7, 30, 300, 900, 1_100, 2_500) }),
+        arbitrary: fc.record({
+            kind: fc.constant("advance" as const),
+            durationMs: fc.constantFrom(1, 5, 7, 30, 300, 900, 1_100, 2_500, 6_000),
+        }),
     },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant("appendFault" as const), vm, fault }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom("logDown" as const, "logUp" as const), vm }) },
