--- a/src/core/servicelevel/buildReport.ts
+++ b/src/core/servicelevel/buildReport.ts
@@ -11,7 +11,6 @@
 const hourMs = 60 * minuteMs;
 /** Fewer events than this in the long window say too little for an alert. */
 const minAlertEvents = 10;
-const intervalsPerStep = 20;
 
 interface ReportSpan {
     readonly sinceAtMs: number;
@@ -19,7 +18,7 @@
 }
 
 /**
- * Sums intervals of all VMs to one service level for each class and path. `pause` is awaited after each small step, so that a
+ * Sums intervals of all VMs to one service level for each class and path. `pause` is awaited after each interval, so that a
  * large report does not hold up requests.
  */
 export async function buildReport(
@@ -33,7 +32,6 @@
     const totals = new CellTable();
     const points = new Map<number, CellTable>();
     const windows = new Map(burnWindows.map(windowMs => [windowMs, new CellTable()]));
-    let steps = 0;
     for (const interval of intervals) {
         addToWindows(windows, interval, span.nowMs);
         const isWanted = !isByMinute || interval.durationMs <= minuteMs;
@@ -44,9 +42,7 @@
                 point.merge({ ...cell, histograms: { "queue": cell.histograms.queue, "short-queue": cell.histograms["short-queue"] } });
             }
         }
-        if (++steps % intervalsPerStep === 0) {
-            await pause();
-        }
+        await pause();
     }
     return [...totals.values()].map(total => toLevel(total, objectiveOf(total.serviceClass), windows, points)).sort(byName);
 }
--- a/src/node/operator/OperatorServer.test.ts
+++ b/src/node/operator/OperatorServer.test.ts
@@ -127,6 +127,29 @@
     expect((await call("Get", { kind: "KIND_POOL", name: "none" })).status).toEqual(404);
 });
 
+test("HTTP/JSON: the old and the new path are driven by the same calls", async () => {
+    const urgent = { name: "urgent", tier: 0, firstTokenTargetMs: 450, tokenGapTargetMs: 35 };
+    const poolOn = (path: string) => ({
+        name: `engines-${path}`,
+        path: `PATH_${path.toUpperCase()}`,
+        kind: "UPSTREAM_KIND_ENGINE",
+        services: ["model"],
+        repeatable: true,
+        upstreams: [1, 2].map(number => ({ id: `${path}-${number}`, url: "http://127.0.0.1:1", availabilityZone: "nadi" })),
+    });
+    const share = { name: "model/urgent", service: "model", serviceClass: "urgent", newPathPercent: 0 };
+    const values = [{ serviceClass: urgent }, { pool: poolOn("old") }, { pool: poolOn("new") }, { pathShare: share }];
+    expect((await call("Apply", { operations: values.map(value => ({ put: value })) })).status).toEqual(200);
+    for (const path of ["old", "new"]) {
+        const planned = await call("PlanUpstreamLeaving", { pool: `engines-${path}`, upstreamId: `${path}-1` });
+        expect((await planned.json() as { remainingByZone: unknown; }).remainingByZone).toEqual({ nadi: 1 });
+    }
+    expect((await call("Apply", { operations: [{ put: { pathShare: { ...share, newPathPercent: 30 } } }] })).status).toEqual(200);
+    expect(operator.config.view.pathShares.get("model/urgent")?.newPathPercent).toEqual(30);
+    const leaving = [...operator.config.view.pools.values()].map(pool => pool.upstreams.map(upstream => upstream.leaving));
+    expect(leaving).toEqual([[true, false], [true, false]]);
+});
+
 test("a tier that is left out is a fault, not the most urgent tier", async () => {
     const answer = await call("Apply", {
         operations: [{ put: { serviceClass: { name: "x", firstTokenTargetMs: 1, tokenGapTargetMs: 1 } } }],
