--- a/src/core/servicelevel/buildReport.test.ts
+++ b/src/core/servicelevel/buildReport.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { buildReport } from "./buildReport.js";
 import { burnWindows } from "./burnWindows.js";
+import { causeOfMiss } from "./causeOfMiss.js";
 import { CellTable } from "./CellTable.js";
 import { IntervalStore } from "./IntervalStore.js";
 import { judgeRequest } from "./judgeRequest.js";
@@ -47,6 +48,14 @@
     expect(verdict({ isComplete: false, isAbandoned: true, firstTokenMs: undefined, totalMs: 451 })).toEqual("first-token");
 });
 
+test("a late first token is put down to waiting, to its upstream or to retries", () => {
+    expect(causeOfMiss(sample({ queueMs: 400, firstTokenMs: 600 }), 1, "first-token")).toEqual("waited for an upstream");
+    expect(causeOfMiss(sample({ queueMs: 20, firstTokenMs: 600 }), 1, "first-token")).toEqual("slow upstream");
+    expect(causeOfMiss(sample({ queueMs: 400, firstTokenMs: 600 }), 2, "first-token")).toEqual("tried more than one upstream");
+    expect(causeOfMiss(sample({ queueMs: undefined, firstTokenMs: undefined }), 0, "first-token")).toEqual("waited for an upstream");
+    expect(causeOfMiss(sample({}), 1, "shed")).toEqual(undefined);
+});
+
 test("merged histograms equal the histogram of the merged samples", () => {
     fc.assert(
         fc.property(fc.array(fc.array(latencyMs, { maxLength: 50 }), { maxLength: 6 }), parts => {
--- a/src/node/operator/testing/startOperator.ts
+++ b/src/node/operator/testing/startOperator.ts
@@ -1,3 +1,4 @@
+import type { ServiceLevel } from "../../../schema/report/ServiceLevel.js";
 import { OperatorServer } from "../OperatorServer.js";
 import { FakeConfigService } from "./FakeConfigService.js";
 
@@ -5,12 +6,15 @@
     readonly config: FakeConfigService;
     readonly baseUrl: string;
     readonly token: string;
+    /** What the Report call answers with. */
+    readonly levels: ServiceLevel[];
 }
 
 /** Starts an operator server over fakes on a free port of loopback, for tests. */
 export async function startOperator(signal: AbortSignal): Promise<StartedOperator> {
     const config = new FakeConfigService();
     const token = "operator-token-of-the-test";
+    const levels: ServiceLevel[] = [];
     const server = new OperatorServer({
         vm: "nadi-1",
         availabilityZone: "nadi",
@@ -27,7 +31,7 @@
                     sinceAtMs: 5 - sinceMs,
                     vms: ["nadi-1"],
                     silentVms: ["ba-1"],
-                    levels: [],
+                    levels,
                     logRead: true,
                 }),
         },
@@ -49,5 +53,5 @@
         },
     });
     const port = (await server.start({ host: "127.0.0.1", port: 0 }, signal))._unsafeUnwrap();
-    return { config, baseUrl: `http://127.0.0.1:${port}`, token };
+    return { config, baseUrl: `http://127.0.0.1:${port}`, token, levels };
 }
--- a/src/node/report/ServiceLevelRecorder.ts
+++ b/src/node/report/ServiceLevelRecorder.ts
@@ -1,3 +1,4 @@
+import { causeOfMiss } from "../../core/servicelevel/causeOfMiss.js";
 import { CellTable } from "../../core/servicelevel/CellTable.js";
 import { IntervalStore } from "../../core/servicelevel/IntervalStore.js";
 import { judgeRequest } from "../../core/servicelevel/judgeRequest.js";
@@ -104,7 +105,8 @@
             totalMs: end.totalMs,
         };
         if (verdict.kind === "bad") {
-            facts["missed"] = verdict.reason;
+            const cause = causeOfMiss(end, end.attempts, verdict.reason);
+            facts["missed"] = cause === undefined ? verdict.reason : `${verdict.reason}: ${cause}`;
         }
         if (end.queueMs !== undefined) {
             facts["queueMs"] = end.queueMs;
