--- /dev/null
+++ b/src/core/estimate/OutputLengthEstimator.test.ts
@@ -0,0 +1,106 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { LengthHistogram } from "./LengthHistogram.js";
+import { OutputLengthEstimator } from "./OutputLengthEstimator.js";
+
+const growth = 1 / 256;
+const priorCount = 8;
+const coldStartLengths = [32, 64, 128, 256, 512, 1024];
+
+interface Seen {
+    readonly customer: string;
+    readonly serviceClass: string;
+    readonly tokens: number;
+}
+
+/** Weighted shares by bucket, worked out anew from all that was seen. */
+function naiveShares(seen: readonly Seen[]): { shares: number[]; count: number; } {
+    const weights = seen.map((observation, index) => ({
+        bucket: LengthHistogram.bucketOf(observation.tokens),
+        weight: (1 + growth) ** (index + 1),
+    }));
+    const total = weights.reduce((sum, { weight }) => sum + weight, 0);
+    const shares = [...Array(LengthHistogram.size).keys()].map(bucket =>
+        weights.filter(entry => entry.bucket === bucket).reduce((sum, { weight }) => sum + weight, 0) / Math.max(total, 1e-12)
+    );
+    return { shares, count: total / (1 + growth) ** seen.length };
+}
+
+function naiveMean(seen: readonly Seen[], customer: string, serviceClass: string, already: number, max: number): number {
+    const ofClass = seen.filter(observation => observation.serviceClass === serviceClass);
+    const groups = [seen, ofClass, ofClass.filter(observation => observation.customer === customer)];
+    let mixed = [...Array(LengthHistogram.size).keys()].map(bucket =>
+        coldStartLengths.filter(length => LengthHistogram.bucketOf(length) === bucket).length / coldStartLengths.length
+    );
+    for (const group of groups.filter(candidate => candidate.length > 0)) {
+        const { shares, count } = naiveShares(group);
+        const keep = priorCount / (priorCount + count);
+        mixed = mixed.map((share, bucket) => keep * share + (1 - keep) * (shares[bucket] as number));
+    }
+    const rest = mixed.map((share, bucket) => ({ share, bucket })).filter(({ bucket }) =>
+        already === 0 || bucket >= LengthHistogram.bucketOf(already)
+    );
+    const mass = rest.reduce((sum, { share }) => sum + share, 0);
+    const clamp = (length: number) => Math.max(already + 1, Math.min(length, max));
+    return mass > 0
+        ? rest.reduce((sum, { share, bucket }) => sum + share * clamp(LengthHistogram.lengthOf(bucket)), 0) / mass
+        : clamp(already * 1.5);
+}
+
+const seenOf = fc.record({
+    customer: fc.constantFrom("a", "b"),
+    serviceClass: fc.constantFrom("question", "manual"),
+    tokens: fc.integer({ min: 1, max: 5_000 }),
+});
+
+test("estimates equal those worked out from all observations at once", () => {
+    fc.assert(
+        fc.property(fc.array(seenOf, { maxLength: 60, size: "max" }), fc.integer({ min: 0, max: 3_000 }), (seen, already) => {
+            const estimator = new OutputLengthEstimator();
+            for (const { customer, serviceClass, tokens } of seen) {
+                estimator.observe({ service: "model", customer, serviceClass }, tokens);
+            }
+            const mean = estimator.mean({ service: "model", customer: "a", serviceClass: "manual" }, already, 4_000);
+            expect(Math.abs(mean / naiveMean(seen, "a", "manual", already, 4_000) - 1) < 1e-9).toEqual(true);
+        }),
+        { seed: 20_261_206, numRuns: 200 },
+    );
+});
+
+test("quantiles rise with the share asked for, and never lie below what has come", () => {
+    const estimator = new OutputLengthEstimator();
+    const key = { service: "model", customer: "a", serviceClass: "question" };
+    for (let tokens = 50; tokens < 400; tokens++) {
+        estimator.observe(key, tokens);
+    }
+    const [low, middle, high] = [0.1, 0.5, 0.9].map(share => estimator.quantile(key, share, 0, 4_000)) as [number, number, number];
+    expect(low < middle && middle < high).toEqual(true);
+    expect(Math.abs(middle - 225) < 60).toEqual(true);
+    expect(estimator.quantile(key, 0.1, 350, 4_000) > 350).toEqual(true);
+    expect(estimator.quantile(key, 0.9, 0, 100)).toEqual(100);
+});
+
+test("a customer without answers starts from its class, and the class from its service", () => {
+    const estimator = new OutputLengthEstimator();
+    for (let count = 0; count < 200; count++) {
+        estimator.observe({ service: "model", customer: "a", serviceClass: "manual" }, 2_000);
+        estimator.observe({ service: "model", customer: "a", serviceClass: "question" }, 40);
+    }
+    const mean = (customer: string, serviceClass: string) => estimator.mean({ service: "model", customer, serviceClass }, 0, 10_000);
+    expect(mean("new", "manual") > 1_500).toEqual(true);
+    expect(mean("new", "question") < 200).toEqual(true);
+    expect(mean("new", "new") > mean("new", "question") && mean("new", "new") < mean("new", "manual")).toEqual(true);
+});
+
+test("a change in lengths is followed within some hundred answers", () => {
+    const estimator = new OutputLengthEstimator();
+    const key = { service: "model", customer: "a", serviceClass: "question" };
+    for (let count = 0; count < 2_000; count++) {
+        estimator.observe(key, 50);
+    }
+    for (let count = 0; count < 600; count++) {
+        estimator.observe(key, 800);
+    }
+    expect(estimator.quantile(key, 0.5, 0, 10_000) > 600).toEqual(true);
+});
