--- a/src/node/config/LogConfigService.test.ts
+++ b/src/node/config/LogConfigService.test.ts
@@ -147,6 +147,23 @@
         expect(b.service.view).toEqual(a.service.view);
     });
 
+    test("an older snapshot that was written later does not hide a newer one", async () => {
+        const a = startVm("a", "lautoka");
+        await scheduler.advanceAsync(100);
+        for (let index = 0; index < 8; index++) {
+            void a.service.apply(putClass(`class-${index}`, index), 1_000);
+            await scheduler.advanceAsync(6_000);
+        }
+        const snapshots = log.stream("config-snapshots").records;
+        expect(snapshots.length > 1).toEqual(true);
+        log.land("config-snapshots", snapshots[0]!.payload);
+        log.forget("config", 2);
+        peers.crash("a");
+        const b = startVm("b", "nadi");
+        await scheduler.advanceAsync(1_000);
+        expect(b.service.view).toEqual(a.service.view);
+    });
+
     test("a VM is not ready when the log forgot changes and no snapshot is left", async () => {
         log.land("config", new Uint8Array());
         log.land("config", new Uint8Array());
--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -235,17 +235,17 @@
         }
     }
 
+    /** Takes every snapshot: one of an older state may stand after a newer one, as from a VM that was paused. */
     private takeSnapshots(records: readonly LogRecord[]): void {
         for (const record of records) {
             this.nextSnapshotRecord = Math.max(this.nextSnapshotRecord, record.offset + 1);
-        }
-        for (const record of [...records].reverse()) {
             const snapshot = decodeSnapshot(record.payload);
             if (snapshot.isOk()) {
                 this.takeSnapshot(snapshot.value);
-                return;
             }
-            log("skip a malformed snapshot", { offset: record.offset, reason: snapshot.error });
+            else {
+                log("skip a malformed snapshot", { offset: record.offset, reason: snapshot.error });
+            }
         }
     }
 
