--- a/proof/membership/FakeFleet.ts
+++ b/proof/membership/FakeFleet.ts
@@ -1,3 +1,4 @@
+import type { MembershipSettings } from "../../src/core/membership/MembershipSettings.js";
 import { MembershipTable } from "../../src/core/membership/MembershipTable.js";
 import { VirtualScheduler } from "../../src/core/util/VirtualScheduler.js";
 import type { MemberRecord } from "../../src/schema/peer/MemberRecord.js";
@@ -22,6 +23,9 @@
     readonly delayMs?: number;
     /** Called for each message that is handed to the network. */
     readonly onSend?: (from: string, to: string, message: PeerMessage) => void;
+    /** Changes a message on its way; undefined loses it. */
+    readonly transform?: (to: string, message: PeerMessage) => PeerMessage | undefined;
+    readonly settings?: MembershipSettings;
 }
 
 /** Membership tables over a virtual clock, joined by a fake of the peer links whose directions can be cut one by one. */
@@ -44,7 +48,9 @@
             region: "region",
             peerUrl: `ws://${vm}/peer`,
         };
-        const table = new MembershipTable({ self, send: (to, message) => this.send(vm, to, message) }, this.scheduler.nowMs());
+        const { settings } = this.options;
+        const send = (to: string, message: PeerMessage) => this.send(vm, to, message);
+        const table = new MembershipTable({ self, send, ...(settings === undefined ? {} : { settings }) }, this.scheduler.nowMs());
         const started: FakeVm = { vm, availabilityZone, table, stop: new AbortController(), pausedUntilMs: 0, rotation: this.starts };
         this.vms.set(vm, started);
         table.setLocal({ state: "ready" });
@@ -116,6 +122,10 @@
         return found.table;
     }
 
+    get hasCuts(): boolean {
+        return this.cuts.size > 0;
+    }
+
     /** Ids of the VMs in the view of one VM. */
     view(vm: string): string[] {
         return this.table(vm).members.map(member => member.vm);
@@ -132,8 +142,9 @@
         if (sender === undefined || target === undefined) {
             return false;
         }
-        if (!this.cuts.has(`${from}>${to}`)) {
-            this.deliver(from, target, message, this.options.delayMs ?? 1);
+        const passed = this.options.transform === undefined ? message : this.options.transform(to, message);
+        if (passed !== undefined && !this.cuts.has(`${from}>${to}`)) {
+            this.deliver(from, target, passed, this.options.delayMs ?? 1);
         }
         return true;
     }
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -54,7 +54,7 @@
     private readonly store = new MemberStore();
     private readonly neighbours = new Map<string, Neighbour>();
     private readonly askers = new Map<string, Set<string>>();
-    /** Statements under check: when to believe them unless the VM is heard. */
+    /** Statements under check: since when. They are believed unless the VM is heard afterwards. */
     private readonly checks = new Map<string, number>();
     private readonly representativeSinceMs = new Map<string, number>();
     private readonly lastTriedMs = new Map<string, number>();
@@ -255,7 +255,6 @@
         const unheardMs = Math.max(0, heardByPeerMs - this.settings.heartbeatMs);
         entry.heardBothWaysAtMs = Math.max(entry.heardBothWaysAtMs, this.nowMs - unheardMs);
         if (this.isHeard(entry)) {
-            this.checks.delete(entry.record.vm);
             this.answerAskers(entry);
         }
     }
@@ -294,15 +293,20 @@
         if (entry === undefined || entry.isGone || entry.record.incarnation > statement.incarnation) {
             return;
         }
-        if (statement.vm !== from && this.isHeard(entry)) {
-            this.options.send(statement.vm, { ...this.bareHeartbeatTo(statement.vm), gone: [statement] });
-        }
-        else if (statement.vm === from || statement.ageMs < this.settings.freshStatementMs) {
+        const isFresh = statement.ageMs < this.settings.freshStatementMs && !this.isHeard(entry);
+        if (statement.vm === from || isFresh) {
             this.markGone(statement, from);
         }
-        else if (!this.checks.has(statement.vm)) {
-            this.checks.set(statement.vm, this.nowMs + this.settings.goneAfterMs);
-            this.options.send(statement.vm, this.bareHeartbeatTo(statement.vm));
+        else {
+            this.checkStatement(statement, entry);
+        }
+    }
+
+    /** A statement that is old, or about a VM that was heard lately, is believed only if the VM is not heard from now on. */
+    private checkStatement(statement: GoneStatement, entry: MemberEntry): void {
+        if (!this.checks.has(statement.vm)) {
+            this.checks.set(statement.vm, this.nowMs);
+            this.options.send(statement.vm, { ...this.bareHeartbeatTo(statement.vm), gone: [statement] });
             this.probe(entry);
         }
     }
@@ -381,7 +385,6 @@
         const entry = this.store.get(vouch.vm);
         if (entry?.record.incarnation === vouch.incarnation && vouch.heardMs < this.settings.goneAfterMs) {
             entry.vouchedAtMs = Math.max(entry.vouchedAtMs, this.nowMs - vouch.heardMs);
-            this.checks.delete(vouch.vm);
         }
     }
 
@@ -536,12 +539,12 @@
     }
 
     private endChecks(): void {
-        for (const [vm, untilMs] of this.checks) {
+        for (const [vm, sinceMs] of this.checks) {
             const entry = this.store.get(vm);
-            if (entry === undefined || entry.isGone || this.isHeard(entry)) {
+            if (entry === undefined || entry.isGone || Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs) > sinceMs) {
                 this.checks.delete(vm);
             }
-            else if (this.nowMs >= untilMs) {
+            else if (this.nowMs - sinceMs >= this.settings.goneAfterMs) {
                 this.markGone({ ...this.statementOf(entry), ageMs: 0 }, "");
             }
             else {
@@ -570,8 +573,8 @@
         for (const [zone, sinceMs] of this.representativeSinceMs) {
             this.representativeSinceMs.set(zone, sinceMs + pausedMs);
         }
-        for (const [vm, untilMs] of this.checks) {
-            this.checks.set(vm, untilMs + pausedMs);
+        for (const [vm, sinceMs] of this.checks) {
+            this.checks.set(vm, sinceMs + pausedMs);
         }
     }
 
