Tell the dispatcher of first tokens and odd gaps at once, and of what may not be sent again

RunningGrants asks the progress reporter at each arrival of tokens, in place of one report every 250 ms at the earliest: a first token that is told late looks like a slow engine. A resumed answer says so in its ticket, so that it is not refused early. Shards know whether their pool's calls may be repeated; plain services get no pausing, preemption, moving or hedging.

--- a/src/core/dispatch/Shard.ts
+++ b/src/core/dispatch/Shard.ts
@@ -10,6 +10,9 @@
     readonly upstreams: readonly Upstream[];
     /** Most requests in flight on one upstream. */
     readonly maxInFlight: number;
+    readonly kind: "engine" | "plain";
+    /** Its calls may be sent again. */
+    readonly repeatable: boolean;
     /** VM that dispatches it; undefined when no member is ready. */
     readonly dispatcherVm: string | undefined;
 }
--- a/src/core/dispatch/ShardDispatcher.test.ts
+++ b/src/core/dispatch/ShardDispatcher.test.ts
@@ -5,7 +5,7 @@
 import { defaultDispatchOptions } from "./defaultDispatchOptions.js";
 import type { DispatchAction } from "./DispatchAction.js";
 import type { DispatchOptions } from "./DispatchOptions.js";
-import { dispatchOptionsFor } from "./dispatchOptionsFor.js";
+import { restartLimits } from "./restartLimits.js";
 import { ShardDispatcher } from "./ShardDispatcher.js";
 
 const classes = [
@@ -215,15 +215,11 @@
 });
 
 test("calls that may not be repeated are neither asked back nor sent twice", () => {
-    const pool = { name: "jobs", path: "new", kind: "plain", services: ["pumpline-jobs"], upstreams: [], repeatable: false } as const;
-    const options = dispatchOptionsFor({
-        ...pool,
-        services: [...pool.services],
-        upstreams: [],
-        deduplicatesByKey: false,
-        checksFencing: false,
-        maxInFlight: 4,
-        placements: [],
-    }, "vm/1");
-    expect([options.preemption, options.moving, options.hedgeShare, options.pausedSlots]).toEqual([false, false, 0, 0]);
+    expect(restartLimits({ kind: "plain", repeatable: false })).toEqual({
+        pausedSlots: 0,
+        preemption: false,
+        moving: false,
+        hedgeShare: 0,
+    });
+    expect(restartLimits({ kind: "engine", repeatable: true })).toEqual({});
 });
--- a/src/core/dispatch/chooseShard.test.ts
+++ b/src/core/dispatch/chooseShard.test.ts
@@ -4,7 +4,7 @@
 import type { Shard } from "./Shard.js";
 
 function shardIn(id: string, availabilityZone: string | undefined): Shard {
-    return { id, pool: "pumps", availabilityZone, upstreams: [], maxInFlight: 1, dispatcherVm: "a" };
+    return { id, pool: "pumps", availabilityZone, upstreams: [], maxInFlight: 1, kind: "engine", repeatable: true, dispatcherVm: "a" };
 }
 
 describe("chooseShard", () => {
--- a/src/core/dispatch/shardMap.ts
+++ b/src/core/dispatch/shardMap.ts
@@ -59,6 +59,8 @@
         availabilityZone: zone,
         upstreams,
         maxInFlight: pool.maxInFlight,
+        kind: pool.kind,
+        repeatable: pool.repeatable,
         dispatcherVm: rankDispatchers(id, zone, ready)[0],
     };
 }
--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -23,7 +23,6 @@
 import { TokenTimes } from "./TokenTimes.js";
 
 const charactersPerToken = 4;
-const progressPeriodMs = 250;
 /** A stream that the caller has begun to read waits this long for a slot to go on. */
 const continuationQueueMs = 600_000;
 
@@ -139,6 +138,7 @@
             prefixHashes: this.hashes,
             waitedMs: hasStarted ? 0 : this.parts.scheduler.nowMs() - this.request.arrivedMs,
             maxQueueMs: hasStarted ? continuationQueueMs : this.request.serviceClass.maxQueueMs,
+            isResumed: hasStarted,
         }, this.request.gone);
         return grant.mapErr(refusal => this.request.gone.aborted ? callerGone(this.mayHaveRun) : this.withOutcome(faultOfRefusal(refusal)));
     }
@@ -169,7 +169,6 @@
 
     private async relay(stream: EngineStream, grant: Grant, sentMs: number, attemptTimes: TokenTimes): Promise<AttemptEnd> {
         const { scheduler } = this.parts;
-        let progressAtMs = sentMs;
         const relayed = await stream.relay((events, tokenCount) => {
             if (tokenCount > 0) {
                 const nowMs = scheduler.nowMs();
@@ -179,10 +178,7 @@
                 attemptTimes.add(nowMs, tokenCount);
                 this.times.add(nowMs, tokenCount);
                 this.deliveredText.append(events);
-                if (nowMs - progressAtMs >= progressPeriodMs) {
-                    progressAtMs = nowMs;
-                    grant.progress(attemptTimes.tokens, (attemptTimes.firstTokenAtMs ?? nowMs) - sentMs);
-                }
+                grant.progress(attemptTimes.tokens, (attemptTimes.firstTokenAtMs ?? nowMs) - sentMs);
             }
             return this.work.sink.write(events);
         });
--- a/src/node/caller/GrantSource.ts
+++ b/src/node/caller/GrantSource.ts
@@ -20,6 +20,8 @@
     readonly prefixHashes: number[];
     readonly waitedMs: number;
     readonly maxQueueMs: number;
+    /** The caller has part of the answer. */
+    readonly isResumed?: boolean;
 }
 
 /** Gets the grants of one request, for upstreams that have not failed it and whose circuit is not open. */
--- a/src/node/caller/ticketFor.ts
+++ b/src/node/caller/ticketFor.ts
@@ -13,6 +13,8 @@
     readonly excludedUpstreams: string[];
     readonly waitedMs: number;
     readonly maxQueueMs: number;
+    /** The caller has part of the answer. */
+    readonly isResumed?: boolean;
 }
 
 /** The ticket that stands for a request in a dispatcher's queue. */
--- a/src/node/dispatch/RunningGrant.ts
+++ b/src/node/dispatch/RunningGrant.ts
@@ -1,3 +1,4 @@
+import type { ProgressReporter } from "../../core/dispatch/ProgressReporter.js";
 import type { Ticket } from "../../schema/peer/Ticket.js";
 
 /** A grant that a request of this VM is using. */
@@ -10,7 +11,5 @@
     /** VMs that count this grant as in flight and must hear of its end. */
     readonly holders: Set<string>;
     readonly preemption: AbortController;
-    outputTokens: number;
-    /** Output tokens at which the dispatcher is told of progress next. */
-    nextReportTokens: number;
+    readonly reporter: ProgressReporter;
 }
--- a/src/node/dispatch/RunningGrants.ts
+++ b/src/node/dispatch/RunningGrants.ts
@@ -1,3 +1,4 @@
+import { ProgressReporter } from "../../core/dispatch/ProgressReporter.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Upstream } from "../../schema/config/Upstream.js";
 import type { GrantEnd } from "../../schema/peer/GrantEnd.js";
@@ -7,9 +8,6 @@
 import type { RunningGrant } from "./RunningGrant.js";
 import type { SendMessage } from "./SendMessage.js";
 
-/** Progress is told at the first token, at this many tokens and at each doubling, which bounds the messages of a long answer. */
-const firstReportTokens = 64;
-
 type GrantMessage = Extract<PeerMessage, { type: "ticketGrant"; }>;
 type AdoptedGrant = Extract<PeerMessage, { type: "grantAdopt"; }>["grants"][number];
 
@@ -28,8 +26,7 @@
             startedMs: this.scheduler.nowMs(),
             holders: new Set([dispatcher]),
             preemption: new AbortController(),
-            outputTokens: 0,
-            nextReportTokens: 1,
+            reporter: new ProgressReporter(this.scheduler.nowMs()),
         };
         this.grants.set(running.grantId, running);
         return {
@@ -89,18 +86,18 @@
             grantId: running.grantId,
             upstreamId: running.upstreamId,
             ticket: running.ticket,
-            outputTokens: running.outputTokens,
+            outputTokens: running.reporter.outputTokens,
             ageMs: this.scheduler.nowMs() - running.startedMs,
         };
     }
 
     private progress(running: RunningGrant, outputTokens: number, firstTokenMs: number): void {
-        running.outputTokens = outputTokens;
-        if (outputTokens < running.nextReportTokens) {
-            return;
+        const { reporter, shard, grantId } = running;
+        const newTokens = outputTokens - reporter.outputTokens;
+        if (newTokens > 0 && reporter.onTokens(newTokens, this.scheduler.nowMs())) {
+            const { recentGapMs } = reporter;
+            this.tell(running, { type: "grantProgress", shard, grantId, outputTokens, firstTokenMs, recentGapMs });
         }
-        running.nextReportTokens = Math.max(firstReportTokens, 2 * outputTokens);
-        this.tell(running, { type: "grantProgress", shard: running.shard, grantId: running.grantId, outputTokens, firstTokenMs });
     }
 
     private end(running: RunningGrant, end: GrantEnd): void {
--- a/src/node/dispatch/ShardHost.ts
+++ b/src/node/dispatch/ShardHost.ts
@@ -2,6 +2,7 @@
 import type { DispatchAction } from "../../core/dispatch/DispatchAction.js";
 import type { DispatchOptions } from "../../core/dispatch/DispatchOptions.js";
 import type { DispatchUpstream } from "../../core/dispatch/DispatchUpstream.js";
+import { restartLimits } from "../../core/dispatch/restartLimits.js";
 import type { Shard } from "../../core/dispatch/Shard.js";
 import { ShardDispatcher } from "../../core/dispatch/ShardDispatcher.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
@@ -102,7 +103,7 @@
             case "ticketWithdraw":
                 return dispatcher.withdraw(message.requestId, message.attempt, nowMs);
             case "grantProgress":
-                return dispatcher.progress(message.grantId, message.outputTokens, message.firstTokenMs, nowMs);
+                return dispatcher.progress(message.grantId, message.outputTokens, message.firstTokenMs, nowMs, message.recentGapMs);
             case "grantEnd":
                 return dispatcher.end(message.grantId, message.end, nowMs);
             case "grantAdopt":
@@ -123,7 +124,7 @@
             return known.dispatcher;
         }
         const grantIdPrefix = `${this.vm}/${this.incarnation}/${shard}`;
-        const dispatcher = new ShardDispatcher({ ...this.options, grantIdPrefix }, this.random);
+        const dispatcher = new ShardDispatcher({ ...this.optionsOf(shard), grantIdPrefix }, this.random);
         dispatcher.setClasses(this.classes);
         dispatcher.setUpstreams(toDispatchUpstreams(this.table.shard(shard)), nowMs);
         this.hosted.set(shard, { dispatcher, lastUsedMs: nowMs });
@@ -131,6 +132,11 @@
         return dispatcher;
     }
 
+    private optionsOf(id: string): DispatchOptions {
+        const shard = this.table.shard(id);
+        return shard === undefined ? this.options : { ...this.options, ...restartLimits(shard) };
+    }
+
     private refuseOffer(from: string, message: Extract<PeerMessage, { type: "ticketOffer"; }>): void {
         const { requestId, attempt } = message.ticket;
         const kind = from === this.vm ? "no-upstream" : "not-dispatcher";
--- a/src/node/services/Grant.ts
+++ b/src/node/services/Grant.ts
@@ -8,7 +8,7 @@
     readonly priority: number;
     /** Aborted when the dispatcher wants the slot back for a higher tier; the holder cancels and re-acquires. */
     readonly preempted: AbortSignal;
-    /** Reports progress: tokens received so far and the time since the last token. */
+    /** Notes each arrival of tokens: how many have come so far, and the time from the send to the first. The dispatcher is told when it matters. */
     progress(outputTokens: number, firstTokenMs: number): void;
     end(end: GrantEnd): void;
 }
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -73,7 +73,15 @@
         ),
     }),
     z.object({ type: z.literal("grantPreempt"), shard: z.string(), grantId: z.string() }),
-    z.object({ type: z.literal("grantProgress"), shard: z.string(), grantId: z.string(), outputTokens: z.int(), firstTokenMs: z.number() }),
+    z.object({
+        type: z.literal("grantProgress"),
+        shard: z.string(),
+        grantId: z.string(),
+        outputTokens: z.int(),
+        firstTokenMs: z.number(),
+        /** Time between tokens of late; told at once when it stands out. */
+        recentGapMs: z.number().optional(),
+    }),
     /** Grants still in use; a dispatcher takes a grant that is not renewed as lost. */
     z.object({ type: z.literal("grantKeepAlive"), shard: z.string(), grantIds: z.array(z.string()) }),
     z.object({ type: z.literal("grantEnd"), shard: z.string(), grantId: z.string(), end: GrantEnd }),
