--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -284,6 +284,7 @@
             explain: this.explainer,
             metrics: this.metrics,
             isReady: () => this.isReady(),
+            scheduler: this.options.scheduler,
         });
     }
 
--- a/src/node/operator/OperatorOptions.ts
+++ b/src/node/operator/OperatorOptions.ts
@@ -1,3 +1,4 @@
+import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { ConfigService } from "../services/ConfigService.js";
 import type { ExplainService } from "../services/ExplainService.js";
 import type { MembershipService } from "../services/MembershipService.js";
@@ -19,4 +20,5 @@
     readonly metrics: MetricsText;
     /** Served at `/readyz`. */
     readonly isReady: () => boolean;
+    readonly scheduler: Scheduler;
 }
--- a/src/node/operator/OperatorServer.test.ts
+++ b/src/node/operator/OperatorServer.test.ts
@@ -116,6 +116,21 @@
     });
 }
 
+test("a watch in which nothing changes sends empty messages, so that its reader knows a silent connection", async () => {
+    const abort = new AbortController();
+    const seen: number[] = [];
+    await failure((async () => {
+        for await (const change of client("connect").watch({}, { signal: abort.signal })) {
+            seen.push(change.put.length + change.deleted.length);
+            if (seen.length === 3) {
+                abort.abort();
+            }
+            operator.scheduler.advance(15_000);
+        }
+    })());
+    expect(seen).toEqual([0, 0, 0]);
+});
+
 test("HTTP/JSON: the same schema answers plain fetch", async () => {
     const urgent = { serviceClass: { name: "urgent", tier: 0, firstTokenTargetMs: 450, tokenGapTargetMs: 35 } };
     const applied = await call("Apply", { author: "curl", operations: [{ put: urgent }] });
--- /dev/null
+++ b/src/node/operator/OperatorServerTls.test.ts
@@ -0,0 +1,53 @@
+import { createClient, type Interceptor } from "@connectrpc/connect";
+import { createConnectTransport, createGrpcTransport } from "@connectrpc/connect-node";
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { after, test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { OperatorService } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
+import { startOperator } from "./testing/startOperator.js";
+
+const file = (name: string) => fileURLToPath(new URL(`./testing/${name}`, import.meta.url));
+const certFile = file("test-certificate.pem");
+const keyFile = file("test-key.pem");
+const shutdown = new AbortController();
+
+after(() => {
+    shutdown.abort();
+});
+
+/** The VM that answers Status, or why there was no answer. */
+async function statusBy(
+    protocol: "connect" | "grpc",
+    operator: Awaited<ReturnType<typeof startOperator>>,
+    nodeOptions: object,
+): Promise<string> {
+    const withToken: Interceptor = next => request => {
+        request.header.set("authorization", `Bearer ${operator.token}`);
+        return next(request);
+    };
+    const options = { baseUrl: operator.baseUrl, interceptors: [withToken], nodeOptions };
+    const transport = protocol === "grpc" ? createGrpcTransport(options) : createConnectTransport({ ...options, httpVersion: "1.1" });
+    return createClient(OperatorService, transport).status({}).then(status => status.vm, () => "no answer");
+}
+
+test("with TLS, HTTP/1.1 and gRPC are served on one port, and a client that does not know the certificate refuses it", async () => {
+    const operator = await startOperator(shutdown.signal, { certFile, keyFile });
+    const ca = readFileSync(certFile);
+    expect(await statusBy("connect", operator, { ca })).toEqual("nadi-1");
+    expect(await statusBy("grpc", operator, { ca })).toEqual("nadi-1");
+    expect(await statusBy("connect", operator, {})).toEqual("no answer");
+});
+
+test("with caFile, a client must show a certificate signed by it", async () => {
+    const operator = await startOperator(shutdown.signal, { certFile, keyFile, caFile: certFile });
+    const ca = readFileSync(certFile);
+    expect(await statusBy("grpc", operator, { ca, cert: ca, key: readFileSync(keyFile) })).toEqual("nadi-1");
+    expect(await statusBy("grpc", operator, { ca })).toEqual("no answer");
+    expect(await statusBy("connect", operator, { ca })).toEqual("no answer");
+});
+
+test("files that cannot be read are named", async () => {
+    const failed: unknown = await startOperator(shutdown.signal, { certFile: "missing.pem", keyFile }).catch((error: unknown) => error);
+    expect(JSON.stringify(failed)).toMatchRegex(/missing\.pem.*correct listen\.operator/);
+});
--- a/src/node/operator/createOperatorRoutes.ts
+++ b/src/node/operator/createOperatorRoutes.ts
@@ -45,7 +45,7 @@
                 const stored = storedObjects(view, kindOrAll(request.kind)).map(object => storedToProto(config, object));
                 return create(ListResponseSchema, { stored, configOffset: BigInt(view.offset) });
             },
-            watch: (request, context) => watchConfig(config, kindOrAll(request.kind), context.signal),
+            watch: (request, context) => watchConfig(config, kindOrAll(request.kind), options.scheduler, context.signal),
             status: () => status(options),
             report: async (request, context) => {
                 const sinceMs = Math.min(request.sinceMs ?? maxReportMs, maxReportMs);
--- a/src/node/operator/testing/startOperator.ts
+++ b/src/node/operator/testing/startOperator.ts
@@ -1,4 +1,6 @@
+import { VirtualScheduler } from "../../../core/util/VirtualScheduler.js";
 import type { ServiceLevel } from "../../../schema/report/ServiceLevel.js";
+import type { TlsSettings } from "../../../schema/settings/TlsSettings.js";
 import { OperatorServer } from "../OperatorServer.js";
 import { FakeConfigService } from "./FakeConfigService.js";
 
@@ -8,13 +10,15 @@
     readonly token: string;
     /** What the Report call answers with. */
     readonly levels: ServiceLevel[];
+    readonly scheduler: VirtualScheduler;
 }
 
 /** Starts an operator server over fakes on a free port of loopback, for tests. */
-export async function startOperator(signal: AbortSignal): Promise<StartedOperator> {
+export async function startOperator(signal: AbortSignal, tls?: TlsSettings): Promise<StartedOperator> {
     const config = new FakeConfigService();
     const token = "operator-token-of-the-test";
     const levels: ServiceLevel[] = [];
+    const scheduler = new VirtualScheduler();
     const server = new OperatorServer({
         vm: "nadi-1",
         availabilityZone: "nadi",
@@ -24,6 +28,7 @@
         membership: { members: [], onChange: () => undefined },
         metrics: { contentType: "text/plain", text: () => Promise.resolve("orioleshelf_up 1\n") },
         isReady: () => config.isReady,
+        scheduler,
         report: {
             report: sinceMs =>
                 Promise.resolve({
@@ -52,6 +57,6 @@
                 }),
         },
     });
-    const port = (await server.start({ host: "127.0.0.1", port: 0 }, signal))._unsafeUnwrap();
-    return { config, baseUrl: `http://127.0.0.1:${port}`, token, levels };
+    const port = (await server.start({ host: "127.0.0.1", port: 0, tls }, signal))._unsafeUnwrap();
+    return { config, baseUrl: `${tls === undefined ? "http" : "https"}://127.0.0.1:${port}`, token, levels, scheduler };
 }
--- a/src/node/operator/watchConfig.ts
+++ b/src/node/operator/watchConfig.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import type { ConfigView } from "../../core/config/ConfigView.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { ConfigKind } from "../../schema/config/ConfigKind.js";
 import type { ConfigObject } from "../../schema/config/ConfigObject.js";
 import { ObjectRefSchema, type WatchResponse, WatchResponseSchema } from "../../schema/generated/orioleshelf/v1/operator_pb.js";
@@ -8,12 +9,24 @@
 import { storedObjects } from "./storedObjects.js";
 import { storedToProto } from "./storedToProto.js";
 
+const heartbeatMs = 15_000;
+
 /**
  * Yields all objects, then what each new view changed, until `signal` aborts. A slow reader gets several views as one
- * difference, so that memory stays bounded.
+ * difference, so that memory stays bounded. While nothing changes, an empty message every 15 s shows that the stream lives.
  */
-export async function* watchConfig(config: ConfigService, kind: ConfigKind | undefined, signal: AbortSignal): AsyncIterable<WatchResponse> {
+export async function* watchConfig(
+    config: ConfigService,
+    kind: ConfigKind | undefined,
+    scheduler: Scheduler,
+    signal: AbortSignal,
+): AsyncIterable<WatchResponse> {
     let wake: () => void = () => undefined;
+    let isHeartbeatDue = false;
+    scheduler.every(heartbeatMs, () => {
+        isHeartbeatDue = true;
+        wake();
+    }, signal);
     config.onChange(() => {
         wake();
     }, signal);
@@ -31,6 +44,11 @@
             sent = view;
             continue;
         }
+        if (isHeartbeatDue) {
+            isHeartbeatDue = false;
+            yield create(WatchResponseSchema, { configOffset: BigInt(view.offset) });
+            continue;
+        }
         await new Promise<void>(resolve => {
             wake = resolve;
         });
