Do not count a held-up answer as the end of a stream

A VM that was paused between asking for records and taking the empty answer would have become ready with a state from before the pause.

--- a/src/node/config/LogConfigService.ts
+++ b/src/node/config/LogConfigService.ts
@@ -186,9 +186,9 @@
             nextOffset: () => this.fold.offset + 1,
             onRecords: records => {
                 this.foldRecords(records);
-                if (records.length === 0) {
-                    this.becomeReady("the log");
-                }
+            },
+            onEnd: () => {
+                this.becomeReady("the log");
             },
             onForgotten: firstOffset => {
                 log("the log forgot changes; look for a snapshot", { firstOffset });
--- a/src/node/platform/log/LogTail.ts
+++ b/src/node/platform/log/LogTail.ts
@@ -4,6 +4,7 @@
 
 const firstRetryMs = 50;
 const maxRetryMs = 1_000;
+const maxAnswerAgeMs = 1_000;
 
 interface LogTailOptions {
     readonly log: LogClient;
@@ -13,8 +14,10 @@
     readonly pollMs: number;
     /** Next offset to read; asked before each read, as a snapshot may move it. */
     readonly nextOffset: () => number;
-    /** Takes records in offset order. An empty batch tells that the end of the stream was reached. */
+    /** Takes records in offset order. */
     readonly onRecords: (records: readonly LogRecord[]) => void;
+    /** The end of the stream was reached, a moment ago: an answer that was held up, as by a pause of the VM, does not count. */
+    readonly onEnd?: () => void;
     /** The log no longer holds the next offset. */
     readonly onForgotten: (firstOffset: number) => void;
     readonly onError?: (message: string) => void;
@@ -29,15 +32,20 @@
     async start(signal: AbortSignal): Promise<void> {
         let isAtEnd = false;
         while (!signal.aborted) {
-            const { log, stream, pollMs, nextOffset } = this.options;
+            const { log, scheduler, stream, pollMs, nextOffset } = this.options;
+            const askedMs = scheduler.nowMs();
             const read = await log.read(stream, nextOffset(), isAtEnd ? pollMs : 0, signal);
             if (signal.aborted) {
                 return;
             }
             if (read.isOk()) {
                 this.retryMs = firstRetryMs;
-                isAtEnd = read.value.length === 0;
+                const isFresh = scheduler.nowMs() - askedMs < maxAnswerAgeMs;
                 this.options.onRecords(read.value);
+                if (read.value.length === 0 && !isAtEnd && isFresh) {
+                    this.options.onEnd?.();
+                }
+                isAtEnd = read.value.length === 0 && (isAtEnd || isFresh);
             }
             else if (read.error.kind === "forgotten" && read.error.firstOffset !== undefined) {
                 this.options.onForgotten(read.error.firstOffset);
