--- /dev/null
+++ b/src/node/membership/GossipMembership.test.ts
@@ -0,0 +1,97 @@
+import { expect } from "earl";
+import { afterEach, test } from "node:test";
+import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
+import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
+import { defaultPeerLinkLimits } from "../peer/defaultPeerLinkLimits.js";
+import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import { SystemScheduler } from "../timers/SystemScheduler.js";
+import { GossipMembership } from "./GossipMembership.js";
+
+const settings = { ...defaultMembershipSettings, tickMs: 20, heartbeatMs: 60, suspectAfterMs: 400, goneAfterMs: 1000, probeMs: 100 };
+const limits = { ...defaultPeerLinkLimits, pingAfterMs: 80, silentAfterMs: 150, redialAfterMs: 50 };
+let stop = new AbortController();
+
+afterEach(() => {
+    stop.abort();
+    stop = new AbortController();
+});
+
+interface StartedVm {
+    readonly membership: GossipMembership;
+    readonly stop: AbortController;
+    readonly proxy: SwallowingProxy;
+    readonly url: string;
+}
+
+/** Starts a VM whose peers reach it through a proxy. */
+async function startVm(vm: string, seeds: readonly string[], incarnation = "1"): Promise<StartedVm> {
+    const own = new AbortController();
+    stop.signal.addEventListener("abort", () => {
+        own.abort();
+    });
+    const scheduler = new SystemScheduler();
+    const links = new WebSocketPeerLinks({
+        self: { vm, incarnation },
+        listenHost: "127.0.0.1",
+        listenPort: 0,
+        sharedKey: "shared",
+        scheduler,
+        limits,
+    });
+    const proxy = new SwallowingProxy((await links.start(own.signal))._unsafeUnwrap());
+    const url = `ws://127.0.0.1:${await proxy.start(own.signal)}/peer`;
+    const self = { vm, incarnation, availabilityZone: "nadi", region: "fiji", peerUrl: url };
+    const membership = new GossipMembership({ self, seeds, links, scheduler, settings });
+    membership.start(own.signal);
+    membership.setLocal({ state: "ready" });
+    return { membership, stop: own, proxy, url };
+}
+
+function viewOf(vm: StartedVm): string {
+    return vm.membership.members.map(member => `${member.vm}:${member.incarnation}:${member.state}`).join(" ");
+}
+
+/** Waits for a state that must come; the test runner's timeout bounds it. */
+async function until(isReached: () => boolean): Promise<void> {
+    while (!isReached()) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
+const all = "vm-1:1:ready vm-2:1:ready vm-3:1:ready";
+
+async function startThree(): Promise<[StartedVm, StartedVm, StartedVm]> {
+    const first = await startVm("vm-1", []);
+    const second = await startVm("vm-2", [first.url]);
+    const third = await startVm("vm-3", [first.url]);
+    await until(() => [first, second, third].every(vm => viewOf(vm) === all));
+    return [first, second, third];
+}
+
+test("VMs that know one seed find each other, and see a drain, a crash and a replacement", { timeout: 20_000 }, async () => {
+    const [first, second, third] = await startThree();
+    third.membership.setLocal({ state: "draining" });
+    await until(() => [first, second].every(vm => viewOf(vm).includes("vm-3:1:draining")));
+    third.stop.abort();
+    await until(() => [first, second].every(vm => viewOf(vm) === "vm-1:1:ready vm-2:1:ready"));
+    const replacement = await startVm("vm-3", [second.url], "2");
+    await until(() => [first, second, replacement].every(vm => viewOf(vm) === "vm-1:1:ready vm-2:1:ready vm-3:2:ready"));
+});
+
+test("connections that swallow bytes are replaced before a VM is given up", { timeout: 20_000 }, async () => {
+    const vms = await startThree();
+    const views = new Set<string>();
+    for (const vm of vms) {
+        vm.membership.onChange(() => views.add(viewOf(vm)), stop.signal);
+    }
+    for (const direction of ["up", "down", "both"] as const) {
+        const before = vms.map(vm => vm.proxy.acceptedCount);
+        for (const vm of vms) {
+            vm.proxy.swallow(direction);
+        }
+        await until(() => vms.reduce((sum, vm) => sum + vm.proxy.acceptedCount, 0) >= before.reduce((sum, count) => sum + count, 0) + 3);
+        await new Promise(resolve => setTimeout(resolve, 1.3 * settings.goneAfterMs));
+        expect(vms.map(viewOf)).toEqual([all, all, all]);
+    }
+    expect([...views].filter(view => view !== all)).toEqual([]);
+});
--- a/standins/proxy/SwallowingProxy.ts
+++ b/standins/proxy/SwallowingProxy.ts
@@ -3,6 +3,8 @@
 /** A TCP proxy that can stop passing on the bytes of open connections, one way or both, while new connections still work. */
 export class SwallowingProxy {
     private readonly pairs = new Set<{ readonly client: Socket; readonly server: Socket; swallowsUp: boolean; swallowsDown: boolean; }>();
+    /** Connections taken since the start. */
+    acceptedCount = 0;
     private refusesNew = false;
 
     constructor(private readonly targetPort: number) {}
@@ -20,10 +22,6 @@
         return (server.address() as AddressInfo).port;
     }
 
-    get openCount(): number {
-        return this.pairs.size;
-    }
-
     /** Swallows what the connections open now carry towards the target (`up`), from it (`down`), or both. */
     swallow(direction: "up" | "down" | "both"): void {
         for (const pair of this.pairs) {
@@ -42,6 +40,7 @@
             client.destroy();
             return;
         }
+        this.acceptedCount++;
         const server = connect(this.targetPort, "127.0.0.1");
         const pair = { client, server, swallowsUp: false, swallowsDown: false };
         this.pairs.add(pair);
