Give orders to engines from one holder of a lease in the log

Level-triggered plans from reported state: load beside the old version, unload once ready, never the last ready engine of a service, loads within the weight store's limit with zones taking turns.

--- /dev/null
+++ b/src/core/orders/PlannedOrder.ts
@@ -0,0 +1,7 @@
+import type { EngineOrder } from "../../schema/orders/EngineOrder.js";
+
+/** An order for one engine, without the number and id that its sender adds. */
+export interface PlannedOrder {
+    readonly engineId: string;
+    readonly order: Omit<EngineOrder, "fencingNumber" | "orderId">;
+}
--- /dev/null
+++ b/src/core/orders/placementKey.ts
@@ -0,0 +1,6 @@
+/** Names a model version with its adapter. */
+export function placementKey(
+    placement: { readonly model: string; readonly version: string; readonly adapter?: string | undefined; },
+): string {
+    return JSON.stringify([placement.model, placement.version, placement.adapter ?? ""]);
+}
--- /dev/null
+++ b/src/core/orders/planOrders.test.ts
@@ -0,0 +1,116 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { ModelPlacement } from "../../schema/config/ModelPlacement.js";
+import type { EngineReport } from "../../schema/orders/EngineReport.js";
+import type { EngineView } from "./EngineView.js";
+import type { PlannedOrder } from "./PlannedOrder.js";
+import { planOrders } from "./planOrders.js";
+
+type HeldModel = EngineReport["models"][number];
+
+const zones = ["ba", "lautoka", "nadi"];
+const services = ["chat", "manual"];
+const modelArbitrary = fc.record({
+    model: fc.constantFrom(...services),
+    version: fc.constantFrom("1", "2"),
+    state: fc.constantFrom<HeldModel["state"]>("ready", "ready", "loading", "failed"),
+});
+
+function engine(index: number, models: readonly HeldModel[], part: Partial<EngineView> = {}): EngineView {
+    return {
+        id: `engine-${index}`,
+        availabilityZone: zones[index % zones.length] as string,
+        isLeaving: false,
+        report: { models: [...models], role: "both", fencingNumber: -1 },
+        isReached: true,
+        hasPendingOrder: false,
+        failedLoads: new Set(),
+        ...part,
+    };
+}
+
+function placement(model: string, version: string, replicas: number): ModelPlacement {
+    return ModelPlacement.parse({ model, version, replicas });
+}
+
+function readyCount(engines: readonly EngineView[], model: string): number {
+    return engines.filter(view => view.report?.models.some(held => held.model === model && held.state === "ready")).length;
+}
+
+/** What the engines report once all orders have taken effect and all loads are done. */
+function obey(engines: readonly EngineView[], orders: readonly PlannedOrder[]): EngineView[] {
+    return engines.map(view => {
+        const order = orders.find(planned => planned.engineId === view.id)?.order;
+        const models = (view.report?.models ?? []).map(held => held.state === "loading" ? { ...held, state: "ready" as const } : held);
+        if (view.report === undefined || order === undefined) {
+            return { ...view, report: { models, role: view.report?.role ?? "both", fencingNumber: -1 } };
+        }
+        const others = models.filter(held => held.model !== order.model || held.version !== order.version);
+        const own: HeldModel = { model: order.model, version: order.version, state: "loading" };
+        const after = order.action === "load" ? [...others, own] : order.action === "unload" ? others : models;
+        return { ...view, report: { models: after, role: order.action === "role" ? order.role : view.report.role, fencingNumber: -1 } };
+    });
+}
+
+const engines = fc.array(fc.uniqueArray(modelArbitrary, { maxLength: 2, selector: held => held.model + held.version }), {
+    minLength: 1,
+    maxLength: 8,
+}).map(all => all.map((models, index) => engine(index, models)));
+const placements = fc.tuple(fc.nat(4), fc.nat(4), fc.nat(4)).map(([first, second, third]) => [
+    placement("chat", "2", first),
+    placement("manual", "1", second),
+    placement("manual", "2", third),
+]);
+
+test("no plan takes the last ready engine of a service, and following plans comes to rest at what is wanted", () => {
+    fc.assert(
+        fc.property(engines, placements, fc.integer({ min: 1, max: 4 }), (start, wanted, maxLoading) => {
+            let current = start;
+            for (let round = 0; round < 40; round++) {
+                const orders = planOrders({ placements: wanted, services, engines: current, maxLoading });
+                expect(planOrders({ placements: wanted, services, engines: current, maxLoading })).toEqual(orders);
+                const next = obey(current, orders);
+                for (const service of services) {
+                    expect(readyCount(next, service)).toBeGreaterThanOrEqual(Math.min(1, readyCount(current, service)));
+                }
+                if (orders.length === 0 && JSON.stringify(next) === JSON.stringify(current)) {
+                    break;
+                }
+                current = next;
+            }
+            expect(planOrders({ placements: wanted, services, engines: current, maxLoading })).toEqual([]);
+            const missing = wanted.reduce((sum, { replicas }) => sum + replicas, 0) <= current.length
+                ? wanted.filter(({ model, version, replicas }) => countOf(current, model, version) < replicas)
+                : [];
+            expect(missing).toEqual([]);
+        }),
+        { seed: 1, numRuns: 500 },
+    );
+});
+
+function countOf(views: readonly EngineView[], model: string, version: string): number {
+    return views.filter(view => view.report?.models.some(held => held.model === model && held.version === version)).length;
+}
+
+test("loads under way stay within the weight store's rate and are shared between zones", () => {
+    const empty = [0, 3, 6, 1, 4, 2].map(index => engine(index, []));
+    const orders = planOrders({ placements: [placement("chat", "2", 6)], services, engines: empty, maxLoading: 3 });
+    const loadedZones = orders.map(order => empty.find(view => view.id === order.engineId)?.availabilityZone);
+    expect(loadedZones.sort()).toEqual(zones);
+});
+
+test("an engine that is not reached keeps its placement and gets no order", () => {
+    const held: HeldModel = { model: "chat", version: "2", state: "ready" };
+    const views = [engine(0, [held], { isReached: false }), engine(1, [])];
+    expect(planOrders({ placements: [placement("chat", "2", 1)], services, engines: views, maxLoading: 2 })).toEqual([]);
+});
+
+test("the old version goes only once the new one is ready on the same engine or its service is ready elsewhere", () => {
+    const old: HeldModel = { model: "chat", version: "1", state: "ready" };
+    const wanted = [placement("chat", "2", 1)];
+    const plan = (state: HeldModel["state"]) =>
+        planOrders({ placements: wanted, services, engines: [engine(0, [old, { model: "chat", version: "2", state }])], maxLoading: 1 });
+    expect(plan("loading")).toEqual([]);
+    expect(plan("ready").map(({ order }) => [order.action, order.version])).toEqual([["unload", "1"]]);
+});
--- /dev/null
+++ b/src/node/orders/HttpEngineOrderClient.ts
@@ -0,0 +1,95 @@
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { Agent, request } from "undici";
+import type { Upstream } from "../../schema/config/Upstream.js";
+import type { EngineOrder } from "../../schema/orders/EngineOrder.js";
+import { EngineReport } from "../../schema/orders/EngineReport.js";
+import type { EngineOrderClient } from "./EngineOrderClient.js";
+import type { OrderError } from "./OrderError.js";
+
+const maxAnswerBytes = 1024 * 1024;
+
+interface Answer {
+    readonly status: number;
+    readonly body: unknown;
+}
+
+/** Order calls over HTTP. Connections are not kept between calls, so that none can have gone silent. */
+export class HttpEngineOrderClient implements EngineOrderClient {
+    private readonly dispatcher: Agent;
+
+    constructor(private readonly timeoutMs = 2000) {
+        this.dispatcher = new Agent({ pipelining: 0, connect: { timeout: timeoutMs }, maxResponseSize: maxAnswerBytes });
+    }
+
+    /** Releases all connections when `signal` aborts. */
+    start(signal: AbortSignal): void {
+        signal.addEventListener("abort", () => void this.dispatcher.destroy(), { once: true });
+    }
+
+    state(upstream: Upstream, signal: AbortSignal): ResultAsync<EngineReport, OrderError> {
+        return this.call(upstream, "GET", "/orders/state", undefined, signal)
+            .mapErr((error): OrderError => ({ kind: "unreachable", message: error.message }))
+            .andThen(({ status, body }) => {
+                const parsed = EngineReport.safeParse(body);
+                return status === 200 && parsed.success
+                    ? okAsync(parsed.data)
+                    : errAsync<EngineReport, OrderError>(refused(upstream, `state call answered ${status} without a report`));
+            });
+    }
+
+    send(upstream: Upstream, order: EngineOrder, signal: AbortSignal): ResultAsync<undefined, OrderError> {
+        return this.call(upstream, "POST", "/orders", order, signal).andThen(({ status }) => {
+            if (status === 200) {
+                return okAsync(undefined);
+            }
+            const error: OrderError = status === 409
+                ? { kind: "stale", message: `engine ${upstream.id} has seen a newer fencing number; another VM gives the orders now` }
+                : refused(upstream, `order answered ${status}`);
+            return errAsync<undefined, OrderError>(error);
+        });
+    }
+
+    private call(
+        upstream: Upstream,
+        method: "GET" | "POST",
+        path: string,
+        body: EngineOrder | undefined,
+        signal: AbortSignal,
+    ): ResultAsync<Answer, OrderError> {
+        return ResultAsync.fromPromise(this.exchange(upstream, method, path, body, signal), (error): OrderError => ({
+            kind: "unknown",
+            message: `no answer from engine ${upstream.id} (${String(error)}); its state is read again before the next order`,
+        }));
+    }
+
+    private async exchange(
+        upstream: Upstream,
+        method: "GET" | "POST",
+        path: string,
+        body: EngineOrder | undefined,
+        signal: AbortSignal,
+    ): Promise<Answer> {
+        const response = await request(new URL(path, upstream.url), {
+            method,
+            dispatcher: this.dispatcher,
+            signal: AbortSignal.any([signal, AbortSignal.timeout(this.timeoutMs)]),
+            reset: true,
+            ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { "content-type": "application/json" } }),
+        });
+        const text = await response.body.text();
+        return { status: response.statusCode, body: parseJson(text) };
+    }
+}
+
+function refused(upstream: Upstream, reason: string): OrderError {
+    return { kind: "refused", message: `engine ${upstream.id}: ${reason}; check the engine's log` };
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/node/orders/OrderError.ts
@@ -0,0 +1,6 @@
+/** Why an order call has no good answer. `unknown`: the order may have run, now or later; `stale`: another holder has a newer number. */
+export interface OrderError {
+    readonly kind: "unreachable" | "unknown" | "stale" | "refused";
+    /** Names the remedy. */
+    readonly message: string;
+}
