Number attempts over all offers of a VM, and shorten grant ids

A request that was offered anew began at attempt 0 again, and a dispatcher that had missed the end of its last grant ignored the offer until the queue timed out. Attempts are now numbered over all offers. The new test hangs without that.

--- a/src/node/dispatch/DispatchTask.test.ts
+++ b/src/node/dispatch/DispatchTask.test.ts
@@ -83,8 +83,10 @@
         return this.vms.get(id) as Vm;
     }
 
-    acquire(vm: string): { requestId: string; granted: Promise<Grant | string>; } {
-        const requestId = `request-${this.requestCount++}`;
+    acquire(
+        vm: string,
+        requestId = `request-${this.requestCount++}`,
+    ): { requestId: string; granted: Promise<Grant | string>; } {
         const result = this.vm(vm).task.acquire(ticketOf(requestId, vm), this.controller.signal);
         return {
             requestId,
@@ -308,6 +310,32 @@
         asGrant(await waiting.granted);
     });
 
+    test("a request that is offered anew is granted although the end of its first grant was lost", async () => {
+        const fleet = new Fleet(vmIds, configView(1, 4));
+        const probe = fleet.acquire("nadi-1");
+        await fleet.run(10);
+        asGrant(await probe.granted).end({ result: "completed", outputTokens: 1 });
+        const [dispatcher] = fleet.dispatchers() as [string];
+        // The first dispatcher refuses, so the grant is given for a later attempt by the second.
+        fleet.vm(dispatcher).task.drain();
+        const others = vmIds.filter(vm => vm !== dispatcher);
+        asGrant(await running(fleet, others[0] as string)).end({ result: "completed", outputTokens: 1 });
+        await fleet.run(10);
+        const second = fleet.dispatchers().find(vm => vm !== dispatcher) as string;
+        const entry = others.find(vm => vm !== second) as string;
+        await fleet.run(2_000);
+        const first = fleet.acquire(entry, "moved");
+        await fleet.run(10);
+        const grant = asGrant(await first.granted);
+        fleet.vm(second).held = [];
+        grant.end({ result: "failed", outputTokens: 0 });
+        await fleet.run(10);
+        fleet.vm(second).held = undefined;
+        const again = fleet.acquire(entry, "moved");
+        await fleet.run(100);
+        asGrant(await again.granted);
+    });
+
     test("an upstream that leaves by the platform's list gets no new work", async () => {
         const fleet = new Fleet(vmIds, configView(2, 4));
         for (const vm of fleet.vms.values()) {
--- a/src/node/dispatch/EntryDispatch.ts
+++ b/src/node/dispatch/EntryDispatch.ts
@@ -31,6 +31,8 @@
     private readonly watch = new DispatcherWatch(answerTimeoutMs, refusalMs);
     private readonly running: RunningGrants;
     private lastProbeMs = 0;
+    /** Attempts are numbered over all tickets, so that a later offer of a request always has the higher number. */
+    private nextAttempt = 0;
 
     constructor(
         private readonly vm: string,
@@ -114,7 +116,7 @@
             startedMs: this.scheduler.nowMs(),
             shard,
             dispatcher: "",
-            attempt: ticket.attempt,
+            attempt: this.nextAttempt++,
             resolveGrant,
             refuse,
         };
@@ -145,7 +147,7 @@
 
     private replace(waiting: WaitingTicket): void {
         this.send(waiting.dispatcher, this.withdrawal(waiting));
-        waiting.attempt++;
+        waiting.attempt = this.nextAttempt++;
         this.offer(waiting);
     }
 
--- a/src/node/dispatch/ShardHost.ts
+++ b/src/node/dispatch/ShardHost.ts
@@ -2,6 +2,7 @@
 import type { DispatchAction } from "../../core/dispatch/DispatchAction.js";
 import type { DispatchOptions } from "../../core/dispatch/DispatchOptions.js";
 import type { DispatchUpstream } from "../../core/dispatch/DispatchUpstream.js";
+import { hashText } from "../../core/dispatch/hashText.js";
 import { restartLimits } from "../../core/dispatch/restartLimits.js";
 import type { Shard } from "../../core/dispatch/Shard.js";
 import { ShardDispatcher } from "../../core/dispatch/ShardDispatcher.js";
@@ -123,7 +124,7 @@
             known.lastUsedMs = nowMs;
             return known.dispatcher;
         }
-        const grantIdPrefix = `${this.vm}/${this.incarnation}/${shard}`;
+        const grantIdPrefix = hashText(`${this.vm}/${this.incarnation}/${shard}`).toString(36);
         const dispatcher = new ShardDispatcher({ ...this.optionsOf(shard), grantIdPrefix }, this.random);
         dispatcher.setClasses(this.classes);
         dispatcher.setUpstreams(toDispatchUpstreams(this.table.shard(shard)), nowMs);
