--- a/proof/checker/ConfigEvent.ts
+++ b/proof/checker/ConfigEvent.ts
@@ -1,6 +1,7 @@
 /** What an omniscient observer sees of one VM. */
 interface VmState {
     readonly vm: string;
+    readonly incarnation: string;
     readonly availabilityZone: string;
     readonly isReady: boolean;
     readonly offset: number;
@@ -14,7 +15,13 @@
 /** One thing that happened to the configuration of a fleet. Times are true milliseconds. */
 export type ConfigEvent =
     | { readonly type: "landed"; readonly atMs: number; readonly offset: number; readonly payload: Uint8Array; }
-    | { readonly type: "asked"; readonly atMs: number; readonly author: string; }
+    | {
+        readonly type: "asked";
+        readonly atMs: number;
+        readonly author: string;
+        readonly vm: string;
+        readonly incarnation: string;
+    }
     | {
         readonly type: "told";
         readonly atMs: number;
--- a/proof/checker/checkConfig.ts
+++ b/proof/checker/checkConfig.ts
@@ -54,7 +54,7 @@
     return violations;
 }
 
-/** `false-accept`, `false-pending`, `false-refusal` and `never-told`: what operators were told against what took effect. */
+/** `false-accept`, `false-pending` and `false-refusal`: what operators were told against what took effect. */
 function checkTold(events: readonly ConfigEvent[], naive: NaiveConfig): Violation[] {
     const violations: Violation[] = [];
     const told = new Map(events.filter(event => event.type === "told").map(event => [event.author, event]));
@@ -103,7 +103,7 @@
     return violations;
 }
 
-/** `not-spread`: after the faults a VM is not ready or not at the end of the stream; `never-told`: an operator got no answer. */
+/** `not-spread`: after the faults a VM is not ready or not at the end of the stream; `never-told`: a VM that is up gave no answer. */
 function checkSpread(events: readonly ConfigEvent[], naive: NaiveConfig): Violation[] {
     const settled = events.find((event): event is EventOf<"settled"> => event.type === "settled");
     if (settled === undefined) {
@@ -111,5 +111,12 @@
     }
     const end = naive.contents.length - 1;
     const behind = settled.fleet.filter(vm => !vm.isReady || vm.offset !== end);
-    return behind.map(vm => ({ invariant: "not-spread", detail: `${vm.vm} is at ${vm.offset} of ${end}, ready: ${vm.isReady}` }));
+    const told = new Set(events.filter(event => event.type === "told").map(event => event.author));
+    const untold = events.filter(event => event.type === "asked").filter(asked =>
+        !told.has(asked.author) && settled.fleet.some(vm => vm.vm === asked.vm && vm.incarnation === asked.incarnation)
+    );
+    return [
+        ...behind.map(vm => ({ invariant: "not-spread", detail: `${vm.vm} is at ${vm.offset} of ${end}, ready: ${vm.isReady}` })),
+        ...untold.map(asked => ({ invariant: "never-told", detail: `${asked.author} got no answer of ${asked.vm}` })),
+    ];
 }
--- a/proof/config/ConfigFleet.ts
+++ b/proof/config/ConfigFleet.ts
@@ -180,7 +180,7 @@
         const object = objectOf(step);
         const current = vm.service.revisionOf(object.kind, object.value.name);
         const readRevision = step.revision === "none" ? undefined : step.revision === "old" ? Math.max(0, (current ?? 0) - 1) : current;
-        this.history.push({ type: "asked", atMs: this.scheduler.nowMs(), author });
+        this.history.push({ type: "asked", atMs: this.scheduler.nowMs(), author, vm: `vm${step.vm}`, incarnation: vm.incarnation });
         const operation = step.op === "put"
             ? { op: "put" as const, object, readRevision }
             : { op: "delete" as const, kind: object.kind, name: object.value.name, readRevision };
@@ -212,11 +212,12 @@
     }
 
     private fleetState(): Extract<ConfigEvent, { type: "settled"; }>["fleet"] {
-        return this.vms.flatMap(({ process, service }, index) =>
+        return this.vms.flatMap(({ process, service, incarnation }, index) =>
             process.isCrashed
                 ? []
                 : [{
                     vm: `vm${index}`,
+                    incarnation,
                     availabilityZone: zones[index % zones.length] as string,
                     isReady: service.isReady,
                     offset: service.view.offset,
--- a/proof/config/plantedConfigFaults.ts
+++ b/proof/config/plantedConfigFaults.ts
@@ -40,6 +40,13 @@
             insides(service).awaitZones = offset => Promise.resolve({ status: "pending", offset, pendingZones: [] });
         },
     },
+    {
+        name: "wait for zones without end",
+        invariant: "never-told",
+        plant: service => {
+            insides(service).awaitZones = () => new Promise(() => undefined);
+        },
+    },
     {
         name: "tell a refusal of a change that took effect",
         invariant: "false-refusal",
