--- a/src/core/membership/MemberStore.ts
+++ b/src/core/membership/MemberStore.ts
@@ -24,6 +24,19 @@
         return this.entries.size;
     }
 
+    /** Ids of the VMs that are not gone, by zone. */
+    vmsByZone(): Map<string, string[]> {
+        const zones = new Map<string, string[]>();
+        for (const { isGone, record } of this.entries.values()) {
+            if (!isGone) {
+                const vms = zones.get(record.availabilityZone) ?? [];
+                vms.push(record.vm);
+                zones.set(record.availabilityZone, vms);
+            }
+        }
+        return zones;
+    }
+
     /** Takes a record over when it is newer than what is known; true when it was. */
     put(record: MemberRecord, toldBy: string): boolean {
         const entry = this.entries.get(record.vm);
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -2,24 +2,25 @@
 import type { MemberRecord } from "../../schema/peer/MemberRecord.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { defaultMembershipSettings } from "./defaultMembershipSettings.js";
+import { FailureDetector } from "./FailureDetector.js";
+import { hiddenZones } from "./hiddenZones.js";
 import type { Member } from "./Member.js";
 import type { MemberEntry } from "./MemberEntry.js";
+import { memberNews } from "./memberNews.js";
 import type { MembershipSettings } from "./MembershipSettings.js";
+import { membersInView } from "./membersInView.js";
 import { MemberStore } from "./MemberStore.js";
 import { ringNeighbours } from "./ringNeighbours.js";
+import { statementOf } from "./statementOf.js";
+import { ZoneOffsets } from "./ZoneOffsets.js";
 import { zoneRepresentatives } from "./zoneRepresentatives.js";
+import { ZoneWatch } from "./ZoneWatch.js";
 
 type Heartbeat = Extract<PeerMessage, { type: "heartbeat"; }>;
 type MemberSync = Extract<PeerMessage, { type: "memberSync"; }>;
-type MemberProbe = Extract<PeerMessage, { type: "memberProbe"; }>;
-type MemberVouch = Extract<PeerMessage, { type: "memberVouch"; }>;
 
 /** A tick that comes later than this many periods means that this process itself was paused. */
 const pausedTicks = 4;
-/** How many members of another zone are tried at once when its representatives are not heard. */
-const triedMembers = 3;
-/** VMs outside the zone of a suspect that are asked after it. */
-const outsideHelpers = 2;
 /** Heartbeat periods for which a VM that sent a heartbeat is sent heartbeats in turn. */
 const guestPeriods = 3;
 
@@ -53,21 +54,16 @@
     private readonly settings: MembershipSettings;
     private readonly store = new MemberStore();
     private readonly neighbours = new Map<string, Neighbour>();
-    private readonly askers = new Map<string, Set<string>>();
-    /** Statements under check: since when. They are believed unless the VM is heard afterwards. */
-    private readonly checks = new Map<string, number>();
-    private readonly representativeSinceMs = new Map<string, number>();
-    private readonly lastTriedMs = new Map<string, number>();
-    private readonly zoneOffsets = new Map<string, { offset: number; change: number; }>();
+    private readonly zoneOffsets = new ZoneOffsets(this.store);
+    private readonly zoneWatch: ZoneWatch;
+    private readonly detector: FailureDetector;
     private listed: ReadonlySet<string> = new Set();
     private watched: ReadonlySet<string> = new Set();
     private watchedAtChanges = -1;
     private version = 0;
     private state: MemberRecord["state"] = "starting";
-    private unreachableZones: readonly string[] = [];
     private nowMs: number;
     private nextHeartbeatMs: number;
-    private rotation = 0;
     private hasLeft = false;
     private isSuperseded = false;
     private membersAt: { readonly changes: number; readonly members: readonly Member[]; } | undefined;
@@ -76,6 +72,21 @@
         this.settings = options.settings ?? defaultMembershipSettings;
         this.nowMs = nowMs;
         this.nextHeartbeatMs = nowMs;
+        const reach = (vm: string) => {
+            options.send(vm, this.bareHeartbeatTo(vm));
+        };
+        this.zoneWatch = new ZoneWatch(this.store, this.settings, reach);
+        this.detector = new FailureDetector(options.self.vm, this.store, this.settings, {
+            send: options.send,
+            reach,
+            tell: statement => {
+                options.send(statement.vm, { ...this.bareHeartbeatTo(statement.vm), gone: [statement] });
+            },
+            giveUp: statement => {
+                this.markGone(statement, "");
+            },
+            visibleVms: () => this.members.map(member => member.vm),
+        });
         this.publishSelf();
     }
 
@@ -87,7 +98,7 @@
     /** VMs in the view, the own one included, in order of their ids. The same array is returned until something changes. */
     get members(): readonly Member[] {
         if (this.membersAt?.changes !== this.store.changes) {
-            this.membersAt = { changes: this.store.changes, members: this.computeMembers() };
+            this.membersAt = { changes: this.store.changes, members: membersInView(this.store, this.zoneOffsets, this.ownZone) };
         }
         return this.membersAt.members;
     }
@@ -171,14 +182,14 @@
             return;
         }
         if (pausedMs > pausedTicks * this.settings.tickMs) {
-            this.forgiveOwnPause(pausedMs);
+            this.detector.forgivePause(pausedMs);
+            this.zoneWatch.forgivePause(pausedMs);
         }
         this.updateWatched();
-        this.watchNeighbours();
+        this.detector.update(nowMs);
         this.watchZones();
-        this.endChecks();
         this.forgetLongGone();
-        this.updateOwnZoneOffset();
+        this.zoneOffsets.updateOwn(this.ownZone);
         if (nowMs >= this.nextHeartbeatMs) {
             this.nextHeartbeatMs = nowMs + this.settings.heartbeatMs;
             this.sendHeartbeats();
@@ -201,10 +212,10 @@
                 this.receiveSync(from, message);
                 return;
             case "memberProbe":
-                this.receiveProbe(from, message);
+                this.detector.receiveProbe(from, message, this.nowMs);
                 return;
             case "memberVouch":
-                this.receiveVouch(message);
+                this.detector.receiveVouch(message, this.nowMs);
                 return;
         }
     }
@@ -220,7 +231,7 @@
             this.store.setOffset(vm, offset, from);
         }
         for (const [zone, offset] of heartbeat.zoneOffsets ?? []) {
-            this.setZoneOffset(zone, offset);
+            this.zoneOffsets.raise(zone, offset);
         }
         this.noteHeard(from, heartbeat);
         this.compareDigest(from, heartbeat.digest);
@@ -240,7 +251,7 @@
         }
         entry.heardAtMs = this.nowMs;
         if (heartbeat.heardMs >= 0) {
-            this.noteHeardBothWays(entry, heartbeat.heardMs);
+            this.detector.noteHeardBothWays(entry, heartbeat.heardMs, this.nowMs);
         }
         if (entry.isGone) {
             this.tellGone(from, entry);
@@ -250,15 +261,6 @@
         }
     }
 
-    /** Beyond one period without a heartbeat from here, the peer did not hear this VM; that time does not count as heard. */
-    private noteHeardBothWays(entry: MemberEntry, heardByPeerMs: number): void {
-        const unheardMs = Math.max(0, heardByPeerMs - this.settings.heartbeatMs);
-        entry.heardBothWaysAtMs = Math.max(entry.heardBothWaysAtMs, this.nowMs - unheardMs);
-        if (this.isHeard(entry)) {
-            this.answerAskers(entry);
-        }
-    }
-
     /** A VM that watches this one gets heartbeats in turn, the first at once. */
     private greetGuest(vm: string): void {
         const neighbour = this.neighbourOf(vm);
@@ -293,21 +295,12 @@
         if (entry === undefined || entry.isGone || entry.record.incarnation > statement.incarnation) {
             return;
         }
-        const isFresh = statement.ageMs < this.settings.freshStatementMs && !this.isHeard(entry);
+        const isFresh = statement.ageMs < this.settings.freshStatementMs && !this.detector.isHeard(entry);
         if (statement.vm === from || isFresh) {
             this.markGone(statement, from);
         }
         else {
-            this.checkStatement(statement, entry);
-        }
-    }
-
-    /** A statement that is old, or about a VM that was heard lately, is believed only if the VM is not heard from now on. */
-    private checkStatement(statement: GoneStatement, entry: MemberEntry): void {
-        if (!this.checks.has(statement.vm)) {
-            this.checks.set(statement.vm, this.nowMs);
-            this.options.send(statement.vm, { ...this.bareHeartbeatTo(statement.vm), gone: [statement] });
-            this.probe(entry);
+            this.detector.checkStatement(statement, entry, this.nowMs);
         }
     }
 
@@ -322,7 +315,6 @@
 
     private markGone(statement: GoneStatement, toldBy: string): void {
         if (this.store.markGone(statement, this.nowMs, toldBy)) {
-            this.checks.delete(statement.vm);
             this.options.onEvent?.({ kind: "gone", subject: statement.vm });
             this.sendNews();
         }
@@ -337,57 +329,20 @@
             const other = known.get(entry.record.vm);
             const isSame = other?.incarnation === entry.record.incarnation && other.version === entry.record.version;
             if (entry.isGone && other !== undefined) {
-                gone.push(this.statementOf(entry));
+                gone.push(statementOf(entry, this.nowMs));
             }
             else if (!entry.isGone && !isSame) {
                 records.push(entry.record);
                 offsets.push([entry.record.vm, entry.configOffset]);
             }
         }
-        const zoneOffsets = [...this.zoneOffsets].map(([zone, { offset }]): [string, number] => [zone, offset]);
+        const zoneOffsets = this.zoneOffsets.since(0);
         this.options.send(from, { ...this.bareHeartbeatTo(from, false), records, gone, offsets, zoneOffsets });
         if (sync.wantsList) {
             this.sync(from, false);
         }
     }
 
-    private receiveProbe(from: string, probe: MemberProbe): void {
-        const entry = this.store.get(probe.vm);
-        if (probe.vm === this.options.self.vm || entry?.record.incarnation !== probe.incarnation) {
-            return;
-        }
-        if (this.nowMs - entry.heardBothWaysAtMs < this.settings.heartbeatMs) {
-            this.vouch(from, entry);
-            return;
-        }
-        const askers = this.askers.get(probe.vm) ?? new Set();
-        askers.add(from);
-        this.askers.set(probe.vm, askers);
-        this.options.send(probe.vm, this.bareHeartbeatTo(probe.vm));
-    }
-
-    private answerAskers(entry: MemberEntry): void {
-        const askers = this.askers.get(entry.record.vm);
-        if (askers !== undefined) {
-            this.askers.delete(entry.record.vm);
-            for (const asker of askers) {
-                this.vouch(asker, entry);
-            }
-        }
-    }
-
-    private vouch(asker: string, entry: MemberEntry): void {
-        const { vm, incarnation } = entry.record;
-        this.options.send(asker, { type: "memberVouch", vm, incarnation, heardMs: this.nowMs - entry.heardBothWaysAtMs });
-    }
-
-    private receiveVouch(vouch: MemberVouch): void {
-        const entry = this.store.get(vouch.vm);
-        if (entry?.record.incarnation === vouch.incarnation && vouch.heardMs < this.settings.goneAfterMs) {
-            entry.vouchedAtMs = Math.max(entry.vouchedAtMs, this.nowMs - vouch.heardMs);
-        }
-    }
-
     private compareDigest(from: string, digest: number): void {
         const neighbour = this.neighbourOf(from);
         neighbour.mismatches = digest === this.store.digest ? 0 : neighbour.mismatches + 1;
@@ -417,7 +372,7 @@
             return;
         }
         this.watchedAtChanges = this.store.changes;
-        const zones = this.vmsByZone();
+        const zones = this.store.vmsByZone();
         const { vm, availabilityZone } = this.options.self;
         const ownZone = zones.get(availabilityZone) ?? [];
         const watched = new Set(ringNeighbours(vm, ownZone));
@@ -446,113 +401,26 @@
                 watched.add(partner);
             }
         }
-        if (!own.includes(vm)) {
-            this.representativeSinceMs.delete(zone);
-        }
-        else if (!this.representativeSinceMs.has(zone)) {
-            this.representativeSinceMs.set(zone, this.nowMs);
-        }
-    }
-
-    private watchNeighbours(): void {
-        for (const entry of this.store.all()) {
-            if (entry.isGone || entry.watchedSinceMs < 0) {
-                continue;
-            }
-            const silentMs = this.nowMs - Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs, entry.watchedSinceMs);
-            if (silentMs > this.settings.goneAfterMs) {
-                this.markGone({ ...this.statementOf(entry), ageMs: 0 }, "");
-            }
-            else if (silentMs > this.settings.suspectAfterMs) {
-                this.probe(entry);
-            }
-        }
-    }
-
-    /** Asks other VMs whether they hear a VM. */
-    private probe(entry: MemberEntry): void {
-        if (this.nowMs - entry.lastProbeMs < this.settings.probeMs) {
-            return;
-        }
-        entry.lastProbeMs = this.nowMs;
-        const { vm, incarnation, availabilityZone } = entry.record;
-        const zones = this.vmsByZone();
-        const helpers = new Set(ringNeighbours(vm, zones.get(availabilityZone) ?? []));
-        const outside = this.members.map(member => member.vm).filter(other => !helpers.has(other) && other !== vm);
-        for (let index = 0; index < Math.min(outsideHelpers, outside.length); index++) {
-            helpers.add(outside[this.rotation++ % outside.length] as string);
-        }
-        helpers.delete(this.options.self.vm);
-        for (const helper of helpers) {
-            this.options.send(helper, { type: "memberProbe", vm, incarnation });
-        }
+        this.zoneWatch.setRepresentative(zone, own.includes(vm), this.nowMs);
     }
 
-    /** As a representative: notes which zones are heard, and tries other members of one that is not. */
+    /** As a representative: tells which zones are not heard. */
     private watchZones(): void {
-        const unreachable: string[] = [];
-        for (const [zone, sinceMs] of this.representativeSinceMs) {
-            const entries = [...this.store.all()].filter(entry => !entry.isGone && entry.record.availabilityZone === zone);
-            if (entries.length === 0) {
-                continue;
-            }
-            const heardAtMs = Math.max(sinceMs, ...entries.map(entry => entry.heardBothWaysAtMs));
-            const silentMs = this.nowMs - heardAtMs;
-            if (silentMs > this.settings.suspectAfterMs) {
-                this.tryZone(zone, entries);
-            }
-            if (silentMs > this.settings.goneAfterMs) {
-                unreachable.push(zone);
-            }
-        }
-        unreachable.sort();
-        if (unreachable.join() !== this.unreachableZones.join()) {
-            this.noteZones(unreachable);
-        }
-    }
-
-    private tryZone(zone: string, entries: readonly MemberEntry[]): void {
-        if (this.nowMs - (this.lastTriedMs.get(zone) ?? -Infinity) < this.settings.probeMs) {
+        const before = this.zoneWatch.unreachable;
+        if (!this.zoneWatch.update(this.nowMs)) {
             return;
         }
-        this.lastTriedMs.set(zone, this.nowMs);
-        for (let index = 0; index < Math.min(triedMembers, entries.length); index++) {
-            const entry = entries[this.rotation++ % entries.length] as MemberEntry;
-            this.options.send(entry.record.vm, this.bareHeartbeatTo(entry.record.vm));
+        const { unreachable } = this.zoneWatch;
+        for (const zone of unreachable.filter(name => !before.includes(name))) {
+            this.options.onEvent?.({ kind: "zone-lost", subject: zone });
         }
-    }
-
-    private noteZones(unreachable: readonly string[]): void {
-        for (const zone of unreachable) {
-            if (!this.unreachableZones.includes(zone)) {
-                this.options.onEvent?.({ kind: "zone-lost", subject: zone });
-            }
+        for (const zone of before.filter(name => !unreachable.includes(name))) {
+            this.options.onEvent?.({ kind: "zone-back", subject: zone });
         }
-        for (const zone of this.unreachableZones) {
-            if (!unreachable.includes(zone)) {
-                this.options.onEvent?.({ kind: "zone-back", subject: zone });
-            }
-        }
-        this.unreachableZones = unreachable;
         this.publishSelf();
         this.sendNews();
     }
 
-    private endChecks(): void {
-        for (const [vm, sinceMs] of this.checks) {
-            const entry = this.store.get(vm);
-            if (entry === undefined || entry.isGone || Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs) > sinceMs) {
-                this.checks.delete(vm);
-            }
-            else if (this.nowMs - sinceMs >= this.settings.goneAfterMs) {
-                this.markGone({ ...this.statementOf(entry), ageMs: 0 }, "");
-            }
-            else {
-                this.probe(entry);
-            }
-        }
-    }
-
     private forgetLongGone(): void {
         for (const entry of [...this.store.all()]) {
             if (entry.isGone && this.nowMs - entry.goneAtMs > this.settings.rememberGoneMs) {
@@ -562,22 +430,6 @@
         }
     }
 
-    /** What was not heard while this process stood still is no sign of anything. */
-    private forgiveOwnPause(pausedMs: number): void {
-        for (const entry of this.store.all()) {
-            entry.heardBothWaysAtMs += pausedMs;
-            entry.heardAtMs += pausedMs;
-            entry.vouchedAtMs += pausedMs;
-            entry.watchedSinceMs += pausedMs;
-        }
-        for (const [zone, sinceMs] of this.representativeSinceMs) {
-            this.representativeSinceMs.set(zone, sinceMs + pausedMs);
-        }
-        for (const [vm, sinceMs] of this.checks) {
-            this.checks.set(vm, sinceMs + pausedMs);
-        }
-    }
-
     private targets(): Set<string> {
         const targets = new Set(this.watched);
         for (const [vm, neighbour] of this.neighbours) {
@@ -607,7 +459,8 @@
     /** Sends a heartbeat with what the neighbour has not been told yet; with `onlyNews`, only when there is something. */
     private sendHeartbeat(vm: string, onlyNews = false): void {
         const neighbour = this.neighbourOf(vm);
-        const news = this.newsFor(vm, neighbour);
+        const { store, zoneOffsets, ownZone, nowMs } = this;
+        const news = memberNews(vm, { store, zoneOffsets, ownZone, ...neighbour, nowMs });
         const isSent = (onlyNews && Object.keys(news).length === 0) ||
             this.options.send(vm, { ...this.bareHeartbeatTo(vm, this.watched.has(vm)), ...news });
         if (isSent) {
@@ -627,114 +480,27 @@
         };
     }
 
-    /** What has changed since the neighbour was last told. Offsets of single VMs stay inside their zone. */
-    private newsFor(vm: string, neighbour: Neighbour): Partial<Heartbeat> {
-        const { toldRecordChanges, toldOffsetChanges } = neighbour;
-        if (Math.min(toldRecordChanges, toldOffsetChanges) >= this.store.changes) {
-            return {};
-        }
-        const zone = this.options.self.availabilityZone;
-        const isSameZone = this.store.get(vm)?.record.availabilityZone === zone;
-        const others = [...this.store.all()].filter(entry => entry.toldBy !== vm && entry.record.vm !== vm);
-        const changed = others.filter(entry => entry.recordChange > toldRecordChanges);
-        const records = changed.filter(entry => !entry.isGone).map(entry => entry.record);
-        const gone = changed.filter(entry => entry.isGone).map(entry => this.statementOf(entry));
-        const offsets = !isSameZone ? [] : others
-            .filter(entry => entry.offsetChange > toldOffsetChanges && entry.record.availabilityZone === zone)
-            .map((entry): [string, number] => [entry.record.vm, entry.configOffset]);
-        const zoneOffsets = [...this.zoneOffsets]
-            .filter(([, { change }]) => change > toldOffsetChanges)
-            .map(([name, { offset }]): [string, number] => [name, offset]);
-        return {
-            ...(records.length > 0 ? { records } : {}),
-            ...(gone.length > 0 ? { gone } : {}),
-            ...(offsets.length > 0 ? { offsets } : {}),
-            ...(zoneOffsets.length > 0 ? { zoneOffsets } : {}),
-        };
-    }
-
     private tellGone(vm: string, entry: MemberEntry): void {
-        this.options.send(vm, { ...this.bareHeartbeatTo(vm, false), gone: [this.statementOf(entry)] });
+        this.options.send(vm, { ...this.bareHeartbeatTo(vm, false), gone: [statementOf(entry, this.nowMs)] });
     }
 
-    private statementOf(entry: MemberEntry): GoneStatement {
-        const { vm, incarnation, version } = entry.record;
-        return { vm, incarnation, version, ageMs: entry.isGone ? Math.max(0, this.nowMs - entry.goneAtMs) : 0 };
+    private get ownZone(): string {
+        return this.options.self.availabilityZone;
     }
 
     private publishSelf(): void {
         this.version++;
-        const record = { ...this.options.self, version: this.version, state: this.state, unreachableZones: [...this.unreachableZones] };
+        const record = {
+            ...this.options.self,
+            version: this.version,
+            state: this.state,
+            unreachableZones: [...this.zoneWatch.unreachable],
+        };
         this.store.put(record, "");
     }
 
-    private updateOwnZoneOffset(): void {
-        const zone = this.options.self.availabilityZone;
-        let least = Infinity;
-        for (const entry of this.store.all()) {
-            if (!entry.isGone && entry.record.availabilityZone === zone && entry.record.state !== "starting") {
-                least = Math.min(least, entry.configOffset);
-            }
-        }
-        if (least !== Infinity) {
-            this.setZoneOffset(zone, least);
-        }
-    }
-
-    private setZoneOffset(zone: string, offset: number): void {
-        if (offset > (this.zoneOffsets.get(zone)?.offset ?? -1)) {
-            this.zoneOffsets.set(zone, { offset, change: ++this.store.changes });
-        }
-    }
-
-    private isHeard(entry: MemberEntry): boolean {
-        return this.nowMs - Math.max(entry.heardBothWaysAtMs, entry.vouchedAtMs) < this.settings.suspectAfterMs;
-    }
-
     private isVisible(entry: MemberEntry): boolean {
-        return !entry.isGone && !this.hiddenZones().has(entry.record.availabilityZone);
-    }
-
-    /** Zones that every representative of the own zone says it does not hear. */
-    private hiddenZones(): Set<string> {
-        const zones = this.vmsByZone();
-        const ownZone = this.options.self.availabilityZone;
-        const hidden = new Set<string>();
-        for (const zone of zones.keys()) {
-            const representatives = zoneRepresentatives(ownZone, zone, zones.get(ownZone) ?? []);
-            const isLost = representatives.every(vm => this.store.get(vm)?.record.unreachableZones.includes(zone));
-            if (zone !== ownZone && isLost) {
-                hidden.add(zone);
-            }
-        }
-        return hidden;
-    }
-
-    private vmsByZone(): Map<string, string[]> {
-        const zones = new Map<string, string[]>();
-        for (const { isGone, record } of this.store.all()) {
-            if (!isGone) {
-                const vms = zones.get(record.availabilityZone) ?? [];
-                vms.push(record.vm);
-                zones.set(record.availabilityZone, vms);
-            }
-        }
-        return zones;
-    }
-
-    private computeMembers(): Member[] {
-        const hidden = this.hiddenZones();
-        const members: Member[] = [];
-        for (const { isGone, record, configOffset } of this.store.all()) {
-            if (isGone || hidden.has(record.availabilityZone)) {
-                continue;
-            }
-            const isOwnZone = record.availabilityZone === this.options.self.availabilityZone;
-            const offset = isOwnZone ? configOffset : this.zoneOffsets.get(record.availabilityZone)?.offset ?? -1;
-            const { vm, incarnation, availabilityZone, region, peerUrl, state } = record;
-            members.push({ vm, incarnation, availabilityZone, region, peerUrl, state, configOffset: offset });
-        }
-        return members.sort((left, right) => left.vm < right.vm ? -1 : 1);
+        return !entry.isGone && !hiddenZones(this.store, this.ownZone).has(entry.record.availabilityZone);
     }
 
     private neighbourOf(vm: string): Neighbour {
--- /dev/null
+++ b/src/core/membership/statementOf.ts
@@ -0,0 +1,8 @@
+import type { GoneStatement } from "../../schema/peer/GoneStatement.js";
+import type { MemberEntry } from "./MemberEntry.js";
+
+/** The statement that a VM is gone, as old as the VM's being gone; new for one that was not gone before. */
+export function statementOf(entry: MemberEntry, nowMs: number): GoneStatement {
+    const { vm, incarnation, version } = entry.record;
+    return { vm, incarnation, version, ageMs: entry.isGone ? Math.max(0, nowMs - entry.goneAtMs) : 0 };
+}
