--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -229,7 +229,7 @@
                 nextGeneration: vm => this.nextGeneration(vm),
                 onOpen: opened => {
                     this.onOpen(opened);
-                    endDial(dialed);
+                    this.endDial(dialed);
                 },
                 onMessage: (sender, message) => void this.handle(vmOf(sender), message),
                 onRequest: (sender, id, message) => void this.answer(vmOf(sender), id, message),
@@ -238,13 +238,28 @@
                 },
                 onClosed: (closed, reason) => {
                     this.onClosed(closed, reason);
-                    endDial(dialed);
+                    this.endDial(dialed);
                 },
             },
         });
         this.opening.add(connection);
     }
 
+    /** What still waits when a dial ends is lost: it either was sent, or the peer could not be reached. */
+    private endDial(state: PeerState | undefined): void {
+        if (state === undefined) {
+            return;
+        }
+        const lost = state.waiting;
+        state.isDialing = false;
+        state.waiting = [];
+        for (const frame of lost) {
+            if (frame.kind === "request") {
+                this.requests.get(frame.id)?.settle({ kind: "no-link", message: "the VM could not be reached; it may be down or cut off" });
+            }
+        }
+    }
+
     private nextGeneration(vm: string): number {
         const generations = (this.peers.get(vm)?.connections ?? []).map(connection => connection.generation);
         return Math.max(0, ...generations) + 1;
@@ -416,14 +431,6 @@
     }
 }
 
-/** What still waits when a dial ends is lost: it either was sent, or the peer could not be reached. */
-function endDial(state: PeerState | undefined): void {
-    if (state !== undefined) {
-        state.isDialing = false;
-        state.waiting = [];
-    }
-}
-
 function newPeerState(url: string | undefined): PeerState {
     return { url, isDialing: false, lastDialMs: -Infinity, connections: [], waiting: [] };
 }
