--- a/src/core/orders/planOrders.test.ts
+++ b/src/core/orders/planOrders.test.ts
@@ -114,3 +114,14 @@
     expect(plan("loading")).toEqual([]);
     expect(plan("ready").map(({ order }) => [order.action, order.version])).toEqual([["unload", "1"]]);
 });
+
+test("planted: a planner that does not know the services is caught taking a last ready engine", () => {
+    const found = fc.check(
+        fc.property(engines, placements, (start, wanted) => {
+            const next = obey(start, planOrders({ placements: wanted, services: [], engines: start, maxLoading: 2 }));
+            return services.every(service => readyCount(next, service) >= Math.min(1, readyCount(start, service)));
+        }),
+        { seed: 1, numRuns: 500 },
+    );
+    expect(found.failed).toEqual(true);
+});
--- a/src/node/limits/QuotaLimitService.test.ts
+++ b/src/node/limits/QuotaLimitService.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import fc from "fast-check";
 import { test } from "node:test";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FakePeerNetwork } from "../../../proof/fakes/FakePeerNetwork.js";
@@ -175,6 +176,19 @@
     });
 }
 
+test("random arrival at each VM gets what one central window would let through", async () => {
+    const rate = fc.oneof(fc.constant(0), fc.double({ min: 0.1, max: 6, noNaN: true }));
+    await fc.assert(
+        fc.asyncProperty(fc.array(rate, { minLength: vms.length, maxLength: vms.length }), fc.nat(1000), async (rates, seed) => {
+            const fleet = new Fleet();
+            await fleet.load(new Map(vms.map((vm, index) => [vm, rates[index] as number])), 100_000, seed);
+            await fleet.scheduler.advanceAsync(1000);
+            expectFair(fleet, [0, 20_000, 40_000]);
+        }),
+        { seed: 1, numRuns: 15 },
+    );
+});
+
 test("arrival below the limit is never refused", async () => {
     const fleet = new Fleet();
     await fleet.load(skewed(8), 2 * minuteMs);
