--- a/src/node/membership/GossipMembership.test.ts
+++ b/src/node/membership/GossipMembership.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { afterEach, test } from "node:test";
+import { until } from "../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
 import { defaultPeerLinkLimits } from "../peer/defaultPeerLinkLimits.js";
@@ -51,13 +52,6 @@
     return vm.membership.members.map(member => `${member.vm}:${member.incarnation}:${member.state}`).join(" ");
 }
 
-/** Waits for a state that must come; the test runner's timeout bounds it. */
-async function until(isReached: () => boolean): Promise<void> {
-    while (!isReached()) {
-        await new Promise(resolve => setTimeout(resolve, 10));
-    }
-}
-
 const all = "vm-1:1:ready vm-2:1:ready vm-3:1:ready";
 
 async function startThree(): Promise<[StartedVm, StartedVm, StartedVm]> {
--- a/src/node/peer/WebSocketPeerLinks.test.ts
+++ b/src/node/peer/WebSocketPeerLinks.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { afterEach, test } from "node:test";
 import { WebSocket } from "ws";
+import { until } from "../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { SystemScheduler } from "../timers/SystemScheduler.js";
@@ -65,13 +66,6 @@
     return answer.isOk() && answer.value.type === "explainAnswer" ? textsOf(answer.value) : answer;
 }
 
-/** Waits for a state that must come; the test runner's timeout bounds it. */
-async function until(isReached: () => boolean | Promise<boolean>): Promise<void> {
-    while (!await isReached()) {
-        await new Promise(resolve => setTimeout(resolve, 10));
-    }
-}
-
 test("requests and replies pass both ways over one link that either end dialled", { timeout: 10_000 }, async () => {
     const [left, right] = [await startLinks("vm-1"), await startLinks("vm-2")];
     echo(left.links);
--- a/src/node/platform/weights/WeightStoreTask.test.ts
+++ b/src/node/platform/weights/WeightStoreTask.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { until } from "../../../../proof/fakes/until.js";
 import { WeightStoreStandin } from "../../../../standins/weights/WeightStoreStandin.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
 import { WeightStoreTask } from "./WeightStoreTask.js";
@@ -10,16 +11,12 @@
     const url = await standin.start(stop.signal);
     const first = new WeightStoreTask(url, new SystemScheduler(), 500);
     first.start(stop.signal);
-    while (first.maxConcurrentLoads !== 5) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
+    await until(() => first.maxConcurrentLoads === 5);
     await fetch(`${url}/_standin/faults`, { method: "POST", body: JSON.stringify({ kind: "silent" }) });
     const second = new WeightStoreTask(url, new SystemScheduler(), 50);
     second.maxConcurrentLoads = 5;
     second.start(stop.signal);
-    while (second.maxConcurrentLoads !== 1) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
+    await until(() => second.maxConcurrentLoads === 1);
     stop.abort();
     expect(first.maxConcurrentLoads).toEqual(5);
 });
