--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -1,8 +1,6 @@
-import { errAsync, ResultAsync } from "neverthrow";
-import { createServer, type Server } from "node:http";
-import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
-import { WebSocket, WebSocketServer } from "ws";
+import { ResultAsync } from "neverthrow";
+import type { Socket } from "node:net";
+import { WebSocket } from "ws";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { createLog } from "../logs/createLog.js";
@@ -10,6 +8,7 @@
 import type { PeerLinks } from "../services/PeerLinks.js";
 import { bestConnection } from "./bestConnection.js";
 import { defaultPeerLinkLimits } from "./defaultPeerLinkLimits.js";
+import { openPeerServer } from "./openPeerServer.js";
 import { peerCompression } from "./peerCompression.js";
 import { PeerConnection } from "./PeerConnection.js";
 import type { PeerFrame } from "./PeerFrame.js";
@@ -18,6 +17,7 @@
 import type { PeerListenError } from "./PeerListenError.js";
 import type { PeerState } from "./PeerState.js";
 import type { PeerTls } from "./PeerTls.js";
+import { PendingRequests } from "./PendingRequests.js";
 import { SocketMeter } from "./SocketMeter.js";
 
 const log = createLog("peer");
@@ -28,15 +28,10 @@
 /** A connection that was replaced stays readable this long, for what was sent on it before. */
 const lingerMs = 1000;
 const maxWaitingFrames = 256;
-const maxHeaderBytes = 4096;
+const maxLastReasons = 1000;
 
 type Handler = (from: string, message: PeerMessage) => PeerMessage | undefined | Promise<PeerMessage | undefined>;
 
-interface PendingRequest {
-    readonly vm: string;
-    readonly settle: (answer: PeerMessage | PeerError) => void;
-}
-
 interface WebSocketPeerLinksOptions {
     readonly self: PeerIdentity;
     readonly listenHost: string;
@@ -57,16 +52,18 @@
     private readonly limits: PeerLinkLimits;
     private readonly peers = new Map<string, PeerState>();
     private readonly handlers = new Map<string, Handler>();
-    private readonly requests = new Map<number, PendingRequest>();
+    private readonly requests: PendingRequests;
     /** Connections whose handshake is not over. */
     private readonly opening = new Set<PeerConnection>();
+    /** Why the last connection to each peer and address closed, as logged. */
+    private readonly lastReasons = new Map<string, string>();
     private readonly linkListeners = new Set<(vm: string) => void>();
-    private nextRequestId = 1;
     private lastCheckMs = 0;
     private signal: AbortSignal = AbortSignal.abort();
 
     constructor(private readonly options: WebSocketPeerLinksOptions) {
         this.limits = options.limits ?? defaultPeerLinkLimits;
+        this.requests = new PendingRequests(options.scheduler);
     }
 
     /** Opens the port for peers and resolves with its number; everything is closed when `signal` aborts. */
@@ -79,7 +76,17 @@
         signal.addEventListener("abort", () => {
             this.closeAll();
         }, { once: true });
-        return ResultAsync.fromPromise(this.listen(signal), error => ({
+        const server = {
+            host: this.options.listenHost,
+            port: this.options.listenPort,
+            tls: this.options.tls,
+            maxFrameBytes: this.limits.maxFrameBytes,
+            onSocket: (socket: WebSocket, transport: Socket) => {
+                this.meter.add(transport);
+                this.accept(socket, transport.remoteAddress ?? "unknown");
+            },
+        };
+        return ResultAsync.fromPromise(openPeerServer(server, signal), error => ({
             kind: "listen-failed",
             message: `cannot listen for peers on ${this.options.listenHost}:${this.options.listenPort} (${
                 String(error)
@@ -129,27 +136,11 @@
     }
 
     request(vm: string, message: PeerMessage, timeoutMs: number, signal: AbortSignal): ResultAsync<PeerMessage, PeerError> {
-        const id = this.nextRequestId++;
+        const { id, answer } = this.requests.add(vm, timeoutMs, signal);
         if (signal.aborted || !this.sendFrame(vm, { kind: "request", id, message })) {
-            return errAsync({ kind: "no-link", message: `no link to VM ${vm}; it may be down or cut off` });
+            this.requests.settle(id, { kind: "no-link", message: `no link to VM ${vm}; it may be down or cut off` });
         }
-        const done = new AbortController();
-        const settled = new Promise<PeerMessage | PeerError>(settle => {
-            this.requests.set(id, { vm, settle });
-            const onTimeout = () => {
-                settle({ kind: "timeout", message: `VM ${vm} did not answer within ${timeoutMs} ms; try again or another VM` });
-            };
-            const onAbort = () => {
-                settle({ kind: "closed", message: "the request was cancelled" });
-            };
-            this.options.scheduler.after(timeoutMs, onTimeout, done.signal);
-            signal.addEventListener("abort", onAbort, { once: true, signal: done.signal });
-        }).finally(() => {
-            done.abort();
-            this.requests.delete(id);
-        });
-        return ResultAsync.fromSafePromise<PeerMessage | PeerError, PeerError>(settled)
-            .andThen(answer => "type" in answer ? ResultAsync.fromSafePromise(Promise.resolve(answer)) : errAsync(answer));
+        return answer;
     }
 
     onMessage<T extends PeerMessage["type"]>(
@@ -161,42 +152,14 @@
         signal.addEventListener("abort", () => this.handlers.delete(type), { once: true });
     }
 
-    private listen(signal: AbortSignal): Promise<number> {
-        const bounds = { maxHeaderSize: maxHeaderBytes, headersTimeout: 2000, requestTimeout: 2000, connectionsCheckingInterval: 1000 };
-        const { tls } = this.options;
-        const server: Server = tls === undefined
-            ? createServer(bounds)
-            : createTlsServer({ ...bounds, cert: tls.certificate, key: tls.privateKey, ca: tls.certificateAuthority });
-        server.on("request", (request, response) => {
-            request.resume();
-            response.writeHead(426).end();
-        });
-        const socketServer = new WebSocketServer({ server, maxPayload: this.limits.maxFrameBytes, perMessageDeflate: peerCompression });
-        socketServer.on("connection", (socket, request) => {
-            this.meter.add(request.socket);
-            this.accept(socket);
-        });
-        socketServer.on("error", () => undefined);
-        signal.addEventListener("abort", () => {
-            server.close();
-            server.closeAllConnections();
-        }, { once: true });
-        return new Promise((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(this.options.listenPort, this.options.listenHost, () => {
-                resolve((server.address() as AddressInfo).port);
-            });
-        });
-    }
-
-    private accept(socket: WebSocket): void {
+    private accept(socket: WebSocket, address: string): void {
         const unproven = [...this.opening].filter(connection => connection.role === "acceptor").length;
         if (unproven >= this.limits.maxUnprovenConnections) {
             log("too many connections wait for their handshake; a new one is closed");
             socket.terminate();
             return;
         }
-        this.newConnection(socket, "acceptor", undefined);
+        this.newConnection(socket, "acceptor", address, undefined);
     }
 
     private dial(url: string, vm: string | undefined): void {
@@ -215,11 +178,11 @@
         socket.once("upgrade", response => {
             this.meter.add(response.socket);
         });
-        this.newConnection(socket, "dialer", state);
+        this.newConnection(socket, "dialer", url, state);
     }
 
-    /** `dialed` is the state of the VM that is being dialled, where it is known. */
-    private newConnection(socket: WebSocket, role: "dialer" | "acceptor", dialed: PeerState | undefined): void {
+    /** `address` names the other end in the log; `dialed` is the state of the VM that is being dialled, where it is known. */
+    private newConnection(socket: WebSocket, role: "dialer" | "acceptor", address: string, dialed: PeerState | undefined): void {
         const connection = new PeerConnection(socket, role, {
             self: this.options.self,
             sharedKey: this.options.sharedKey,
@@ -228,15 +191,17 @@
             events: {
                 nextGeneration: vm => this.nextGeneration(vm),
                 onOpen: opened => {
+                    this.lastReasons.delete(`${vmOf(opened)} ${address}`);
                     this.onOpen(opened);
                     this.endDial(dialed);
                 },
                 onMessage: (sender, message) => void this.handle(vmOf(sender), message),
                 onRequest: (sender, id, message) => void this.answer(vmOf(sender), id, message),
                 onReply: (id, message) => {
-                    this.requests.get(id)?.settle(message);
+                    this.requests.settle(id, message);
                 },
                 onClosed: (closed, reason) => {
+                    this.logClosed(closed, address, reason);
                     this.onClosed(closed, reason);
                     this.endDial(dialed);
                 },
@@ -255,7 +220,7 @@
         state.waiting = [];
         for (const frame of lost) {
             if (frame.kind === "request") {
-                this.requests.get(frame.id)?.settle({ kind: "no-link", message: "the VM could not be reached; it may be down or cut off" });
+                this.requests.settle(frame.id, { kind: "no-link", message: "the VM could not be reached; it may be down or cut off" });
             }
         }
     }
@@ -306,10 +271,23 @@
         }
     }
 
+    /** A VM that is down is dialled again and again, and so may a faulty peer dial: one line for each reason is enough. */
+    private logClosed(connection: PeerConnection, address: string, reason: string): void {
+        const vm = connection.peer?.vm ?? "unknown";
+        const key = `${vm} ${address}`;
+        if (this.lastReasons.get(key) === reason) {
+            return;
+        }
+        if (this.lastReasons.size >= maxLastReasons) {
+            this.lastReasons.clear();
+        }
+        this.lastReasons.set(key, reason);
+        log("link closed", { vm, address, reason });
+    }
+
     private onClosed(connection: PeerConnection, reason: string): void {
         this.opening.delete(connection);
         const vm = connection.peer?.vm;
-        log("link closed", { vm: vm ?? "unknown", reason });
         const state = vm === undefined ? undefined : this.peers.get(vm);
         if (vm === undefined || state === undefined) {
             return;
@@ -319,15 +297,7 @@
             state.connections.splice(index, 1);
         }
         if (state.connections.length === 0) {
-            this.failRequests(vm, reason);
-        }
-    }
-
-    private failRequests(vm: string, reason: string): void {
-        for (const request of this.requests.values()) {
-            if (request.vm === vm) {
-                request.settle({ kind: "closed", message: `the link to VM ${vm} closed before it answered: ${reason}` });
-            }
+            this.requests.fail(vm, reason);
         }
     }
 
--- /dev/null
+++ b/src/node/peer/openPeerServer.ts
@@ -0,0 +1,44 @@
+import { createServer, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo, Socket } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+import { peerCompression } from "./peerCompression.js";
+import type { PeerTls } from "./PeerTls.js";
+
+const bounds = { maxHeaderSize: 4096, headersTimeout: 2000, requestTimeout: 2000, connectionsCheckingInterval: 1000 };
+
+interface PeerServerOptions {
+    readonly host: string;
+    /** 0 takes any free port. */
+    readonly port: number;
+    readonly tls: PeerTls | undefined;
+    readonly maxFrameBytes: number;
+    readonly onSocket: (socket: WebSocket, transport: Socket) => void;
+}
+
+/** Listens for peers until `signal` aborts; resolves with the port, and rejects when it cannot be opened. */
+export function openPeerServer(options: PeerServerOptions, signal: AbortSignal): Promise<number> {
+    const { tls } = options;
+    const server: Server = tls === undefined
+        ? createServer(bounds)
+        : createTlsServer({ ...bounds, cert: tls.certificate, key: tls.privateKey, ca: tls.certificateAuthority });
+    server.on("request", (request, response) => {
+        request.resume();
+        response.writeHead(426).end();
+    });
+    const socketServer = new WebSocketServer({ server, maxPayload: options.maxFrameBytes, perMessageDeflate: peerCompression });
+    socketServer.on("connection", (socket, request) => {
+        options.onSocket(socket, request.socket);
+    });
+    socketServer.on("error", () => undefined);
+    signal.addEventListener("abort", () => {
+        server.close();
+        server.closeAllConnections();
+    }, { once: true });
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, () => {
+            resolve((server.address() as AddressInfo).port);
+        });
+    });
+}
