Tell VMs that left from VMs that may be out of reach

A VM that was drained and stopped counted as possibly alive for 30 s, or as long as the list showed it, and the others kept its even share of every customer limit. Its statement says now that it left by itself.

--- a/proof/membership/membership.test.ts
+++ b/proof/membership/membership.test.ts
@@ -48,6 +48,20 @@
     expectViews(fleet, fleet.names, fleet.names);
 });
 
+test("a VM that left no longer counts as possibly alive, one that crashed does for half a minute or while it is listed", () => {
+    const fleet = todaysFleet();
+    const counts = () => new Set(fleet.names.map(name => fleet.table(name).possiblyAliveCount));
+    fleet.leave("nadi-2");
+    fleet.advance(300);
+    expect([...counts()]).toEqual([8]);
+    fleet.crash("ba-1");
+    fleet.advance(20_000);
+    expect([...counts()]).toEqual([8]);
+    fleet.table("ba-2").setListed(["ba-1"]);
+    fleet.advance(20_000);
+    expect([...counts()].sort()).toEqual([7, 8]);
+});
+
 test("a pause of 500 ms takes no VM out of any view", () => {
     const fleet = todaysFleet();
     const names = fleet.names;
--- a/src/core/membership/MemberEntry.ts
+++ b/src/core/membership/MemberEntry.ts
@@ -5,6 +5,8 @@
     record: MemberRecord;
     isGone: boolean;
     goneAtMs: number;
+    /** It said itself that it stops. */
+    hasLeft: boolean;
     /** When anything last came from it. */
     heardAtMs: number;
     /** When it last said that it hears this VM too. */
--- a/src/core/membership/MemberStore.ts
+++ b/src/core/membership/MemberStore.ts
@@ -67,6 +67,7 @@
         entry.record = { ...entry.record, incarnation: statement.incarnation, version: statement.version };
         entry.isGone = true;
         entry.goneAtMs = nowMs - statement.ageMs;
+        entry.hasLeft = statement.hasLeft;
         this.markRecord(statement.vm, toldBy);
         return true;
     }
@@ -126,6 +127,7 @@
         record,
         isGone: false,
         goneAtMs: -Infinity,
+        hasLeft: false,
         heardAtMs: -Infinity,
         heardBothWaysAtMs: -Infinity,
         vouchedAtMs: -Infinity,
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -107,8 +107,9 @@
     get possiblyAliveCount(): number {
         let count = 0;
         for (const entry of this.store.all()) {
-            const isListed = this.listed.has(entry.record.vm);
-            if (!entry.isGone || isListed || this.nowMs - entry.goneAtMs < this.settings.possiblyAliveMs) {
+            const isOutOfReach = !entry.hasLeft
+                && (this.listed.has(entry.record.vm) || this.nowMs - entry.goneAtMs < this.settings.possiblyAliveMs);
+            if (!entry.isGone || isOutOfReach) {
                 count++;
             }
         }
@@ -148,7 +149,7 @@
     leave(): void {
         this.hasLeft = true;
         const { vm, incarnation } = this.options.self;
-        const gone: GoneStatement = { vm, incarnation, version: this.version, ageMs: 0 };
+        const gone: GoneStatement = { vm, incarnation, version: this.version, ageMs: 0, hasLeft: true };
         for (const neighbour of this.targets()) {
             this.options.send(neighbour, { ...this.bareHeartbeatTo(neighbour, false), gone: [gone] });
         }
--- a/src/core/membership/statementOf.ts
+++ b/src/core/membership/statementOf.ts
@@ -4,5 +4,6 @@
 /** The statement that a VM is gone, as old as the VM's being gone; new for one that was not gone before. */
 export function statementOf(entry: MemberEntry, nowMs: number): GoneStatement {
     const { vm, incarnation, version } = entry.record;
-    return { vm, incarnation, version, ageMs: entry.isGone ? Math.max(0, nowMs - entry.goneAtMs) : 0 };
+    const ageMs = entry.isGone ? Math.max(0, nowMs - entry.goneAtMs) : 0;
+    return { vm, incarnation, version, ageMs, hasLeft: entry.isGone && entry.hasLeft };
 }
--- a/src/node/peer/PeerCodec.test.ts
+++ b/src/node/peer/PeerCodec.test.ts
@@ -16,7 +16,11 @@
     records: [{ offset: 3, payload: new Uint8Array([1, 2, 3]) }],
     snapshot: new Uint8Array([9]),
 };
-const news: PeerMessage = { ...heartbeat, gone: [{ vm: "vm-2", incarnation: "1", version: 3, ageMs: 0.5 }], offsets: [["vm-1", 7]] };
+const news: PeerMessage = {
+    ...heartbeat,
+    gone: [{ vm: "vm-2", incarnation: "1", version: 3, ageMs: 0.5, hasLeft: false }],
+    offsets: [["vm-1", 7]],
+};
 
 test("frames come back as they were, in any order and from any codec", () => {
     const messages = fc.constantFrom<PeerMessage>(heartbeat, bytes, news, { type: "configFetch", fromOffset: 4 });
--- a/src/schema/peer/GoneStatement.ts
+++ b/src/schema/peer/GoneStatement.ts
@@ -7,5 +7,7 @@
     version: z.int().min(0),
     /** Time since a VM that watched it came to this. */
     ageMs: z.number().min(0),
+    /** The VM itself said that it stops, so that it is not just out of reach. */
+    hasLeft: z.boolean(),
 });
 export type GoneStatement = z.infer<typeof GoneStatement>;
