--- a/bench/path/BenchProgram.ts
+++ b/bench/path/BenchProgram.ts
@@ -38,7 +38,8 @@
     }
 
     stop(): void {
-        this.child.kill();
+        // The program exits when its channel closes.
+        this.child.disconnect();
     }
 }
 
--- a/bench/path/benchView.ts
+++ b/bench/path/benchView.ts
@@ -14,6 +14,7 @@
         services: [benchCaller.model],
         upstreams: engineUrls.map((url, index) => ({ id: `engine-${index}`, url, availabilityZone: "nadi" })),
         repeatable: true,
+        maxInFlight: 10_000,
     });
     const serviceClass = ServiceClass.parse({ name: "urgent", tier: 0, firstTokenTargetMs: 450, tokenGapTargetMs: 35 });
     const customer = Customer.parse({
--- a/bench/path/vmProgram.ts
+++ b/bench/path/vmProgram.ts
@@ -1,36 +1,64 @@
-import { okAsync } from "neverthrow";
+import { errAsync, okAsync } from "neverthrow";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
+import type { Member } from "../../src/core/membership/Member.js";
 import { CallerServer } from "../../src/node/caller/CallerServer.js";
+import { DispatchTask } from "../../src/node/dispatch/DispatchTask.js";
+import { EventRing } from "../../src/node/explain/EventRing.js";
+import { Metrics } from "../../src/node/metrics/Metrics.js";
+import type { ConfigService } from "../../src/node/services/ConfigService.js";
 import { SystemScheduler } from "../../src/node/timers/SystemScheduler.js";
 import { HttpEngineClient } from "../../src/node/upstream/HttpEngineClient.js";
 import { HttpPlainClient } from "../../src/node/upstream/HttpPlainClient.js";
 import type { BenchCommand } from "./BenchCommand.js";
 import type { BenchMessage } from "./BenchMessage.js";
 import { benchView } from "./benchView.js";
-import { DirectDispatch } from "./DirectDispatch.js";
 
-/** The request path of one VM in a process of its own. The URLs of its engines come as JSON in the first argument. */
+/** The request path of one VM that is alone in its fleet, in a process of its own: callers, dispatch, engines, events and metrics. The URLs of its engines come as JSON in the first argument. */
+const eventRingBytes = 32 * 1024 * 1024;
 const engineUrls = JSON.parse(process.argv[2] ?? "[]") as string[];
 const { signal } = new AbortController();
 const scheduler = new SystemScheduler();
 const view = benchView(engineUrls);
+const config: ConfigService = {
+    view,
+    isReady: true,
+    onChange: () => undefined,
+    apply: () => okAsync({ status: "accepted", offset: 1, pendingZones: [] }),
+    revisionOf: () => undefined,
+};
+const self: Member = {
+    vm: "vm-1",
+    incarnation: "1",
+    availabilityZone: "nadi",
+    region: "fiji-west",
+    peerUrl: "ws://127.0.0.1:1",
+    state: "ready",
+    configOffset: 1,
+};
+const recorder = new EventRing(eventRingBytes);
+const metrics = new Metrics();
+const dispatch = new DispatchTask({
+    vm: self.vm,
+    incarnation: self.incarnation,
+    scheduler,
+    random: Math.random,
+    links: { send: () => false, request: () => errAsync({ kind: "no-link", message: "this VM is alone" }), onMessage: () => undefined },
+    config,
+    membership: { members: [self], onChange: () => undefined },
+    recorder,
+});
+dispatch.start(signal);
 const engines = new HttpEngineClient(scheduler);
 engines.start(signal);
 let requests = 0;
 const server = new CallerServer({
-    vm: "vm-1",
-    availabilityZone: "nadi",
+    vm: self.vm,
+    availabilityZone: self.availabilityZone,
     host: "127.0.0.1",
     port: 0,
-    config: {
-        view,
-        isReady: true,
-        onChange: () => undefined,
-        apply: () => okAsync({ status: "accepted", offset: 1, pendingZones: [] }),
-        revisionOf: () => undefined,
-    },
-    dispatch: new DirectDispatch([...view.pools.values()].flatMap(pool => pool.upstreams)),
+    config,
+    dispatch,
     limits: { acquire: () => okAsync({ end: () => undefined }) },
     bookings: {
         run: () => {
@@ -39,8 +67,8 @@
     },
     engines,
     plain: new HttpPlainClient(scheduler),
-    recorder: { record: () => undefined },
-    observer: { requestEnded: () => undefined },
+    recorder,
+    observer: metrics,
     scheduler,
     isReady: () => true,
     newRequestId: () => `bench-${requests++}`,
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -30,6 +30,7 @@
 
 const log = createLog("caller");
 const classHeader = "x-orioleshelf-class";
+const callerGone = "the caller has gone";
 const keepAliveTimeoutMs = 65_000;
 const keepAliveProbeMs = 15_000;
 const retryBudgetOptions = { retriesPerRequest: 0.2, minRetriesPerSecond: 5, maxSavedRetries: 50 };
@@ -105,6 +106,8 @@
         const listener = getRequestListener(this.createApp().fetch as Parameters<typeof getRequestListener>[0], {
             overrideGlobalObjects: false,
             autoCleanupIncoming: false,
+            // For callers of HTTP/1.0, which may send no Host header.
+            hostname: this.parts.vm,
         });
         const answers = new WeakMap<Socket, ServerResponse>();
         const handle = (incoming: IncomingMessage, outgoing: ServerResponse) => {
@@ -132,7 +135,7 @@
         const app = new Hono<Bindings>();
         app.get("/healthz", context => context.json({ status: "ok" }));
         app.get("/readyz", context => this.isReady() ? context.json({ status: "ready" }) : context.json({ status: "not-ready" }, 503));
-        app.get("/v1/models", context => this.answer(context.env, request => this.listModels(request)));
+        app.get("/v1/models", context => this.listModels(context.env));
         app.post("/v1/chat/completions", context => this.answer(context.env, (request, summary) => this.complete(request, summary, true)));
         app.post("/v1/completions", context => this.answer(context.env, (request, summary) => this.complete(request, summary, false)));
         app.all("/services/:service/*", context => this.answer(context.env, (request, summary) => this.callService(request, summary)));
@@ -295,12 +298,21 @@
         await new PlainCall(this.parts, request, { service: decodeName(service), target }, summary).run();
     }
 
-    private listModels(request: CallerRequest): Promise<void> {
-        const names = new Set([...request.view.pools.values()].filter(pool => pool.kind === "engine").flatMap(pool => pool.services));
+    /** Answers by itself; it is no work of a class, so the observer is not told of it. */
+    private listModels({ incoming, outgoing }: HttpBindings): Response {
+        const requestId = this.parts.newRequestId();
+        const response = outgoing as ServerResponse;
+        const identified = this.identify(incoming as IncomingMessage, response, requestId, this.parts.scheduler.nowMs());
+        if (identified.isErr()) {
+            sendFault(response, identified.error, requestId, this.isDraining);
+            return RESPONSE_ALREADY_SENT;
+        }
+        const pools = [...identified.value.view.pools.values()];
+        const names = new Set(pools.filter(pool => pool.kind === "engine").flatMap(pool => pool.services));
         const data = [...names].sort().map(id => ({ id, object: "model", created: 0, owned_by: "orioleshelf" }));
-        request.outgoing.writeHead(200, { "content-type": "application/json", "x-request-id": request.requestId });
-        request.outgoing.end(JSON.stringify({ object: "list", data }));
-        return Promise.resolve();
+        response.writeHead(200, { "content-type": "application/json", "x-request-id": requestId });
+        response.end(JSON.stringify({ object: "list", data }));
+        return RESPONSE_ALREADY_SENT;
     }
 
     private refuse(request: CallerRequest, summary: CallSummary, fault: CallerFault): void {
@@ -342,7 +354,7 @@
     const gone = new AbortController();
     outgoing.on("close", () => {
         if (!outgoing.writableFinished) {
-            gone.abort();
+            gone.abort(callerGone);
         }
     });
     return gone.signal;
--- a/src/node/caller/waitForDrain.ts
+++ b/src/node/caller/waitForDrain.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { limitEnded } from "../../core/util/limitEnded.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 
 /** Settles when the caller has taken what was written, or has gone. A caller that takes nothing for `stallLimitMs` is disconnected. */
@@ -6,7 +7,7 @@
     return new Promise(resolve => {
         const limit = new AbortController();
         const settle = () => {
-            limit.abort();
+            limit.abort(limitEnded);
             response.off("drain", settle);
             response.off("close", settle);
             resolve();
--- a/src/node/upstream/HttpEngineClient.ts
+++ b/src/node/upstream/HttpEngineClient.ts
@@ -1,6 +1,7 @@
 import { ResultAsync } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { limitEnded } from "../../core/util/limitEnded.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Upstream } from "../../schema/config/Upstream.js";
 import { createLog } from "../logs/createLog.js";
@@ -25,12 +26,16 @@
 const log = createLog("upstream");
 const defaultOptions: HttpEngineClientOptions = { headLimitMs: 5_000, silenceLimitMs: 20_000 };
 const silenceSweepMs = 100;
+/** An engine may take this long to end its response after the last event. */
+const lingerLimitMs = 1_000;
 const maxErrorBytes = 64 * 1024;
 
 /** Streams completions from engines that speak the OpenAI protocol with our extensions. */
 export class HttpEngineClient implements EngineClient {
     private readonly options: HttpEngineClientOptions;
     private readonly streams = new Set<HttpEngineStream>();
+    /** Exchanges whose answer is whole while the engine has not ended it, and until when they may take. */
+    private readonly lingering = new Map<UpstreamExchange, number>();
 
     constructor(
         private readonly scheduler: Scheduler,
@@ -44,6 +49,7 @@
     start(signal: AbortSignal): void {
         this.scheduler.every(silenceSweepMs, () => {
             this.failSilentStreams();
+            this.closeLingering();
         }, signal);
         signal.addEventListener("abort", () => {
             void this.connections.close();
@@ -95,6 +101,7 @@
         signal.addEventListener("abort", cancel, { once: true });
         exchange.onFinished = () => {
             signal.removeEventListener("abort", cancel);
+            this.lingering.delete(exchange);
         };
         const limit = new AbortController();
         this.scheduler.after(this.options.headLimitMs, () => {
@@ -102,7 +109,7 @@
             this.cancelOnEngine(upstream, request);
         }, limit.signal);
         return () => {
-            limit.abort();
+            limit.abort(limitEnded);
         };
     }
 
@@ -121,6 +128,9 @@
         this.streams.add(stream);
         stream.onClosed = failure => {
             this.streams.delete(stream);
+            if (failure === undefined) {
+                this.lingering.set(exchange, this.scheduler.nowMs() + lingerLimitMs);
+            }
             if (failure !== undefined && failure.kind !== "cancelled") {
                 log("stream broke", {
                     requestId: request.requestId,
@@ -145,6 +155,15 @@
         }
     }
 
+    private closeLingering(): void {
+        const nowMs = this.scheduler.nowMs();
+        for (const [exchange, untilMs] of this.lingering) {
+            if (nowMs > untilMs) {
+                exchange.abort(cancelled());
+            }
+        }
+    }
+
     /** Cancels over another connection: the engine may never see that a silent one was closed. */
     private cancelOnEngine(upstream: Upstream, request: EngineRequest): void {
         const exchange = new UpstreamExchange(() => new BodyCollector(maxErrorBytes));
@@ -157,7 +176,7 @@
         }, exchange);
         const limit = new AbortController();
         exchange.onFinished = () => {
-            limit.abort();
+            limit.abort(limitEnded);
         };
         this.scheduler.after(this.options.headLimitMs, () => {
             exchange.abort(silent(this.options.headLimitMs));
--- a/src/node/upstream/HttpEngineStream.ts
+++ b/src/node/upstream/HttpEngineStream.ts
@@ -80,6 +80,9 @@
     }
 
     onEnd(): void {
+        if (this.isEnded) {
+            return;
+        }
         this.end(new EngineFailure("broken", undefined, "engine ended its stream before the answer was whole"));
     }
 
--- a/src/node/upstream/HttpPlainClient.ts
+++ b/src/node/upstream/HttpPlainClient.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
+import { limitEnded } from "../../core/util/limitEnded.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Upstream } from "../../schema/config/Upstream.js";
 import type { EngineError } from "../services/EngineError.js";
@@ -74,7 +75,7 @@
             return responseOf(upstream, head, open);
         }
         finally {
-            limit.abort();
+            limit.abort(limitEnded);
         }
     }
 
