--- a/bench/path/BenchCommand.ts
+++ b/bench/path/BenchCommand.ts
@@ -12,5 +12,7 @@
     }
     /** Load generator: open this many more endless streams and keep reading them. */
     | { readonly type: "openStreams"; readonly url: string; readonly count: number; }
+    /** Load generator: open streams one by one, leave each after its first tokens, and report when. */
+    | { readonly type: "abortStreams"; readonly url: string; readonly count: number; }
     /** Load generator: report the tokens read since the last report. */
     | { readonly type: "reportTokens"; };
--- a/bench/path/BenchMessage.ts
+++ b/bench/path/BenchMessage.ts
@@ -10,5 +10,7 @@
     }
     /** One list of samples for each target, in the order of the command. */
     | { readonly type: "firstTokens"; readonly samplesMs: readonly (readonly number[])[]; readonly failures: number; }
+    /** Wall-clock times at which the caller left, by request id. */
+    | { readonly type: "aborted"; readonly abortedAtMs: Readonly<Record<string, number>>; }
     | { readonly type: "opened"; readonly count: number; }
     | { readonly type: "tokens"; readonly tokens: number; readonly openStreams: number; readonly cpuMs: number; };
--- a/bench/path/loadProgram.ts
+++ b/bench/path/loadProgram.ts
@@ -20,6 +20,11 @@
                 send({ type: "opened", count: openCount });
             });
             break;
+        case "abortStreams":
+            void abortStreams(command.url, command.count).then(abortedAtMs => {
+                send({ type: "aborted", abortedAtMs });
+            });
+            break;
         case "reportTokens":
             reportTokens();
             break;
@@ -97,6 +102,29 @@
     await Promise.all(Array.from(Array(count).keys(), () => openStream(url)));
 }
 
+async function abortStreams(url: string, count: number): Promise<Record<string, number>> {
+    const abortedAtMs: Record<string, number> = {};
+    for (let index = 0; index < count; index++) {
+        const requestId = await readFirstToken(url);
+        abortedAtMs[requestId] = Date.now();
+    }
+    return abortedAtMs;
+}
+
+/** Leaves the stream at its first bytes; resolves with its request id. */
+function readFirstToken(url: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+        const outgoing = post(url, endlessTokens, answer => {
+            answer.once("data", () => {
+                outgoing.destroy();
+                resolve(String(answer.headers["x-request-id"]));
+            });
+            answer.on("error", () => undefined);
+        });
+        outgoing.on("error", reject);
+    });
+}
+
 function openStream(url: string): Promise<void> {
     return new Promise((resolve, reject) => {
         const outgoing = post(url, endlessTokens, answer => {
--- a/bench/path/run.ts
+++ b/bench/path/run.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
 import bounds from "./bounds.json" with { type: "json" };
+import { measureCancel } from "./measureCancel.js";
 import { measureFirstTokens } from "./measureFirstTokens.js";
 import { measureRelay } from "./measureRelay.js";
 import { measureStreamMemory } from "./measureStreamMemory.js";
@@ -22,6 +23,11 @@
     atMost("added time to first token, p99, ms", result.addedP99Ms, bounds.maxAddedFirstTokenP99Ms);
     atMost("failed streams", result.failures, 0);
 }
+if (values.only === undefined || values.only === "cancel") {
+    const result = await measureCancel();
+    print("cancel", result);
+    atMost("time until the engine stops after its caller left, ms", result.maxMs, bounds.maxCancelMs);
+}
 if (values.only === undefined || values.only === "relay") {
     const result = await measureRelay(durationMs);
     print("relay", result);
--- a/standins/engine/EngineStandin.ts
+++ b/standins/engine/EngineStandin.ts
@@ -166,6 +166,7 @@
         response.on("close", () => {
             this.runs.delete(runKey);
             this.batch.remove(run);
+            record.endedMs = Date.now();
             if (record.state === "running") {
                 record.state = "cancelled";
             }
--- a/standins/service/ServiceStandin.ts
+++ b/standins/service/ServiceStandin.ts
@@ -103,6 +103,7 @@
         }
         await delay(this.options.runMs);
         record.state = "done";
+        record.endedMs = Date.now();
         return answer;
     }
 }
--- a/standins/shared/CallLog.ts
+++ b/standins/shared/CallLog.ts
@@ -7,7 +7,7 @@
     private records: CallRecord[] = [];
 
     add(call: Pick<CallRecord, "idempotencyKey" | "requestId" | "method" | "path">): CallRecord {
-        const record: CallRecord = { ...call, startedMs: Date.now(), state: "running", tokens: 0 };
+        const record: CallRecord = { ...call, startedMs: Date.now(), endedMs: undefined, state: "running", tokens: 0 };
         this.records.push(record);
         if (this.records.length > 2 * maxRecords) {
             this.records = this.records.slice(-maxRecords);
--- a/standins/shared/CallRecord.ts
+++ b/standins/shared/CallRecord.ts
@@ -5,6 +5,8 @@
     readonly method: string;
     readonly path: string;
     readonly startedMs: number;
+    /** When the call was done or cancelled, milliseconds since the epoch. */
+    endedMs: number | undefined;
     state: "running" | "done" | "cancelled";
     /** Tokens produced, for engines. */
     tokens: number;
