--- a/src/node/caller/LimitedBody.ts
+++ b/src/node/caller/LimitedBody.ts
@@ -2,13 +2,17 @@
 
 /** Passes a body on up to a limit, and breaks it off beyond. */
 export class LimitedBody extends Transform {
+    /** More than the limit has come. */
+    isExceeded = false;
+
     constructor(maxBytes: number) {
         let sizeBytes = 0;
         super({
-            transform(...[part, , callback]: [Buffer, BufferEncoding, TransformCallback]): void {
+            transform: (...[part, , callback]: [Buffer, BufferEncoding, TransformCallback]) => {
                 sizeBytes += part.length;
                 if (sizeBytes > maxBytes) {
-                    callback(new Error(`the body is larger than ${maxBytes} bytes; send less`));
+                    this.isExceeded = true;
+                    callback(new Error("the body is larger than its limit"));
                     return;
                 }
                 callback(undefined, part);
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -6,6 +6,7 @@
 import { choosePool } from "../../core/paths/choosePool.js";
 import { mayRetry } from "../../core/retry/mayRetry.js";
 import type { Pool } from "../../schema/config/Pool.js";
+import type { Outcome } from "../../schema/Outcome.js";
 import { BookingSendFailure } from "../booking/BookingSendFailure.js";
 import type { BookingAnswer } from "../services/BookingAnswer.js";
 import type { BookingError } from "../services/BookingError.js";
@@ -182,12 +183,7 @@
         }
         const { maxStreamedBodyBytes } = this.parts.callerLimits;
         if (lengthBytes > maxStreamedBodyBytes) {
-            return err(
-                new CallerFault(
-                    { status: 413, code: "body_too_large", outcome: "not-run" },
-                    `the body is larger than ${maxStreamedBodyBytes} bytes; send less`,
-                ),
-            );
+            return err(bodyTooLarge(maxStreamedBodyBytes, "not-run"));
         }
         return ok(incoming.pipe(new LimitedBody(maxStreamedBodyBytes)));
     }
@@ -213,11 +209,17 @@
             const sentMs = this.parts.scheduler.nowMs();
             recordDecision(this.parts, this.request, "sent", { upstream: grant.value.upstream.id });
             const response = await this.parts.plain.send(grant.value.upstream, this.plainRequest(body), signal);
-            this.grants.used(grant.value, response.isErr() ? response.error : undefined);
             if (response.isOk()) {
+                this.grants.used(grant.value, undefined);
                 this.mayHaveRun = true;
                 return ok({ grant: grant.value, response: response.value, sentMs });
             }
+            if (body instanceof LimitedBody && body.isExceeded) {
+                this.mayHaveRun = true;
+                this.endForCaller(grant.value);
+                return err(bodyTooLarge(this.parts.callerLimits.maxStreamedBodyBytes, "unknown"));
+            }
+            this.grants.used(grant.value, response.error);
             grant.value.end({ result: signal.aborted ? "cancelled" : "failed", outputTokens: 0 });
             if (!this.goOnAfter(response.error, grant.value, body, isRepeatable) || signal.aborted) {
                 return err(faultOfEngineError(response.error, this.mayHaveRun));
@@ -225,6 +227,12 @@
         }
     }
 
+    /** The attempt failed by the caller's doing, which tells nothing about the upstream. */
+    private endForCaller(grant: Grant): void {
+        this.grants.used(grant, { kind: "cancelled", status: undefined, message: "the caller's body was broken off" });
+        grant.end({ result: "cancelled", outputTokens: 0 });
+    }
+
     private async acquire(pool: Pool, signal: AbortSignal): Promise<Result<Grant, CallerFault>> {
         const grant = await this.grants.acquire({
             pool,
@@ -339,6 +347,10 @@
     return new CallerFault({ status, code, outcome: error.outcome, retryAfterMs: error.retryAfterMs }, error.message);
 }
 
+function bodyTooLarge(maxBytes: number, outcome: Outcome): CallerFault {
+    return new CallerFault({ status: 413, code: "body_too_large", outcome }, `the body is larger than ${maxBytes} bytes; send less`);
+}
+
 /** The whole body; undefined when it broke off. */
 async function readAnswer(body: Readable): Promise<Buffer | undefined> {
     const parts: Buffer[] = [];
