--- a/proof/edge/FakeDispatch.ts
+++ b/proof/edge/FakeDispatch.ts
@@ -16,16 +16,17 @@
     readonly tickets: Ticket[] = [];
     readonly ends: GrantEnd[] = [];
     readonly open = new Set<OpenGrant>();
-    /** When set, the refusal that every ticket gets. */
-    refusal: DispatchRefusal | undefined;
+    /** The refusals that the next tickets get, one each. */
+    readonly refusals: DispatchRefusal[] = [];
     private turn = 0;
 
     constructor(private readonly view: () => ConfigView) {}
 
     acquire(ticket: Ticket): ResultAsync<Grant, DispatchRefusal> {
         this.tickets.push(ticket);
-        if (this.refusal !== undefined) {
-            return new ResultAsync(Promise.resolve(err(this.refusal)));
+        const refusal = this.refusals.shift();
+        if (refusal !== undefined) {
+            return new ResultAsync(Promise.resolve(err(refusal)));
         }
         const upstreams = this.view().pools.get(ticket.pool)?.upstreams ?? [];
         const allowed = upstreams.filter(upstream => !ticket.excludedUpstreams.includes(upstream.id));
--- a/proof/edge/callers.test.ts
+++ b/proof/edge/callers.test.ts
@@ -91,18 +91,15 @@
     edge.limitRefusal = { kind: "tokens-per-minute", retryAfterMs: 10 };
     await expect(() => create()).toBeRejectedWith(OpenAI.RateLimitError);
     edge.limitRefusal = undefined;
-    edge.dispatch.refusal = { kind: "shed", retryAfterMs: 20, message: "too much work; send again later" };
+    edge.dispatch.refusals.push({ kind: "shed", retryAfterMs: 20, message: "too much work; send again later" });
     await expect(() => create()).toBeRejectedWith(OpenAI.InternalServerError);
     expect(edge.ends.every(end => end.outcome === "not-run")).toEqual(true);
 });
 
 test("the openai client sends again what was refused as not run, after the time told", limits, async context => {
     const { client, edge } = await setUpEngines(context, [{}], {}, 1);
-    edge.dispatch.refusal = { kind: "shed", retryAfterMs: 1, message: "too much work; send again later" };
-    const text = streamText(client, prompt);
-    await until(() => edge.dispatch.tickets.length === 1);
-    edge.dispatch.refusal = undefined;
-    expect(await text).toEqual(answerText(prompt, 32, 1));
+    edge.dispatch.refusals.push({ kind: "shed", retryAfterMs: 1, message: "too much work; send again later" });
+    expect(await streamText(client, prompt)).toEqual(answerText(prompt, 32, 1));
     expect((await edge.ended(2)).map(end => end.status)).toEqual([503, 200]);
 });
 
