--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -31,6 +31,8 @@
 const log = createLog("caller");
 const classHeader = "x-orioleshelf-class";
 const callerGone = "the caller has gone";
+/** Bytes of an answer that may wait for a slow caller. They are many small buffers, which take several times as much memory. */
+const callerBufferBytes = 8 * 1024;
 const keepAliveTimeoutMs = 65_000;
 const keepAliveProbeMs = 15_000;
 const retryBudgetOptions = { retriesPerRequest: 0.2, minRetriesPerSecond: 5, maxSavedRetries: 50 };
@@ -100,6 +102,7 @@
             connectionsCheckingInterval: Math.min(1_000, callerLimits.headersTimeoutMs),
             keepAliveTimeout: keepAliveTimeoutMs,
             noDelay: true,
+            highWaterMark: callerBufferBytes,
             keepAlive: true,
             keepAliveInitialDelay: keepAliveProbeMs,
         };
