--- a/src/load/sendArrival.ts
+++ b/src/load/sendArrival.ts
@@ -4,8 +4,11 @@
 import type { LoadSample } from "./LoadSample.js";
 import { TokenWatch } from "./TokenWatch.js";
 
-const firstServerOrClientError = 400;
+const firstErrorStatus = 400;
+/** The text of prompts, about one token. */
 const word = "pump ";
+/** As much of an answer that is no stream as an error needs. */
+const maxKeptCharacters = 4_096;
 
 interface SendOptions {
     readonly callerUrl: string;
@@ -38,11 +41,11 @@
             response.body,
             watch,
             options.nowMs,
-            stream.kind === "chat" && response.statusCode < firstServerOrClientError,
+            stream.kind === "chat" && response.statusCode < firstErrorStatus,
         );
         const isStreamed = stream.kind === "chat";
         const firstAtMs = isStreamed ? watch.firstAtMs : headMs;
-        const isGood = response.statusCode < firstServerOrClientError && watch.errorCode === undefined;
+        const isGood = response.statusCode < firstErrorStatus && watch.errorCode === undefined;
         return {
             ...sample,
             status: response.statusCode,
@@ -103,10 +106,8 @@
     return whole;
 }
 
-const maxKeptCharacters = 4_096;
-
 function errorCodeOf(status: number, body: string): string | undefined {
-    if (status < firstServerOrClientError) {
+    if (status < firstErrorStatus) {
         return undefined;
     }
     return /"code"\s*:\s*"([^"]+)"/.exec(body)?.[1] ?? `http_${status}`;
