--- a/bench/capacity/measureConfiguration.ts
+++ b/bench/capacity/measureConfiguration.ts
@@ -1,4 +1,3 @@
-import { pack } from "msgpackr";
 import { ConfigFold } from "../../src/core/config/ConfigFold.js";
 import { encodeSnapshot } from "../../src/node/config/encodeSnapshot.js";
 import type { ConfigObject } from "../../src/schema/config/ConfigObject.js";
@@ -52,7 +51,8 @@
 
 function encode(offset: number, object: ConfigObject): Uint8Array {
     const operations = [{ op: "put", object }];
-    return pack({ type: "change", formatVersion: 1, changeId: `change-${offset}`, author: "benchmark", operations });
+    const change = { type: "change", formatVersion: 1, changeId: `change-${offset}`, author: "benchmark", operations };
+    return new TextEncoder().encode(JSON.stringify(change));
 }
 
 function allObjects(): ConfigObject[] {
--- a/bench/capacity/measureRequestMessages.ts
+++ b/bench/capacity/measureRequestMessages.ts
@@ -16,7 +16,8 @@
 export async function measureRequestMessages(): Promise<Quantity[]> {
     const random = seededRandom(1);
     const codec = new PeerCodec();
-    const deflate = createDeflateRaw({ windowBits: Number(peerCompression.serverMaxWindowBits), ...peerCompression.zlibDeflateOptions });
+    const { level, memLevel } = peerCompression.zlibDeflateOptions ?? {};
+    const deflate = createDeflateRaw({ windowBits: Number(peerCompression.serverMaxWindowBits), level, memLevel });
     let bytes = 0;
     let messageCount = 0;
     deflate.on("data", (chunk: Buffer) => {
--- a/bench/capacity/measureDispatcher.ts
+++ b/bench/capacity/measureTicketBytes.ts
@@ -1,25 +1,13 @@
 import { defaultDispatchOptions } from "../../src/core/dispatch/defaultDispatchOptions.js";
 import { ShardDispatcher } from "../../src/core/dispatch/ShardDispatcher.js";
-import { measureDecisionCost } from "../policy/measureDecisionCost.js";
 import { seededRandom } from "../policy/seededRandom.js";
 import type { Quantity } from "./Quantity.js";
 import { requestMessages } from "./requestMessages.js";
 import { usedBytes } from "./usedBytes.js";
 
 const waitingCount = 20_000;
-const costAtWaiting = 1_000;
-
-/** Time of a request's decisions, and memory of a waiting ticket. */
-export function measureDispatcher(): Quantity[] {
-    const cost = measureDecisionCost().find(line => line.waiting === costAtWaiting);
-    const decisionMicroseconds = cost?.microsecondsPerRequest ?? Number.NaN;
-    return [
-        { name: "decisionMicroseconds", value: decisionMicroseconds, unit: "us", source: `${costAtWaiting} tickets waiting, 16 engines` },
-        { name: "ticketBytes", value: Math.round(measureTicketBytes()), unit: "bytes", source: `${waitingCount} tickets waiting` },
-    ];
-}
-
-function measureTicketBytes(): number {
+/** Memory of a waiting ticket. */
+export function measureTicketBytes(): Quantity {
     const random = seededRandom(1);
     const dispatcher = new ShardDispatcher({ ...defaultDispatchOptions, maxWaiting: waitingCount }, random);
     dispatcher.setUpstreams([{ id: "engine-1", availabilityZone: "lautoka", maxInFlight: 1, leaving: true }], 0);
@@ -34,5 +22,5 @@
     if (dispatcher.queueState().waiting !== waitingCount) {
         throw new Error("the dispatcher of the benchmark did not keep its tickets");
     }
-    return bytes;
+    return { name: "ticketBytes", value: Math.round(bytes), unit: "bytes", source: `${waitingCount} tickets waiting` };
 }
