Join orders to the VM and let the engine stand-in take them by the documented calls

The stand-in spoke another shape of orders than the client, so that no test ran the two together. It now answers GET /orders/state and POST /orders. On a fleet of processes a placement is brought about under one fencing number, and after a kill of the holder by another VM under the next. The test of a leaving upstream took a quiet round by chance as proof; it now asks for more at once than the other engines would get if the leaving ones were still given work.

--- a/proof/processes/processes.test.ts
+++ b/proof/processes/processes.test.ts
@@ -1,5 +1,11 @@
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, test } from "node:test";
+import { exampleObjects } from "../../src/cli/quickstart/exampleObjects.js";
+import { operatorClient } from "../../src/cli/quickstart/operatorClient.js";
+import { rendezvous } from "../../src/core/util/rendezvous.js";
+import { objectToProto } from "../../src/node/operator/objectToProto.js";
+import type { Pool } from "../../src/schema/config/Pool.js";
+import { Kind } from "../../src/schema/generated/orioleshelf/v1/operator_pb.js";
 import { answerText } from "../../standins/engine/answerText.js";
 import { book } from "./book.js";
 import { chat } from "./chat.js";
@@ -161,10 +167,38 @@
         const callCount = () => leavingIds.reduce((sum, id) => sum + (fleet.platform.engines.get(id)?.calls.length ?? 0), 0);
         const isQuiet = async () => {
             const before = callCount();
-            await Promise.all(Array.from(Array(12).keys(), index => chat(vm.callerUrl, `quiet ${index}`, 2, "urgent")));
+            // Enough at once that engines of every zone are needed on both paths.
+            await Promise.all(Array.from(Array(40).keys(), index => chat(vm.callerUrl, `quiet ${index}`, 20, "urgent")));
             return callCount() === before;
         };
         await waitUntil("the leaving engines are quiet", isQuiet);
         expect([await isQuiet(), await isQuiet()]).toEqual([true, true]);
     });
+
+    test("placements are brought about by one VM, and by another one after it was killed", async () => {
+        const engines = [...fleet.platform.engines].filter(([id]) => id.startsWith("engine-new")).map(([, engine]) => engine);
+        const servingCount = () => engines.filter(engine => engine.orders.serves("gauge-model")).length;
+        const place = async (vm: VmProcess, replicas: number) => {
+            const pool = exampleObjects(fleet.standins).flatMap(object => (object.kind === "pool" ? [object.value] : []))
+                .find(({ name }) => name === "pumpline-model-new");
+            const placements = [
+                { model: "pumpline-model", version: "1", role: "both" as const, replicas: engines.length - replicas },
+                { model: "gauge-model", version: "2", role: "both" as const, replicas },
+            ];
+            const value = objectToProto({ kind: "pool", value: { ...pool as Pool, placements } });
+            const client = operatorClient({ standins: fleet.standins, operatorToken: fleet.operatorToken, vms: [vm] });
+            const { stored } = await client.get({ kind: Kind.POOL, name: "pumpline-model-new" });
+            await client.apply({ author: "test", operations: [{ operation: { case: "put", value }, readRevision: stored?.revision }] });
+        };
+        const holders = () => new Set(engines.flatMap(engine => engine.orders.obeyed.map(order => order.fencingNumber)));
+        await place(fleet.vms[0] as VmProcess, 1);
+        await waitUntil("one engine serves the new model", () => servingCount() === 1);
+        expect(holders().size).toEqual(1);
+        const holder = rendezvous("orders", fleet.vms.map(vm => vm.id));
+        fleet.vms.find(vm => vm.id === holder)?.signal("SIGKILL");
+        await place(fleet.vms.find(vm => vm.id !== holder) as VmProcess, 2);
+        await waitUntil("two engines serve the new model", () => servingCount() === 2);
+        expect(holders().size).toEqual(2);
+        expect(engines.some(engine => engine.orders.serves("pumpline-model"))).toEqual(true);
+    });
 });
--- a/proof/processes/startPlatform.ts
+++ b/proof/processes/startPlatform.ts
@@ -3,6 +3,7 @@
 import { LogStandin } from "../../standins/log/LogStandin.js";
 import { ServiceStandin } from "../../standins/service/ServiceStandin.js";
 import { VmListStandin } from "../../standins/vmlist/VmListStandin.js";
+import { WeightStoreStandin } from "../../standins/weights/WeightStoreStandin.js";
 
 const paths = ["old", "new"] as const;
 const answerTokens = 400;
@@ -12,7 +13,7 @@
 export async function startPlatform(signal: AbortSignal) {
     const log = new LogStandin();
     const vmList = new VmListStandin();
-    const weights = new ServiceStandin({ name: "weight-store" });
+    const weights = new WeightStoreStandin();
     const engines = new Map<string, EngineStandin>();
     const services = new Map<string, ServiceStandin>();
     const places = paths.flatMap(path => exampleZones.map(availabilityZone => ({ path, availabilityZone })));
--- a/src/cli/commands/standin.ts
+++ b/src/cli/commands/standin.ts
@@ -3,6 +3,7 @@
 import { LogStandin } from "../../../standins/log/LogStandin.js";
 import { ServiceStandin } from "../../../standins/service/ServiceStandin.js";
 import { VmListStandin } from "../../../standins/vmlist/VmListStandin.js";
+import { WeightStoreStandin } from "../../../standins/weights/WeightStoreStandin.js";
 import type { CommandContext } from "../CommandContext.js";
 import { ExitCode } from "../ExitCode.js";
 import { parseOptions } from "../parseOptions.js";
@@ -31,6 +32,7 @@
         new EngineStandin({ seed, ...models === undefined ? {} : { models } }).start(signal, port),
     "service": (signal, port, { name }) => new ServiceStandin(name === undefined ? {} : { name }).start(signal, port),
     "log": async (signal, port) => (await new LogStandin().start(signal, port)).url,
+    "weight-store": (signal, port) => new WeightStoreStandin().start(signal, port),
     "vm-list": (signal, port) => new VmListStandin().start(signal, port),
 };
 
--- a/src/cli/quickstart/startStandins.ts
+++ b/src/cli/quickstart/startStandins.ts
@@ -2,6 +2,7 @@
 import { LogStandin } from "../../../standins/log/LogStandin.js";
 import { ServiceStandin } from "../../../standins/service/ServiceStandin.js";
 import { VmListStandin } from "../../../standins/vmlist/VmListStandin.js";
+import { WeightStoreStandin } from "../../../standins/weights/WeightStoreStandin.js";
 import { exampleZones } from "./exampleZones.js";
 import type { StandinUrls } from "./StandinUrls.js";
 
@@ -12,7 +13,7 @@
     const [log, vmList, weightStore, engines, services] = await Promise.all([
         new LogStandin().start(signal),
         new VmListStandin().start(signal),
-        new ServiceStandin({ name: "weight-store" }).start(signal),
+        new WeightStoreStandin().start(signal),
         Promise.all(
             eachPlace().map(async ({ path, availabilityZone }) => {
                 const engine = new EngineStandin({ models: ["pumpline-model"], naturalAnswerTokens: 24 });
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from "node:crypto";
+import { rendezvous } from "../../core/util/rendezvous.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { Settings } from "../../schema/settings/Settings.js";
 import { LogBookingService } from "../booking/LogBookingService.js";
@@ -14,10 +15,13 @@
 import { MeteredPeerLinks } from "../metrics/MeteredPeerLinks.js";
 import { Metrics } from "../metrics/Metrics.js";
 import { OperatorServer } from "../operator/OperatorServer.js";
+import { HttpEngineOrderClient } from "../orders/HttpEngineOrderClient.js";
+import { OrderTask } from "../orders/OrderTask.js";
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import { HttpLogClient } from "../platform/log/HttpLogClient.js";
 import { HttpVmListClient } from "../platform/vmlist/HttpVmListClient.js";
 import { VmListTask } from "../platform/vmlist/VmListTask.js";
+import { WeightStoreTask } from "../platform/weights/WeightStoreTask.js";
 import { FleetReporter } from "../report/FleetReporter.js";
 import { ReportPublisher } from "../report/ReportPublisher.js";
 import { ServiceLevelRecorder } from "../report/ServiceLevelRecorder.js";
@@ -50,6 +54,9 @@
     readonly bookings: LogBookingService;
     readonly dispatch: DispatchTask;
     readonly limits: QuotaLimitService;
+    private readonly orderClient = new HttpEngineOrderClient();
+    private readonly weights: WeightStoreTask;
+    private readonly orders: OrderTask;
     readonly caller: CallerServer;
     readonly operator: OperatorServer;
     private readonly vmList: VmListTask;
@@ -91,6 +98,8 @@
         this.bookings = this.createBookings();
         this.dispatch = this.createDispatch();
         this.limits = this.createLimits();
+        this.weights = new WeightStoreTask(settings.platform.weightStore.url, scheduler, settings.timeouts.platformRequestMs);
+        this.orders = this.createOrders();
         this.engines = new HttpEngineClient(scheduler, {
             headLimitMs: settings.timeouts.upstreamHeadMs,
             silenceLimitMs: settings.timeouts.upstreamGapMs,
@@ -118,6 +127,9 @@
         }, signal);
         this.dispatch.start(signal);
         this.limits.start(signal);
+        this.orderClient.start(signal);
+        this.weights.start(signal);
+        this.orders.start(signal);
         this.engines.start(signal);
         this.plain.start(signal);
         this.levels.start(signal);
@@ -234,6 +246,28 @@
         });
     }
 
+    private createOrders(): OrderTask {
+        const { settings, incarnation, scheduler } = this.options;
+        const { config, orderClient } = this;
+        return new OrderTask({
+            vm: settings.vm.id,
+            incarnation,
+            log: this.logClient,
+            scheduler,
+            client: orderClient,
+            config,
+            isCandidate: () => this.isOrderCandidate(),
+            maxLoading: () => this.weights.maxConcurrentLoads,
+            isLeaving: upstreamId => this.vmList.isLeaving(upstreamId),
+            uniqueId: randomUUID,
+        });
+    }
+
+    private isOrderCandidate(): boolean {
+        const ready = this.membership.members.filter(member => member.state === "ready").map(member => member.vm);
+        return rendezvous("orders", ready) === this.options.settings.vm.id;
+    }
+
     private createCaller(): CallerServer {
         const { settings, scheduler } = this.options;
         const { host, port } = settings.listen.caller;
--- a/standins/engine/EngineOrders.ts
+++ b/standins/engine/EngineOrders.ts
@@ -1,61 +1,58 @@
+import type { EngineOrder } from "../../src/schema/orders/EngineOrder.js";
+import type { EngineReport } from "../../src/schema/orders/EngineReport.js";
 import { delay } from "../shared/delay.js";
-import type { EngineOrder } from "./EngineOrder.js";
 
-interface LoadedModel {
-    readonly model: string;
-    readonly version: string;
-    readonly adapter: string | undefined;
-}
+type ModelReport = EngineReport["models"][number];
 
 /** What an engine has loaded, its role, and the orders that it obeyed. */
 export class EngineOrders {
     readonly obeyed: EngineOrder[] = [];
-    private loaded: LoadedModel[];
-    private role: "prefill" | "decode" | "both" = "both";
+    private models: ModelReport[];
+    private role: EngineReport["role"] = "both";
     private highestFencing = -1;
-    private loadsRunning = 0;
 
     constructor(models: readonly string[], private readonly checksFencing: boolean, private readonly loadMs: number) {
-        this.loaded = models.map(model => ({ model, version: "1", adapter: undefined }));
+        this.models = models.map(model => ({ model, version: "1", state: "ready" }));
     }
 
     serves(model: string): boolean {
-        return this.loaded.some(loaded => loaded.model === model || loaded.adapter === model);
+        return this.models.some(loaded => loaded.state === "ready" && (loaded.model === model || loaded.adapter === model));
     }
 
-    get state(): { loaded: readonly LoadedModel[]; role: string; loadsRunning: number; highestFencing: number; } {
-        return { loaded: this.loaded, role: this.role, loadsRunning: this.loadsRunning, highestFencing: this.highestFencing };
+    get report(): EngineReport {
+        return { models: this.models, role: this.role, fencingNumber: this.checksFencing ? this.highestFencing : -1 };
     }
 
-    /** Obeys an order; resolves when it has taken effect. An old fencing number is refused when the engine checks it. */
-    async obey(order: EngineOrder): Promise<"obeyed" | "old-fencing"> {
-        if (this.checksFencing && order.fencing < this.highestFencing) {
+    /** Takes an order; a load goes on after the answer. An old fencing number is refused when the engine checks it. */
+    obey(order: EngineOrder): "obeyed" | "old-fencing" {
+        if (this.checksFencing && order.fencingNumber < this.highestFencing) {
             return "old-fencing";
         }
-        this.highestFencing = Math.max(this.highestFencing, order.fencing);
+        this.highestFencing = Math.max(this.highestFencing, order.fencingNumber);
+        if (this.obeyed.some(earlier => earlier.orderId === order.orderId)) {
+            return "obeyed";
+        }
         this.obeyed.push(order);
-        if (order.kind === "change-role") {
-            this.role = order.role ?? this.role;
+        if (order.action === "role") {
+            this.role = order.role;
         }
-        else if (order.kind === "unload") {
-            this.loaded = this.loaded.filter(loaded => !isSame(loaded, order));
+        else if (order.action === "unload") {
+            this.models = this.models.filter(loaded => !isSame(loaded, order));
         }
-        else {
-            await this.load(order);
+        else if (!this.models.some(loaded => isSame(loaded, order))) {
+            void this.load(order);
         }
         return "obeyed";
     }
 
-    private async load(order: EngineOrder): Promise<void> {
-        this.loadsRunning++;
+    private async load({ model, version, adapter }: EngineOrder): Promise<void> {
+        const loading: ModelReport = { model, version, adapter, state: "loading" };
+        this.models = [...this.models, loading];
         await delay(this.loadMs);
-        this.loadsRunning--;
-        if (!this.loaded.some(loaded => isSame(loaded, order))) {
-            this.loaded.push({ model: order.model ?? "", version: order.version ?? "1", adapter: order.adapter });
-        }
+        this.models = this.models.map(loaded => (loaded === loading ? { ...loading, state: "ready" } : loaded));
     }
 }
 
-function isSame(loaded: LoadedModel, order: EngineOrder): boolean {
-    return loaded.model === order.model && loaded.version === (order.version ?? loaded.version) && loaded.adapter === order.adapter;
+function isSame(loaded: ModelReport, order: EngineOrder): boolean {
+    return loaded.model === order.model && loaded.version === order.version && loaded.adapter === order.adapter;
 }
--- a/standins/engine/EngineStandin.test.ts
+++ b/standins/engine/EngineStandin.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test, type TestContext } from "node:test";
+import { EngineReport } from "../../src/schema/orders/EngineReport.js";
 import { answerText } from "./answerText.js";
 import { EngineStandin } from "./EngineStandin.js";
 import type { EngineStandinOptions } from "./EngineStandinOptions.js";
@@ -35,15 +36,24 @@
 });
 
 test("orders with an old fencing number are refused, or obeyed by an engine that ignores it", limits, async context => {
-    const order = (fencing: number, version: string) => ({ kind: "load", model: "stock-model", version, fencing });
+    const order = (fencingNumber: number, version: string) => ({
+        action: "load",
+        model: "stock-model",
+        version,
+        role: "both",
+        fencingNumber,
+        orderId: `order-${version}`,
+    });
     for (const [checksFencing, status] of [[true, 409], [false, 200]] as const) {
         const url = await start(context, { checksFencing, loadMs: 0 });
-        expect((await post(url, "/v1/orders", order(7, "2"))).status).toEqual(200);
-        expect((await post(url, "/v1/orders", order(6, "1"))).status).toEqual(status);
-        const state = await (await fetch(`${url}/v1/state`)).json() as { loaded: { version: string; }[]; };
-        expect(state.loaded.some(loaded => loaded.version === "1" && "model" in loaded && loaded.model === "stock-model")).toEqual(
-            !checksFencing,
-        );
+        expect((await post(url, "/orders", order(7, "2"))).status).toEqual(200);
+        expect((await post(url, "/orders", order(6, "1"))).status).toEqual(status);
+        const readyVersions = async () => {
+            const { models } = EngineReport.parse(await (await fetch(`${url}/orders/state`)).json());
+            return models.filter(loaded => loaded.model === "stock-model" && loaded.state === "ready").map(loaded => loaded.version);
+        };
+        await until(async () => (await readyVersions()).includes("2"));
+        expect((await readyVersions()).includes("1")).toEqual(!checksFencing);
     }
 });
 
--- a/standins/engine/EngineStandin.ts
+++ b/standins/engine/EngineStandin.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { EngineOrder } from "../../src/schema/orders/EngineOrder.js";
 import type { CallRecord } from "../shared/CallRecord.js";
 import { delay } from "../shared/delay.js";
 import { headerText } from "../shared/headerText.js";
@@ -9,7 +10,6 @@
 import { CompletionBody } from "./CompletionBody.js";
 import { CompletionRun } from "./CompletionRun.js";
 import { defaultEngineOptions } from "./defaultEngineOptions.js";
-import { EngineOrder } from "./EngineOrder.js";
 import { EngineOrders } from "./EngineOrders.js";
 import type { EngineStandinOptions } from "./EngineStandinOptions.js";
 import { PrefixCache } from "./PrefixCache.js";
@@ -91,7 +91,7 @@
             case "GET /v1/models":
                 sendJson(response, 200, {
                     object: "list",
-                    data: this.orders.state.loaded.map(({ model }) => ({ id: model, object: "model" })),
+                    data: this.orders.report.models.map(({ model }) => ({ id: model, object: "model" })),
                 });
                 return;
             case "POST /v1/cancel":
@@ -103,10 +103,10 @@
             case "GET /v1/cache-events":
                 sendJson(response, 200, this.cache.eventsAfter(Number(url.searchParams.get("after") ?? "0")));
                 return;
-            case "GET /v1/state":
-                sendJson(response, 200, { ...this.orders.state, leaving: this.faults.peek("leaving") !== undefined });
+            case "GET /orders/state":
+                sendJson(response, 200, this.orders.report);
                 return;
-            case "POST /v1/orders":
+            case "POST /orders":
                 await this.order(request, response);
                 return;
             default:
@@ -206,12 +206,12 @@
             request.socket.destroy();
             await delay(landLate.delayMs);
         }
-        const outcome = await this.orders.obey(parsed.data);
+        const outcome = this.orders.obey(parsed.data);
         if (this.faults.strike("lose-answer") !== undefined) {
             request.socket.destroy();
             return;
         }
-        sendJson(response, outcome === "obeyed" ? 200 : 409, { outcome, state: this.orders.state });
+        sendJson(response, outcome === "obeyed" ? 200 : 409, { outcome });
     }
 
     private stepMs(batchSize: number, prefillTokens: number): number {
