Keep work from zones that are cut off, move streams off slow engines for good, and announce a stop

A preempted grant tells its reason. Weighed for the cut: leaving it to failures and circuit breakers, which costs each request a connection timeout; and marking the zone by membership alone, which loses its engines when only its VMs are gone.

--- a/bench/path/vmProgram.ts
+++ b/bench/path/vmProgram.ts
@@ -47,6 +47,7 @@
     config,
     membership: { members: [self], onChange: () => undefined },
     recorder,
+    canConnect: () => Promise.resolve(true),
 });
 dispatch.start(signal);
 const engines = new HttpEngineClient(scheduler);
--- a/proof/edge/brokenStreams.test.ts
+++ b/proof/edge/brokenStreams.test.ts
@@ -105,6 +105,19 @@
     expect(first.calls.reduce((tokens, call) => tokens + call.tokens, 0)).toSatisfy(produced => produced >= 32 + (end?.wastedTokens ?? 0));
 });
 
+test("a stream that is moved off a slow engine does not go back there", limits, async context => {
+    const { client, edge, first } = await setUpEngines(context, [{ stepMs: 5 }, {}]);
+    const text = streamText(client, prompt);
+    await until(() => (first.calls[0]?.tokens ?? 0) >= 8);
+    const [grant] = [...edge.dispatch.open];
+    grant!.preempt.abort("slow-upstream");
+    expect(await text).toEqual(whole);
+    const [slow] = edge.dispatch.tickets.map(ticket => ticket.excludedUpstreams);
+    expect(slow).toEqual([]);
+    expect(edge.dispatch.tickets[1]?.excludedUpstreams.length).toEqual(1);
+    expect(first.calls.length).toEqual(1);
+});
+
 test("answers that come late and out of order each reach their own caller", limits, async context => {
     const { client, proxies } = await setUpEngines(context, [{ maxBatchSize: 4 }, {}]);
     proxies[0]!.mode = "late-answer";
--- a/proof/processes/ProcessFleet.ts
+++ b/proof/processes/ProcessFleet.ts
@@ -112,6 +112,7 @@
             operator: { token: { env: "ORIOLESHELF_OPERATOR_TOKEN" } },
             platform: { log: { url: log }, vmList: { url: vmList }, weightStore: { url: weightStore } },
             config: { zones: [...exampleZones] },
+            timeouts: { drainNoticeMs: 300 },
             logs: { parts: process.env["ORIOLESHELF_TEST_LOGS"] ?? "" },
         };
     }
--- a/proof/processes/processes.test.ts
+++ b/proof/processes/processes.test.ts
@@ -63,7 +63,9 @@
         const [vm] = fleet.vms as [VmProcess];
         const chats = await startChats([vm], 8, 300);
         vm.signal("SIGTERM");
-        await waitUntil("the VM takes no new work", async () => !await vm.isReady());
+        await waitUntil("the balancer is told", async () => !await vm.isReady());
+        const late = await chat(vm.callerUrl, "sent before the balancer noticed", 5, "urgent");
+        expect([late.status, late.isClosed]).toEqual([200, true]);
         await expectWhole([vm], 8, 300, chats);
         expect(await vm.exited).toEqual(0);
     });
--- a/src/cli/quickstart/EmbeddedFleet.ts
+++ b/src/cli/quickstart/EmbeddedFleet.ts
@@ -60,5 +60,6 @@
         operator: { token: { env: "UNUSED" } },
         platform: { log: { url: standins.log }, vmList: { url: standins.vmList }, weightStore: { url: standins.weightStore } },
         config: { zones: [...exampleZones] },
+        timeouts: { drainNoticeMs: 0 },
     });
 }
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -49,6 +49,7 @@
     private keyIndex: { readonly customers: ReadonlyMap<string, Customer>; readonly index: KeyIndex; } | undefined;
     private active = 0;
     private isDraining = false;
+    private isLeaving = false;
     private onIdle: (() => void)[] = [];
 
     constructor(options: CallerServerOptions) {
@@ -84,6 +85,11 @@
         }));
     }
 
+    /** Tells the balancer by `/readyz` to send no more callers here; those that still come are served until `drain`. */
+    announceDrain(): void {
+        this.isLeaving = true;
+    }
+
     /** Takes no new work, and resolves when every request in flight has been answered to its end. Cuts none off. */
     drain(): Promise<void> {
         this.isDraining = true;
@@ -137,7 +143,10 @@
     private createApp(): Hono<Bindings> {
         const app = new Hono<Bindings>();
         app.get("/healthz", context => context.json({ status: "ok" }));
-        app.get("/readyz", context => this.isReady() ? context.json({ status: "ready" }) : context.json({ status: "not-ready" }, 503));
+        app.get(
+            "/readyz",
+            context => this.isReady() && !this.isLeaving ? context.json({ status: "ready" }) : context.json({ status: "not-ready" }, 503),
+        );
         app.get("/v1/models", context => this.listModels(context.env));
         app.post("/v1/chat/completions", context => this.answer(context.env, (request, summary) => this.complete(request, summary, true)));
         app.post("/v1/completions", context => this.answer(context.env, (request, summary) => this.complete(request, summary, false)));
--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -191,6 +191,9 @@
             return { kind: "caller-gone" };
         }
         if (error.kind === "cancelled" && grant.preempted.aborted) {
+            if (grant.preempted.reason === "slow-upstream") {
+                this.grants.exclude(grant);
+            }
             recordDecision(this.parts, this.request, "preempted", { upstream: grant.upstream.id, tokens: this.times.tokens });
             return { kind: "preempted" };
         }
--- a/src/node/dispatch/DispatchTask.test.ts
+++ b/src/node/dispatch/DispatchTask.test.ts
@@ -68,6 +68,8 @@
     readonly controller = new AbortController();
     readonly vms = new Map<string, Vm>();
     private requestCount = 0;
+    /** Whether engines of zones without a VM in view accept connections. */
+    reachesAllZones = true;
 
     constructor(vmIds: readonly string[], readonly view: ConfigView) {
         const members = vmIds.map((vm, index) => memberOf(vm, zones[index % zones.length] as string));
@@ -148,6 +150,7 @@
                 },
             },
             recorder: { record: () => undefined },
+            canConnect: () => Promise.resolve(this.reachesAllZones),
         });
         return Object.assign(vm, { task });
     }
@@ -292,6 +295,21 @@
         asGrant(await request.granted);
     });
 
+    test("engines of a zone that is cut off get no work, and get it again when its VMs are back", async () => {
+        const fleet = new Fleet(vmIds, configView(3, 8));
+        fleet.reachesAllZones = false;
+        fleet.setMembers(["lautoka-1", "nadi-1"], ["lautoka-1", "nadi-1"]);
+        const during = [0, 1, 2, 3].map(() => fleet.acquire("nadi-1"));
+        await fleet.run(10);
+        const engines = (await Promise.all(during.map(request => request.granted))).map(grant => asGrant(grant).upstream.availabilityZone);
+        expect(engines.includes("ba")).toEqual(false);
+        fleet.setMembers(vmIds, vmIds);
+        const after = Array.from(Array(8).keys()).map(() => fleet.acquire("nadi-1"));
+        await fleet.run(10);
+        const later = (await Promise.all(after.map(request => request.granted))).map(grant => asGrant(grant).upstream.availabilityZone);
+        expect(later.includes("ba")).toEqual(true);
+    });
+
     test("the slots of a crashed entry VM come free when it leaves the members", async () => {
         const fleet = new Fleet(vmIds, configView(1, 1));
         const probe = fleet.acquire("nadi-1");
--- a/src/node/dispatch/DispatchTask.ts
+++ b/src/node/dispatch/DispatchTask.ts
@@ -1,6 +1,7 @@
 import type { ResultAsync } from "neverthrow";
 import type { Member } from "../../core/membership/Member.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { Upstream } from "../../schema/config/Upstream.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { Ticket } from "../../schema/peer/Ticket.js";
 import type { ConfigService } from "../services/ConfigService.js";
@@ -13,6 +14,7 @@
 import { EntryDispatch } from "./EntryDispatch.js";
 import { ShardHost } from "./ShardHost.js";
 import { ShardTable } from "./ShardTable.js";
+import { ZoneReach } from "./ZoneReach.js";
 
 const entryMessageTypes = ["ticketGrant", "ticketQueued", "ticketRefuse", "shardState", "grantPreempt"] as const;
 const hostMessageTypes = [
@@ -36,6 +38,8 @@
     readonly config: ConfigService;
     readonly membership: MembershipService;
     readonly recorder: EventRecorder;
+    /** Whether a connection to an upstream's URL opens. */
+    readonly canConnect: (url: string, signal: AbortSignal) => Promise<boolean>;
 }
 
 /** Both sides of dispatch on one VM, joined to its peer links, configuration and membership. */
@@ -43,6 +47,7 @@
     private readonly table: ShardTable;
     private readonly entry: EntryDispatch;
     private readonly host: ShardHost;
+    private readonly reach: ZoneReach;
     private leaving: ReadonlySet<string> = new Set();
     private memberIncarnations = new Map<string, string>();
 
@@ -51,6 +56,9 @@
         const send = (to: string, message: PeerMessage) => this.send(to, message);
         this.table = new ShardTable(scheduler, random);
         this.entry = new EntryDispatch(vm, scheduler, this.table, send);
+        this.reach = new ZoneReach(scheduler, options.canConnect, () => {
+            this.refresh();
+        });
         this.host = new ShardHost(vm, incarnation, scheduler, random, this.table, send, recorder);
     }
 
@@ -70,6 +78,7 @@
         }
         this.entry.start(signal);
         this.host.start(signal);
+        this.reach.start(signal);
         config.onChange(() => {
             this.refresh();
         }, signal);
@@ -113,7 +122,10 @@
 
     private refresh(gone: readonly string[] = []): void {
         const { config, membership } = this.options;
-        this.table.update(config.view, membership.members, this.leaving);
+        this.reach.update(config.view.pools.values(), membership.members);
+        const { outOfReach } = this.reach;
+        const getsNoWork = ({ id, availabilityZone }: Upstream) => this.leaving.has(id) || outOfReach.has(availabilityZone);
+        this.table.update(config.view, membership.members, getsNoWork);
         this.host.update([...config.view.serviceClasses.values()], gone);
         this.entry.viewChanged(membership.members.map(member => member.vm));
     }
--- a/src/node/dispatch/EntryDispatch.ts
+++ b/src/node/dispatch/EntryDispatch.ts
@@ -80,7 +80,7 @@
                 this.routes.noteWait(message.shard, message.expectedWaitMs);
                 break;
             case "grantPreempt":
-                this.running.preempt(message.grantId);
+                this.running.preempt(message.grantId, message.reason);
                 break;
             default:
                 break;
--- a/src/node/dispatch/RunningGrants.ts
+++ b/src/node/dispatch/RunningGrants.ts
@@ -42,8 +42,8 @@
         };
     }
 
-    preempt(grantId: string): void {
-        this.grants.get(grantId)?.preemption.abort();
+    preempt(grantId: string, reason: string | undefined): void {
+        this.grants.get(grantId)?.preemption.abort(reason);
     }
 
     /** Tells the dispatcher that `dispatcherOf` names for a shard about each grant that it does not count yet. */
--- a/src/node/dispatch/ShardHost.ts
+++ b/src/node/dispatch/ShardHost.ts
@@ -171,7 +171,7 @@
                     break;
                 case "preempt":
                     this.recordRequest("preempted", action.requestId, { upstream: action.upstreamId, reason: action.reason });
-                    this.send(action.entryVm, { type: "grantPreempt", shard, grantId: action.grantId });
+                    this.send(action.entryVm, { type: "grantPreempt", shard, grantId: action.grantId, reason: action.reason });
                     break;
                 case "hedge":
                     break;
--- a/src/node/dispatch/ShardTable.ts
+++ b/src/node/dispatch/ShardTable.ts
@@ -25,10 +25,10 @@
 
     constructor(private readonly clock: Clock, private readonly random: () => number) {}
 
-    /** Sets the view of the fleet. Upstreams in `leaving` are taken as leaving whatever the configuration says. */
-    update(view: ConfigView, members: readonly Member[], leaving: ReadonlySet<string>): void {
+    /** Sets the view of the fleet. Upstreams for which `getsNoWork` holds are taken as leaving whatever the configuration says. */
+    update(view: ConfigView, members: readonly Member[], getsNoWork: (upstream: Upstream) => boolean): void {
         this.members = members;
-        this.pools = new Map([...view.pools].map(([name, pool]) => [name, withLeaving(pool, leaving)]));
+        this.pools = new Map([...view.pools].map(([name, pool]) => [name, withLeaving(pool, getsNoWork)]));
         this.shardsOfPool.clear();
         this.shardOfId.clear();
         this.ranks.clear();
@@ -88,6 +88,6 @@
     }
 }
 
-function withLeaving(pool: Pool, leaving: ReadonlySet<string>): Pool {
-    return { ...pool, upstreams: pool.upstreams.map(upstream => (leaving.has(upstream.id) ? { ...upstream, leaving: true } : upstream)) };
+function withLeaving(pool: Pool, getsNoWork: (upstream: Upstream) => boolean): Pool {
+    return { ...pool, upstreams: pool.upstreams.map(upstream => (getsNoWork(upstream) ? { ...upstream, leaving: true } : upstream)) };
 }
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -25,6 +25,7 @@
 import { FleetReporter } from "../report/FleetReporter.js";
 import { ReportPublisher } from "../report/ReportPublisher.js";
 import { ServiceLevelRecorder } from "../report/ServiceLevelRecorder.js";
+import { canConnect } from "../upstream/canConnect.js";
 import { HttpEngineClient } from "../upstream/HttpEngineClient.js";
 import { HttpPlainClient } from "../upstream/HttpPlainClient.js";
 import { readTls } from "./readTls.js";
@@ -157,9 +158,11 @@
 
     /** Resolves when no request and no booking of this VM is unfinished. Cuts none off. */
     async drain(): Promise<void> {
-        this.isServing = false;
         this.membership.setLocal({ state: "draining" });
         this.dispatch.drain();
+        this.caller.announceDrain();
+        await this.pause(this.options.settings.timeouts.drainNoticeMs);
+        this.isServing = false;
         await this.caller.drain();
         while (this.bookings.unfinishedCount > 0) {
             await this.pause(drainPollMs);
@@ -231,6 +234,7 @@
             config: this.config,
             membership: this.membership,
             recorder: this.events,
+            canConnect,
         });
     }
 
--- a/src/node/services/Grant.ts
+++ b/src/node/services/Grant.ts
@@ -6,7 +6,10 @@
     readonly upstream: Upstream;
     /** Engine priority to send along; 0 is most urgent. */
     readonly priority: number;
-    /** Aborted when the dispatcher wants the slot back for a higher tier; the holder cancels and re-acquires. */
+    /**
+     * Aborted when the dispatcher wants the slot back; the holder cancels and re-acquires. The signal's reason is `slow-upstream` when
+     * the request is to go on elsewhere.
+     */
     readonly preempted: AbortSignal;
     /** Notes each arrival of tokens: how many have come so far, and the time from the send to the first. The dispatcher is told when it matters. */
     progress(outputTokens: number, firstTokenMs: number): void;
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -72,7 +72,12 @@
             z.object({ grantId: z.string(), upstreamId: z.string(), ticket: Ticket, outputTokens: z.int(), ageMs: z.number() }),
         ),
     }),
-    z.object({ type: z.literal("grantPreempt"), shard: z.string(), grantId: z.string() }),
+    z.object({
+        type: z.literal("grantPreempt"),
+        shard: z.string(),
+        grantId: z.string(),
+        reason: z.enum(["higher-tier", "slow-upstream"]).optional(),
+    }),
     z.object({
         type: z.literal("grantProgress"),
         shard: z.string(),
--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -52,6 +52,8 @@
         callerStallMs: TimeMs.default(120_000),
         /** Longest wait for the head of an engine's answer, which engines send on accepting a request. */
         upstreamHeadMs: TimeMs.default(5_000),
+        /** Time between `/readyz` turning 503 and the first refusal, for the balancer to notice a stop. */
+        drainNoticeMs: z.number().min(0).max(600_000).default(3_000),
         /** Longest silence of an open upstream answer before its connection counts as dead. */
         upstreamGapMs: TimeMs.default(10_000),
         plainCallMs: TimeMs.default(60_000),
