--- a/src/node/settings/parseSettings.test.ts
+++ b/src/node/settings/parseSettings.test.ts
@@ -74,3 +74,8 @@
         { seed: 3, numRuns: 500 },
     );
 });
+
+test("a key must be kept longer than its call can last", () => {
+    const errors = parseSettings(minimal + "bookings:\n  retentionMs: 120000\n").match(() => [], list => [...list]);
+    expect(errors.map(({ path, line }) => [path, line !== undefined])).toEqual([["bookings.retentionMs", true]]);
+});
--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -74,5 +74,12 @@
         /** How often each VM publishes its counted requests on the log. */
         publishIntervalMs: TimeMs.min(1_000).default(60_000),
     }).prefault({}),
+}).superRefine(({ bookings, timeouts }, context) => {
+    const longestCallMs = timeouts.plainCallMs + bookings.claimWaitMs + bookings.joinWaitMs + timeouts.drainNoticeMs;
+    if (bookings.retentionMs <= longestCallMs) {
+        const message =
+            `must exceed ${longestCallMs}, the longest that a keyed call can last with its waits; raise it or shorten the waits`;
+        context.addIssue({ code: "custom", path: ["bookings", "retentionMs"], message });
+    }
 });
 export type Settings = z.infer<typeof Settings>;
