--- a/src/cli/quickstart/EmbeddedFleet.test.ts
+++ b/src/cli/quickstart/EmbeddedFleet.test.ts
@@ -4,10 +4,12 @@
 import { applyExample } from "./applyExample.js";
 import { EmbeddedFleet } from "./EmbeddedFleet.js";
 import { explainCalls } from "./explainCalls.js";
+import { operatorClient } from "./operatorClient.js";
 import { sendExampleCalls } from "./sendExampleCalls.js";
 
 describe("EmbeddedFleet", () => {
     let fleet: EmbeddedFleet;
+    let firstBookingId = "";
 
     before(async () => {
         fleet = await EmbeddedFleet.start();
@@ -20,6 +22,7 @@
         const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
         expect(calls.filter(call => call.status !== 200)).toEqual([]);
         expect(calls.map(call => call.outcome)).toEqual(Array(calls.length).fill("ran"));
+        firstBookingId = calls.find(call => call.what.startsWith("booking"))?.requestId ?? "";
         const [first, , repeated] = calls.filter(call => call.what.startsWith("booking"));
         expect(repeated?.answer).toEqual(first?.answer);
         let executions = 0;
@@ -31,6 +34,19 @@
         expect(executions).toEqual(1);
     });
 
+    test("the decisions about a booking tell who claimed it and who was given its answer again", async () => {
+        const calls = await sendExampleCalls(fleet.vms);
+        const client = operatorClient(fleet);
+        const kinds = async (requestId: string) => {
+            const { events } = await client.explain({ query: { case: "requestId", value: requestId } });
+            return events.map(event => event.kind).filter(kind => kind === "claimed" || kind === "replayed");
+        };
+        // The keys of this job were used by the job before, so all of its bookings are replays.
+        const bookings = calls.filter(call => call.what.startsWith("booking"));
+        expect(await Promise.all(bookings.map(call => kinds(call.requestId)))).toEqual([["replayed"], ["replayed"], ["replayed"]]);
+        expect(await kinds(firstBookingId)).toEqual(["claimed"]);
+    });
+
     test("calls take both paths", async () => {
         const calls = await explainCalls(fleet, await sendExampleCalls(fleet.vms));
         expect(new Set(calls.map(call => call.path)).size).toEqual(2);
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -121,14 +121,19 @@
             digest: this.digest(body.value),
             upstreamDeduplicates: deduplicatesOnEveryPath(this.request.view.pools.values(), this.work.service),
         };
-        const answer = await this.parts.bookings.run(
-            call,
-            mayStart => this.parts.holdDrain(this.sendBooking(pool, body.value, mayStart)),
-            this.request.gone,
-        );
+        let hasClaimed = false;
+        const send = (mayStart: () => boolean) => {
+            hasClaimed = true;
+            recordDecision(this.parts, this.request, "claimed", { pool: pool.name });
+            return this.parts.holdDrain(this.sendBooking(pool, body.value, mayStart));
+        };
+        const answer = await this.parts.bookings.run(call, send, this.request.gone);
         if (answer.isErr()) {
             return err(faultOfBooking(answer.error));
         }
+        if (!hasClaimed) {
+            recordDecision(this.parts, this.request, "replayed", { pool: pool.name });
+        }
         this.sendHeldAnswer(answer.value);
         return ok();
     }
