Draw a report of a single minute on an axis of minutes

Seen in headless Chromium at desktop and phone width, light and dark: with one published minute the time axis spanned three years, since the plotting library widens the axis of a single point. The axis now spans ten minutes at least.

--- a/src/cli/page/assets/page.js
+++ b/src/cli/page/assets/page.js
@@ -4,6 +4,7 @@
     const colors = ["#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9", "#8a6d3b"];
     const plots = JSON.parse(document.getElementById("plots").textContent);
     const heightPx = 240;
+    const leastSpanSeconds = 600;
 
     const ink = name => getComputedStyle(document.documentElement).getPropertyValue(name).trim();
 
@@ -19,6 +20,13 @@
         };
     }
 
+    // uPlot gives the axis of a single point years to either side, so the span is taken from the points themselves.
+    function timeRange(chart) {
+        const [lowSeconds, highSeconds] = [chart.data[0][0], chart.data[0].at(-1)];
+        const padSeconds = Math.max(0, (leastSpanSeconds - (highSeconds - lowSeconds)) / 2);
+        return [lowSeconds - padSeconds, highSeconds + padSeconds];
+    }
+
     function optionsOf(plot, widthPx) {
         const lines = plot.lines.map(lineOf);
         if (plot.limit) {
@@ -32,7 +40,7 @@
         return {
             width: widthPx,
             height: heightPx,
-            scales: { x: { time: plot.axis === "time" }, y: { range } },
+            scales: { x: plot.axis === "time" ? { time: true, range: timeRange } : { time: false }, y: { range } },
             axes: [{ ...axis, label: plot.axisTitle }, { ...axis, label: plot.unit, size: 64 }],
             series: [{ label: plot.axisTitle }, ...lines],
         };
