Split learning and moving out of the shard dispatcher

The dispatcher had grown to 771 lines. What entry VMs see is turned into estimates by GrantLearner, and MoveDecider says which streams leave a slow engine.

--- a/src/core/dispatch/ShardDispatcher.ts
+++ b/src/core/dispatch/ShardDispatcher.ts
@@ -14,11 +14,14 @@
 import { Engine } from "./Engine.js";
 import type { EnginePrediction } from "./EnginePrediction.js";
 import { EngineRanker } from "./EngineRanker.js";
+import { GrantLearner } from "./GrantLearner.js";
 import { GrantTable } from "./GrantTable.js";
+import { MoveDecider } from "./MoveDecider.js";
 import type { QueueState } from "./QueueState.js";
 import type { RunningGrant } from "./RunningGrant.js";
 import type { TicketLane } from "./TicketLane.js";
 import { TicketQueue } from "./TicketQueue.js";
+import { usualBatchSize } from "./usualBatchSize.js";
 import { VictimChooser } from "./VictimChooser.js";
 import type { WaitingTicket } from "./WaitingTicket.js";
 import { WasteBudget } from "./WasteBudget.js";
@@ -33,18 +36,10 @@
 const hedgeRatio = 1.5;
 const hedgeSlackMs = 40;
 const maxHedgedPromptTokens = 2_048;
-/** Batch size at which the slot time of a waiting ticket is predicted. */
-const usualBatchSize = 8;
-/** Streams are moved off an engine that is slower than its peers by this much: two observations show it. */
-const moveSlowness = 2.5;
-/** A stream on a slow engine is moved when going on elsewhere is predicted to take less than this share of the time. */
-const moveGainShare = 0.5;
 /** Higher tiers wait this much longer for a slot to come free before a stream is cancelled for them. */
 const preemptionSlackMs = 100;
 const noEngines: readonly Engine[] = [];
 const maxPreemptionsPerDecision = 4;
-/** Prompt tokens that an engine reads in one step beside its decoding. */
-const assumedChunkTokens = 512;
 /** Prompts longer than this are read after the shorter ones of their tier. */
 const longPromptTokens = 2_048;
 
@@ -63,7 +58,9 @@
     private readonly speed = new EngineSpeedModel();
     private readonly prefixes = new PrefixCacheHints();
     private readonly health = new HealthBoard();
+    private readonly learner = new GrantLearner(this.lengths, this.speed, this.prefixes, this.health);
     private readonly ranker: EngineRanker;
+    private readonly moves: MoveDecider;
     private readonly victims = new VictimChooser(this.grants, this.classes);
     private readonly waste: WasteBudget;
     private readonly hedges: HedgeBudget;
@@ -80,6 +77,7 @@
     constructor(private readonly options: DispatchOptions, random: () => number) {
         this.queue = new TicketQueue(options.order);
         this.ranker = new EngineRanker(options, this.speed, this.health, this.prefixes, random);
+        this.moves = new MoveDecider(options, this.speed, this.health);
         this.waste = new WasteBudget(options.wasteShare);
         this.hedges = new HedgeBudget(options.hedgeShare);
     }
@@ -160,11 +158,11 @@
             return [];
         }
         const isFirst = grant.firstTokenMs === undefined;
-        if (isFirst) {
-            this.learnFirstToken(engine, grant, firstTokenMs, nowMs);
+        if (isFirst && this.learner.firstToken(engine, grant, firstTokenMs, nowMs)) {
+            this.moveOffSlow(engine, nowMs);
         }
-        if (recentGapMs !== undefined) {
-            this.observeGap(engine, grant, recentGapMs, nowMs);
+        if (recentGapMs !== undefined && this.learner.gap(engine, grant, recentGapMs, nowMs)) {
+            this.moveOffSlow(engine, nowMs);
         }
         grant.outputTokens = Math.max(grant.outputTokens, outputTokens);
         grant.predictedOutputTokens = this.lengths.mean(grant.ticket, grant.outputTokens, grant.ticket.maxOutputTokens);
@@ -178,7 +176,8 @@
         if (grant === undefined) {
             return [];
         }
-        this.learnEnd(grant, end, nowMs);
+        this.waste.earn(grant.uncachedTokens + end.outputTokens);
+        this.learner.ended(this.engines.get(grant.upstreamId), grant, end, nowMs);
         this.release(grant, nowMs);
         return this.decide(nowMs, this.enginesOf(grant));
     }
@@ -459,42 +458,18 @@
 
     /** Moves streams off an engine that turned out slow, where that is predicted to pay and the waste budget allows. */
     private moveOffSlow(engine: Engine, nowMs: number): void {
-        if (!this.options.moving || this.health.slowness(engine.upstream.id, nowMs) < moveSlowness) {
+        if (!this.moves.isSlow(engine, nowMs)) {
             return;
         }
         for (const grant of engine.running) {
-            if (this.shouldMove(engine, grant, nowMs) && this.waste.spend(grant.ticket.promptTokens + grant.outputTokens)) {
+            if (
+                this.moves.pays(engine, grant, this.engineList, nowMs) && this.waste.spend(grant.ticket.promptTokens + grant.outputTokens)
+            ) {
                 this.askBack(grant, "slow-upstream", grant.ticket.tier);
             }
         }
     }
 
-    private shouldMove(engine: Engine, grant: RunningGrant, nowMs: number): boolean {
-        const slowness = this.health.slowness(engine.upstream.id, nowMs);
-        const gapMs = this.speed.gapMs(engine.batchSize);
-        if (grant.isPreempted || grant.isLong || gapMs * slowness <= grant.tokenGapTargetMs) {
-            return false;
-        }
-        const remainingTokens = Math.max(1, grant.predictedOutputTokens - grant.outputTokens);
-        const rereadMs = this.speed.firstTokenMs(grant.ticket.promptTokens + grant.outputTokens, usualBatchSize);
-        const isRead = grant.firstTokenMs !== undefined;
-        const hereMs = (remainingTokens * gapMs + (isRead ? 0 : grant.predictedFirstTokenMs)) * slowness;
-        const elsewhereMs = rereadMs + remainingTokens * gapMs;
-        return elsewhereMs < moveGainShare * hereMs && this.hasRoomElsewhere(engine, grant, nowMs);
-    }
-
-    private hasRoomElsewhere(slow: Engine, grant: RunningGrant, nowMs: number): boolean {
-        for (const engine of this.engineList) {
-            const { id, leaving, maxInFlight } = engine.upstream;
-            const hasSlot = !leaving && engine.inFlightUpTo(grant.ticket.tier) < maxInFlight &&
-                engine.inFlight < maxInFlight + this.options.pausedSlots;
-            if (engine !== slow && hasSlot && !this.health.isSlow(id, nowMs)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Opens a second stream for short work whose first token is late, while the budget lasts. */
     private hedge(grant: RunningGrant, nowMs: number): void {
         const { ticket } = grant;
@@ -597,50 +572,6 @@
         return (aheadMs + usualMs) / Math.max(1, this.totalSlots);
     }
 
-    private learnFirstToken(engine: Engine, grant: RunningGrant, firstTokenMs: number, nowMs: number): void {
-        const atMostMs = this.latestFirstTokenMs(engine, grant);
-        engine.noteFirstToken(grant, firstTokenMs, nowMs);
-        if (grant.wasCrowded) {
-            return;
-        }
-        const expectedMs = Math.min(Math.max(firstTokenMs, this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize)), atMostMs);
-        this.health.observe(grant.upstreamId, firstTokenMs, expectedMs, nowMs);
-        if (!this.health.isSlow(grant.upstreamId, nowMs)) {
-            this.learnCacheHit(grant, firstTokenMs);
-        }
-        this.moveOffSlow(engine, nowMs);
-    }
-
-    /** When the first token is due if nothing was cached and all prompts granted since go ahead of it. */
-    private latestFirstTokenMs(engine: Engine, grant: RunningGrant): number {
-        const grantedSince = engine.readTokensTotal - grant.readTokensAtFirstToken;
-        return this.speed.firstTokenMs(grant.prefillTokensAtMost + grantedSince, Math.max(grant.batchSize, engine.batchSize));
-    }
-
-    /** A first token nearer to what reading the whole prompt takes shows that the engine no longer had the blocks. */
-    private learnCacheHit(grant: RunningGrant, firstTokenMs: number): void {
-        const hitMs = this.speed.firstTokenMs(grant.prefillTokens, grant.batchSize);
-        const missMs = this.speed.firstTokenMs(grant.prefillTokensAtMost, grant.batchSize);
-        if (firstTokenMs <= (hitMs + missMs) / 2) {
-            this.speed.observeFirstToken(grant.prefillTokens, grant.batchSize, firstTokenMs);
-        }
-        else {
-            this.prefixes.forget(grant.ticket.prefixHashes, grant.upstreamId);
-            this.prefixes.note(grant.ticket.prefixHashes, grant.upstreamId, grant.lastSeenMs);
-            this.speed.observeFirstToken(grant.prefillTokensAtMost, grant.batchSize, firstTokenMs);
-        }
-    }
-
-    /** Judges the engine by a stream's gap between tokens now. A stream that may have been paused for others tells nothing. */
-    private observeGap(engine: Engine, grant: RunningGrant, recentGapMs: number, nowMs: number): void {
-        if (grant.wasCrowded) {
-            return;
-        }
-        const readMs = engine.unreadTokensUpTo(Infinity) > 0 ? this.speed.readMsPerToken * assumedChunkTokens : 0;
-        this.health.observe(grant.upstreamId, recentGapMs, this.speed.gapMs(engine.batchSize) + readMs, nowMs);
-        this.moveOffSlow(engine, nowMs);
-    }
-
     /** A first token that does not come is a sign as good as one that came late. */
     private checkOverdue(grant: RunningGrant, nowMs: number): void {
         const engine = this.engines.get(grant.upstreamId);
@@ -648,7 +579,7 @@
         if (engine === undefined || grant.wasCrowded || ageMs < grant.nextOverdueMs) {
             return;
         }
-        const expectedMs = this.latestFirstTokenMs(engine, grant);
+        const expectedMs = this.learner.latestFirstTokenMs(engine, grant);
         if (ageMs > expectedMs * hedgeRatio + hedgeSlackMs) {
             this.hedge(grant, nowMs);
         }
@@ -662,34 +593,6 @@
         this.moveOffSlow(engine, nowMs);
     }
 
-    private learnEnd(grant: RunningGrant, end: GrantEnd, nowMs: number): void {
-        this.waste.earn(grant.uncachedTokens + end.outputTokens);
-        if (end.result === "completed") {
-            this.lengths.observe(grant.ticket, end.outputTokens);
-            this.health.succeeded(grant.upstreamId);
-            this.learnGap(grant, end, nowMs);
-        }
-        if (end.result === "failed") {
-            this.health.failed(grant.upstreamId);
-            this.prefixes.forget(grant.ticket.prefixHashes, grant.upstreamId);
-        }
-    }
-
-    private learnGap(grant: RunningGrant, end: GrantEnd, nowMs: number): void {
-        const engine = this.engines.get(grant.upstreamId);
-        const spanMs = nowMs - grant.firstTokenAtMs;
-        if (
-            engine === undefined || end.meanTokenGapMs === undefined || grant.wasCrowded || grant.firstTokenMs === undefined || spanMs <= 0
-        ) {
-            return;
-        }
-        if (!this.health.isSlow(grant.upstreamId, nowMs)) {
-            const meanBatchSize = (engine.batchMsUntil(nowMs) - grant.batchMsAtFirstToken) / spanMs;
-            const readTokens = (engine.readTokensTotal - grant.readTokensAtFirstToken) / Math.max(1, end.outputTokens);
-            this.speed.observeGap(meanBatchSize, readTokens, end.meanTokenGapMs);
-        }
-    }
-
     private hold(engine: Engine, grant: RunningGrant, isHedge: boolean, nowMs: number): void {
         engine.add(grant, nowMs);
         this.grants.add(grant, isHedge);
