--- a/src/node/caller/CompletionCall.ts
+++ b/src/node/caller/CompletionCall.ts
@@ -9,6 +9,7 @@
 import type { EngineStream } from "../services/EngineStream.js";
 import type { Grant } from "../services/Grant.js";
 import { EventText } from "../upstream/EventText.js";
+import { admitCall } from "./admitCall.js";
 import type { AnswerSink } from "./AnswerSink.js";
 import { CallerFault } from "./CallerFault.js";
 import type { CallerParts } from "./CallerParts.js";
@@ -65,16 +66,9 @@
 
     /** Serves the call to its end; the caller has been answered when it resolves. */
     async run(): Promise<void> {
-        const admitted = await this.parts.limits.acquire(this.request.customer, this.promptTokens + this.maxOutputTokens);
+        const admitted = await admitCall(this.parts, this.request, this.promptTokens + this.maxOutputTokens);
         if (admitted.isErr()) {
-            const { kind, retryAfterMs } = admitted.error;
-            recordDecision(this.parts, this.request, "limited", { limit: kind, retryAfterMs });
-            this.fail(
-                new CallerFault(
-                    { status: 429, code: "customer_limit", outcome: "not-run", retryAfterMs },
-                    `over the limit of ${kind}; send less or ask the operator for more`,
-                ),
-            );
+            this.fail(admitted.error);
             return;
         }
         const served = await this.serve();
--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -14,6 +14,7 @@
 import type { Grant } from "../services/Grant.js";
 import type { PlainRequest } from "../services/PlainRequest.js";
 import type { PlainResponse } from "../services/PlainResponse.js";
+import { admitCall } from "./admitCall.js";
 import { CallerFault } from "./CallerFault.js";
 import type { CallerParts } from "./CallerParts.js";
 import type { CallerRequest } from "./CallerRequest.js";
@@ -61,16 +62,9 @@
 
     /** Serves the call to its end; the caller has been answered when it resolves. */
     async run(): Promise<void> {
-        const admitted = await this.parts.limits.acquire(this.request.customer, plainCallTokens);
+        const admitted = await admitCall(this.parts, this.request, plainCallTokens);
         if (admitted.isErr()) {
-            const { kind, retryAfterMs } = admitted.error;
-            recordDecision(this.parts, this.request, "limited", { limit: kind, retryAfterMs });
-            this.fail(
-                new CallerFault(
-                    { status: 429, code: "customer_limit", outcome: "not-run", retryAfterMs },
-                    `over the limit of ${kind}; send less or ask the operator for more`,
-                ),
-            );
+            this.fail(admitted.error);
             return;
         }
         const served = await this.serve();
