--- a/bench/policy/Policy.ts
+++ b/bench/policy/Policy.ts
@@ -6,6 +6,6 @@
     arrive(job: Job): void;
     /** Control bytes that all VMs sent. */
     readonly controlBytes: number;
-    /** Breaches of what must always hold, in words. */
+    /** Violated invariants, in words. */
     readonly violations: readonly string[];
 }
--- a/src/core/dispatch/dispatchInvariants.test.ts
+++ b/src/core/dispatch/dispatchInvariants.test.ts
@@ -215,7 +215,7 @@
     }
 }
 
-test("with every part switched on, no step breaks what must always hold", () => {
+test("with every part switched on, no step violates an invariant", () => {
     fc.assert(
         fc.property(fc.array(stepOf, { maxLength: 200, size: "max" }), steps => {
             const checker = new Checker();
--- a/src/node/dispatch/DispatchTask.test.ts
+++ b/src/node/dispatch/DispatchTask.test.ts
@@ -5,10 +5,12 @@
 import type { Member } from "../../core/membership/Member.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
-import type { Ticket } from "../../schema/peer/Ticket.js";
 import type { Grant } from "../services/Grant.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
 import { DispatchTask } from "./DispatchTask.js";
+import { exampleTicket } from "./testing/exampleTicket.js";
+
+const maxQueueMs = 10_000;
 
 const zones = ["lautoka", "nadi", "ba"];
 
@@ -89,7 +91,7 @@
         vm: string,
         requestId = `request-${this.requestCount++}`,
     ): { requestId: string; granted: Promise<Grant | string>; } {
-        const result = this.vm(vm).task.acquire(ticketOf(requestId, vm), this.controller.signal);
+        const result = this.vm(vm).task.acquire(exampleTicket(requestId, vm, maxQueueMs), this.controller.signal);
         return {
             requestId,
             granted: Promise.resolve(result).then(outcome => outcome.match<Grant | string>(grant => grant, refusal => refusal.kind)),
@@ -191,27 +193,6 @@
     return { vm, incarnation: "1", availabilityZone, region: "fiji-west", peerUrl: "", state: "ready", configOffset: 1 };
 }
 
-function ticketOf(requestId: string, entryVm: string): Ticket {
-    return {
-        requestId,
-        attempt: 0,
-        entryVm,
-        availabilityZone: "nadi",
-        customer: "station",
-        serviceClass: "urgent",
-        tier: 0,
-        pool: "pumps",
-        service: "pumpline-model",
-        promptTokens: 10,
-        maxOutputTokens: 10,
-        prefixHashes: [],
-        waitedMs: 0,
-        firstTokenTargetMs: 450,
-        maxQueueMs: 10_000,
-        excludedUpstreams: [],
-    };
-}
-
 function asGrant(outcome: Grant | string): Grant {
     if (typeof outcome === "string") {
         throw new Error(`expected a grant, got ${outcome}`);
--- a/src/node/dispatch/EntryDispatch.test.ts
+++ b/src/node/dispatch/EntryDispatch.test.ts
@@ -3,32 +3,13 @@
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { Upstream } from "../../schema/config/Upstream.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
-import type { Ticket } from "../../schema/peer/Ticket.js";
 import { EntryDispatch } from "./EntryDispatch.js";
 import type { ShardRoutes } from "./ShardRoutes.js";
+import { exampleTicket } from "./testing/exampleTicket.js";
 
-const upstream: Upstream = { id: "engine-1", url: "http://127.0.0.1:1", availabilityZone: "nadi", leaving: false };
+const maxQueueMs = 5_000;
 
-function ticketOf(requestId: string): Ticket {
-    return {
-        requestId,
-        attempt: 0,
-        entryVm: "self",
-        availabilityZone: "nadi",
-        customer: "station",
-        serviceClass: "urgent",
-        tier: 0,
-        pool: "pumps",
-        service: "pumpline-model",
-        promptTokens: 10,
-        maxOutputTokens: 10,
-        prefixHashes: [],
-        waitedMs: 0,
-        firstTokenTargetMs: 450,
-        maxQueueMs: 5_000,
-        excludedUpstreams: [],
-    };
-}
+const upstream: Upstream = { id: "engine-1", url: "http://127.0.0.1:1", availabilityZone: "nadi", leaving: false };
 
 /** One entry VM whose peers are a list of what was sent to them. */
 class Harness {
@@ -78,7 +59,7 @@
 describe("EntryDispatch", () => {
     test("a grant resolves the ticket and its end is told once", async () => {
         const harness = new Harness();
-        const acquired = harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.grant("a", "r1", 0);
         const grant = (await acquired)._unsafeUnwrap();
         grant.end({ result: "completed", outputTokens: 5 });
@@ -88,7 +69,7 @@
 
     test("a dispatcher that does not answer is passed over, and its late grant is handed back", async () => {
         const harness = new Harness();
-        const acquired = harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.scheduler.advance(200);
         expect(harness.offersTo("b")).toEqual(1);
         harness.grant("a", "r1", 0);
@@ -101,7 +82,7 @@
 
     test("a dispatcher paused after it queued a ticket is found by probes", () => {
         const harness = new Harness();
-        harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.dispatch.handle("a", { type: "ticketQueued", shard: "pumps", requestId: "r1", attempt: 0, expectedWaitMs: 30 });
         harness.scheduler.advance(150);
         expect(harness.offersTo("b")).toEqual(0);
@@ -112,23 +93,23 @@
     test("with no link to any peer the VM dispatches by itself", () => {
         const harness = new Harness();
         harness.down.add("a").add("b");
-        harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         expect(harness.offersTo("self")).toEqual(1);
     });
 
     test("a VM that refuses to dispatch is passed over", () => {
         const harness = new Harness();
-        harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.dispatch.handle("a", { type: "ticketRefuse", shard: "pumps", requestId: "r1", attempt: 0, kind: "not-dispatcher" });
         expect(harness.offersTo("b")).toEqual(1);
     });
 
     test("when the dispatcher leaves the fleet its waiting tickets move and running grants are announced", async () => {
         const harness = new Harness();
-        const acquired = harness.dispatch.acquire(ticketOf("running"), harness.controller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("running", "self", maxQueueMs), harness.controller.signal);
         harness.grant("a", "running", 0);
         await acquired;
-        harness.dispatch.acquire(ticketOf("waiting"), harness.controller.signal);
+        harness.dispatch.acquire(exampleTicket("waiting", "self", maxQueueMs), harness.controller.signal);
         harness.ranking = ["b", "self"];
         harness.dispatch.viewChanged(["b", "self"]);
         expect(harness.offersTo("b")).toEqual(1);
@@ -139,7 +120,7 @@
     test("a ticket no dispatcher answers for is refused after its longest wait", async () => {
         const harness = new Harness();
         harness.ranking = ["self"];
-        const acquired = harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.scheduler.advance(6_000);
         expect((await acquired)._unsafeUnwrapErr().kind).toEqual("queue-timeout");
         expect(harness.dispatch.waitingCount).toEqual(0);
@@ -148,7 +129,7 @@
     test("a caller that goes away withdraws its ticket", async () => {
         const harness = new Harness();
         const caller = new AbortController();
-        const acquired = harness.dispatch.acquire(ticketOf("r1"), caller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), caller.signal);
         caller.abort();
         expect((await acquired)._unsafeUnwrapErr().kind).toEqual("cancelled");
         expect(harness.messagesTo("a", "ticketWithdraw").length).toEqual(1);
@@ -156,7 +137,7 @@
 
     test("the end of an adopted grant is told to every dispatcher that counts it", async () => {
         const harness = new Harness();
-        const acquired = harness.dispatch.acquire(ticketOf("r1"), harness.controller.signal);
+        const acquired = harness.dispatch.acquire(exampleTicket("r1", "self", maxQueueMs), harness.controller.signal);
         harness.grant("a", "r1", 0);
         const grant = (await acquired)._unsafeUnwrap();
         harness.ranking = ["b", "self"];
--- /dev/null
+++ b/src/node/dispatch/testing/exampleTicket.ts
@@ -0,0 +1,23 @@
+import type { Ticket } from "../../../schema/peer/Ticket.js";
+
+/** A ticket of the top tier, as tests of dispatch offer it. */
+export function exampleTicket(requestId: string, entryVm: string, maxQueueMs: number): Ticket {
+    return {
+        requestId,
+        attempt: 0,
+        entryVm,
+        availabilityZone: "nadi",
+        customer: "station",
+        serviceClass: "urgent",
+        tier: 0,
+        pool: "pumps",
+        service: "pumpline-model",
+        promptTokens: 10,
+        maxOutputTokens: 10,
+        prefixHashes: [],
+        waitedMs: 0,
+        firstTokenTargetMs: 450,
+        maxQueueMs,
+        excludedUpstreams: [],
+    };
+}
