Prove on processes that VMs cut off from each other and from the log serve what they can

Every link between the VMs of a process fleet goes through a proxy that can swallow bytes and refuse connections. Cut off, each VM serves streams whole by itself; the one with the log books, the others refuse as not run; after the heal they find each other and give the recorded answer, executed once.

--- a/proof/processes/ProcessFleet.ts
+++ b/proof/processes/ProcessFleet.ts
@@ -9,8 +9,10 @@
 import type { StandinUrls } from "../../src/cli/quickstart/StandinUrls.js";
 import type { EngineStandin } from "../../standins/engine/EngineStandin.js";
 import type { LogStandin } from "../../standins/log/LogStandin.js";
+import { SwallowingProxy } from "../../standins/proxy/SwallowingProxy.js";
 import type { ServiceStandin } from "../../standins/service/ServiceStandin.js";
 import type { VmListStandin } from "../../standins/vmlist/VmListStandin.js";
+import { freePort } from "./freePort.js";
 import { startPlatform } from "./startPlatform.js";
 import { VmProcess } from "./VmProcess.js";
 import { waitUntil } from "./waitUntil.js";
@@ -31,6 +33,8 @@
     private readonly peerKey = randomBytes(24).toString("hex");
     private readonly folder = mkdtempSync(join(tmpdir(), "orioleshelf-fleet-"));
     private readonly controller = new AbortController();
+    /** All links between VMs go through these. */
+    private readonly proxies: SwallowingProxy[] = [];
     private startedCount = 0;
 
     private constructor(readonly platform: Platform) {}
@@ -57,7 +61,11 @@
     async startVm(availabilityZone: string): Promise<VmProcess> {
         const id = `${availabilityZone}-${++this.startedCount}`;
         const file = join(this.folder, `${id}.yaml`);
-        writeFileSync(file, stringify(this.settings(id, availabilityZone)));
+        const peerPort = await freePort();
+        const proxy = new SwallowingProxy(peerPort);
+        this.proxies.push(proxy);
+        const advertiseUrl = `ws://127.0.0.1:${await proxy.start(this.controller.signal)}`;
+        writeFileSync(file, stringify(this.settings(id, availabilityZone, peerPort, advertiseUrl)));
         const vm = await VmProcess.start(id, file, { ORIOLESHELF_PEER_KEY: this.peerKey, ORIOLESHELF_OPERATOR_TOKEN: this.operatorToken });
         this.platform.vmList.setVm({ vm: id, availabilityZone, peerUrl: vm.peerUrl, leaving: false });
         return vm;
@@ -72,6 +80,26 @@
         }
     }
 
+    /** Cuts every VM off from all others: bytes are swallowed without a word, and new connections fail. */
+    cutLinks(): void {
+        for (const proxy of this.proxies) {
+            proxy.swallow("both");
+            proxy.refuseNew(true);
+        }
+    }
+
+    healLinks(): void {
+        for (const proxy of this.proxies) {
+            proxy.refuseNew(false);
+        }
+    }
+
+    /** Names of the ready VMs that `vm` sees, itself included. */
+    async readyMembers(vm: VmProcess): Promise<string[]> {
+        const { members } = await operatorClient({ ...this.operated(), vms: [vm] }).status({});
+        return members.filter(member => member.state === "ready").map(member => member.vm);
+    }
+
     async stop(): Promise<void> {
         for (const vm of this.vms) {
             vm.signal("SIGCONT");
@@ -94,21 +122,16 @@
         return counts;
     }
 
-    private async readyMembers(vm: VmProcess): Promise<string[]> {
-        const { members } = await operatorClient({ ...this.operated(), vms: [vm] }).status({});
-        return members.filter(member => member.state === "ready").map(member => member.vm);
-    }
-
     private operated() {
         return { standins: this.standins, operatorToken: this.operatorToken };
     }
 
-    private settings(id: string, availabilityZone: string): unknown {
+    private settings(id: string, availabilityZone: string, peerPort: number, advertiseUrl: string): unknown {
         const { log, vmList, weightStore } = this.standins;
         return {
             vm: { id, availabilityZone, region: "fiji-west" },
-            listen: { caller: { port: 0 }, operator: { port: 0 }, peer: { port: 0 } },
-            peers: { seeds: this.vms.map(vm => vm.peerUrl), key: { env: "ORIOLESHELF_PEER_KEY" } },
+            listen: { caller: { port: 0 }, operator: { port: 0 }, peer: { port: peerPort } },
+            peers: { advertiseUrl, seeds: this.vms.map(vm => vm.peerUrl), key: { env: "ORIOLESHELF_PEER_KEY" } },
             operator: { token: { env: "ORIOLESHELF_OPERATOR_TOKEN" } },
             platform: { log: { url: log }, vmList: { url: vmList }, weightStore: { url: weightStore } },
             config: { zones: [...exampleZones] },
--- a/proof/processes/processes.test.ts
+++ b/proof/processes/processes.test.ts
@@ -126,6 +126,29 @@
         expect([executions.get("during-outage") ?? 0, executions.get("after-outage")]).toEqual([0, 1]);
     });
 
+    test("VMs cut off from each other, all but one from the log too, each serve what they can, and find each other again", async () => {
+        const [withLog, ...without] = fleet.vms as [VmProcess, ...VmProcess[]];
+        fleet.cutLinks();
+        fleet.platform.log.setFaults({ reachableZones: ["lautoka"] });
+        for (const vm of fleet.vms) {
+            await waitUntil(`${vm.id} is alone`, async () => (await fleet.readyMembers(vm)).length === 1);
+        }
+        const chats = await startChats(fleet.vms, 4, 60);
+        const refused = await Promise.all(without.map(vm => book(vm.callerUrl, "cut-off")));
+        expect(refused.map(({ status, outcome }) => [status, outcome])).toEqual([[503, "not-run"], [503, "not-run"]]);
+        const booked = await book(withLog.callerUrl, "cut-off");
+        expect(booked.outcome).toEqual("ran");
+        await expectWhole(fleet.vms, 4, 60, chats);
+        fleet.healLinks();
+        fleet.platform.log.setFaults({});
+        await fleet.waitUntilWhole();
+        await waitUntil("the booking is known everywhere", async () => {
+            const again = await Promise.all(fleet.vms.map(vm => book(vm.callerUrl, "cut-off")));
+            return again.every(({ body, outcome }) => outcome === "ran" && body === booked.body);
+        });
+        expect(fleet.executionsByKey().get("cut-off")).toEqual(1);
+    });
+
     test("an upstream that leaves by the platform's list gets no new work", async () => {
         const [vm] = fleet.vms as [VmProcess];
         const leavingIds = [...fleet.platform.engines.keys()].filter(id => id.endsWith("nadi"));
