--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -49,7 +49,8 @@
         assets,
     }),
 );
-runQuietly(["--experimental-sea-config", config]);
+// The code cache is taken only by a runtime with the options that it was made with.
+runQuietly([...runtimeOptions, "--experimental-sea-config", config]);
 
 // A running copy of the old executable cannot be overwritten, but its name can be taken away.
 rmSync(executable, { force: true });
