--- a/bench/capacity/capacityRows.ts
+++ b/bench/capacity/capacityRows.ts
@@ -136,6 +136,35 @@
         unit: "appends/s",
         mechanism: "one append a change",
     },
+    {
+        role: "platform log",
+        what: "appends for bookings, at most",
+        formula: "bookingAppendsPerSecond",
+        unit: "appends/s",
+        mechanism: "group commit shared by the VMs that write; retention above bookings.retentionMs (1 h)",
+    },
+    {
+        role: "platform log",
+        what: "appends for leases",
+        formula: "1 / leaseRenewSeconds",
+        unit: "appends/s",
+        mechanism: "one holder renews; retention of minutes is enough",
+    },
+    {
+        role: "platform log",
+        what: "appends for snapshots",
+        formula: "snapshotsPerDay / secondsPerDay",
+        unit: "appends/s",
+        mechanism: "one VM by rank; retention above config.snapshotPeriodMs",
+    },
+    {
+        role: "platform log",
+        what: "appends in all",
+        formula:
+            "vms / publishSeconds + configChangesPerDay / secondsPerDay + bookingAppendsPerSecond + 1 / leaseRenewSeconds + snapshotsPerDay / secondsPerDay",
+        unit: "appends/s",
+        mechanism: "several hundred appends a second are given",
+    },
     {
         role: "platform log",
         what: "bytes for configuration",
--- a/bench/capacity/fleetSizes.ts
+++ b/bench/capacity/fleetSizes.ts
@@ -19,5 +19,13 @@
     { name: "bookingsPerSecond", value: 100, unit: "bookings/s", source: "assumed: the letter gives no number" },
     { name: "streamSeconds", value: 11.4, unit: "s", source: "325 tokens a request at 35 ms" },
     { name: "messagesPerRequest", value: 7, unit: "messages", source: "offer, grant, two progress reports, end, quota report and loan" },
+    { name: "bookingAppendsPerSecond", value: 200, unit: "appends/s", source: "bookings.fleetAppendsPerSecond, the whole fleet" },
+    { name: "leaseRenewSeconds", value: 2, unit: "s", source: "renewed when less than 6 s of the lease are left of 8" },
+    {
+        name: "snapshotsPerDay",
+        value: 4,
+        unit: "snapshots/day",
+        source: "config.snapshotPeriodMs of 6 h; 3.5 by config.snapshotEveryRecords",
+    },
     { name: "publishSeconds", value: 60, unit: "s", source: "report.publishIntervalMs" },
 ];
