--- a/src/node/dispatch/ShardHost.ts
+++ b/src/node/dispatch/ShardHost.ts
@@ -174,6 +174,7 @@
                     this.send(action.entryVm, { type: "grantPreempt", shard, grantId: action.grantId, reason: action.reason });
                     break;
                 case "hedge":
+                    // Never asked for while `hedgeShare` is 0: a second stream made the tail worse (docs/design/health.md).
                     break;
             }
         }
