--- a/bench/booking/measureMemory.ts
+++ b/bench/booking/measureMemory.ts
@@ -4,6 +4,7 @@
 import { encodeBookingBatch } from "../../src/node/booking/encodeBookingBatch.js";
 import { hashBookingText } from "../../src/node/booking/hashBookingText.js";
 import { BookingSettings } from "../../src/schema/settings/BookingSettings.js";
+import { usedBytes } from "../usedBytes.js";
 import type { Figure } from "./Figure.js";
 
 const keyCount = 50_000;
@@ -48,13 +49,3 @@
     }
     return payloads;
 }
-
-/** Bytes in use after a collection; run with `--expose-gc`. */
-function usedBytes(): number {
-    if (globalThis.gc === undefined) {
-        throw new Error("run node with --expose-gc");
-    }
-    globalThis.gc();
-    const { heapUsed, arrayBuffers } = process.memoryUsage();
-    return heapUsed + arrayBuffers;
-}
--- a/bench/capacity/measureConfiguration.ts
+++ b/bench/capacity/measureConfiguration.ts
@@ -4,8 +4,8 @@
 import { Customer } from "../../src/schema/config/Customer.js";
 import { Pool } from "../../src/schema/config/Pool.js";
 import { ServiceClass } from "../../src/schema/config/ServiceClass.js";
+import { usedBytes } from "../usedBytes.js";
 import type { Quantity } from "./Quantity.js";
-import { usedBytes } from "./usedBytes.js";
 
 const customerCount = 1_200;
 const classCount = 7;
--- a/bench/capacity/measureTicketBytes.ts
+++ b/bench/capacity/measureTicketBytes.ts
@@ -1,9 +1,9 @@
 import { defaultDispatchOptions } from "../../src/core/dispatch/defaultDispatchOptions.js";
 import { ShardDispatcher } from "../../src/core/dispatch/ShardDispatcher.js";
 import { seededRandom } from "../policy/seededRandom.js";
+import { usedBytes } from "../usedBytes.js";
 import type { Quantity } from "./Quantity.js";
 import { requestMessages } from "./requestMessages.js";
-import { usedBytes } from "./usedBytes.js";
 
 const waitingCount = 20_000;
 /** Memory of a waiting ticket. */
--- a/src/node/metrics/Metrics.test.ts
+++ b/src/node/metrics/Metrics.test.ts
@@ -1,31 +1,11 @@
 import { expect } from "earl";
 import { errAsync } from "neverthrow";
 import { test } from "node:test";
-import type { RequestEnd } from "../services/RequestEnd.js";
+import { requestEnd } from "../report/testing/requestEnd.js";
 import { MeteredPeerLinks } from "./MeteredPeerLinks.js";
 import { Metrics } from "./Metrics.js";
 
-const end: RequestEnd = {
-    requestId: "r1",
-    customer: "van",
-    service: "model",
-    serviceClass: "urgent",
-    path: "new",
-    upstreamId: "e1",
-    status: 200,
-    outcome: "ran",
-    errorCode: undefined,
-    queueMs: 3,
-    firstTokenMs: 40,
-    maxTokenGapMs: 50,
-    meanTokenGapMs: 20,
-    totalMs: 900,
-    tokens: 30,
-    wastedTokens: 2,
-    attempts: 1,
-    isComplete: true,
-    isAbandoned: false,
-};
+const end = requestEnd({ maxTokenGapMs: 50, wastedTokens: 2 });
 
 test("a request is counted by class, path and outcome, with its times and tokens", async () => {
     const metrics = new Metrics();
