--- a/bench/booking/main.ts
+++ b/bench/booking/main.ts
@@ -5,6 +5,7 @@
 import { BookingBench } from "./BookingBench.js";
 import { ConfigBench } from "./ConfigBench.js";
 import type { Figure } from "./Figure.js";
+import { FleetBench } from "./FleetBench.js";
 import { measureMemory } from "./measureMemory.js";
 
 const loads = [
@@ -15,7 +16,7 @@
 
 async function measure(): Promise<Figure[]> {
     const figures = measureMemory();
-    figures.push(...await new ConfigBench().run());
+    figures.push(...await new ConfigBench().run(), ...await new FleetBench().run());
     for (const { bookingsPerSecond, durationMs } of loads) {
         figures.push(...await new BookingBench().run(bookingsPerSecond, durationMs));
     }
--- a/src/node/booking/LogBookingService.ts
+++ b/src/node/booking/LogBookingService.ts
@@ -150,7 +150,7 @@
             return undefined;
         }
         if (this.table.size >= settings.maxKeys) {
-            return err(bookingErrors.notClaimed("the table of keys is full; raise booking.maxKeys or shorten booking.retentionMs"));
+            return err(bookingErrors.notClaimed("the table of keys is full; raise bookings.maxKeys or shorten bookings.retentionMs"));
         }
         const claim = this.addClaim(keyed);
         while (claim.status === "pending" && scheduler.nowMs() < deadlineMs && !keyed.signal.aborted) {
