--- a/bench/booking/FleetBench.ts
+++ b/bench/booking/FleetBench.ts
@@ -75,7 +75,16 @@
         });
         const peerUrl = `ws://127.0.0.1:${(await links.start(signal))._unsafeUnwrap()}`;
         seeds.push(peerUrl);
-        const vm = new Vm({ settings, secrets, incarnation, links, peerUrl, scheduler: this.scheduler, version: "bench" });
+        const vm = new Vm({
+            settings,
+            secrets,
+            incarnation,
+            links,
+            peerUrl,
+            callerTls: undefined,
+            scheduler: this.scheduler,
+            version: "bench",
+        });
         vm.startTasks(signal);
         vm.serve();
         return vm;
--- a/proof/edge/EdgeFixture.ts
+++ b/proof/edge/EdgeFixture.ts
@@ -25,6 +25,7 @@
     readonly callerLimits?: Partial<CallerLimits>;
     /** A virtual one makes the limits on silence fall due when the test says so. */
     readonly scheduler?: Scheduler;
+    readonly tls?: { readonly certificate: string; readonly key: string; };
 }
 
 /** One VM's caller API and upstream clients, with the other parts faked. */
@@ -56,6 +57,7 @@
             availabilityZone: "nadi",
             host: "127.0.0.1",
             port: 0,
+            tls: options.tls,
             config: {
                 get view() {
                     return view();
--- a/proof/processes/rollingReplacement.test.ts
+++ b/proof/processes/rollingReplacement.test.ts
@@ -14,11 +14,11 @@
     const results: ChatResult[] = [];
     const told = new Map<string, string>();
     let isRolling = true;
-    // New calls go to the nine newest VMs, as a balancer sends them that has noticed which one stops.
+    // New calls go to VMs that are ready and not about to stop, as from a balancer that watches their readiness.
+    let serving = [...fleet.vms];
     const work = async (worker: number): Promise<void> => {
         for (let round = 0; isRolling; round++) {
-            const vms = fleet.vms.slice(-vmsPerZone * 3);
-            const vm = vms[(worker + round) % vms.length] as VmProcess;
+            const vm = serving[(worker + round) % serving.length] as VmProcess;
             const key = `rolling-${worker}-${round}`;
             const [answer, booking] = await Promise.all([chat(vm.callerUrl, key, 150, "urgent"), book(vm.callerUrl, key)]);
             results.push(answer);
@@ -30,6 +30,7 @@
         const replacement = await fleet.startVm(old.id.split("-")[0] as string);
         fleet.vms.push(replacement);
         await fleet.waitUntilWhole();
+        serving = [...serving.filter(vm => vm !== old), replacement];
         old.signal("SIGTERM");
         expect(await old.exited).toEqual(0);
     }
--- /dev/null
+++ b/src/node/fleet/TlsTexts.ts
@@ -0,0 +1,6 @@
+/** Certificate and key of a listener as PEM texts. */
+export interface TlsTexts {
+    readonly certificate: string;
+    readonly key: string;
+    readonly certificateAuthority: string | undefined;
+}
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -28,7 +28,7 @@
 import { canConnect } from "../upstream/canConnect.js";
 import { HttpEngineClient } from "../upstream/HttpEngineClient.js";
 import { HttpPlainClient } from "../upstream/HttpPlainClient.js";
-import { readTls } from "./readTls.js";
+import type { TlsTexts } from "./TlsTexts.js";
 import type { VmSecrets } from "./VmSecrets.js";
 
 const log = createLog("vm");
@@ -44,6 +44,7 @@
     readonly incarnation: string;
     readonly links: WebSocketPeerLinks;
     readonly peerUrl: string;
+    readonly callerTls: TlsTexts | undefined;
     readonly scheduler: Scheduler;
     readonly version: string;
 }
@@ -280,7 +281,7 @@
             availabilityZone: settings.vm.availabilityZone,
             host,
             port,
-            tls: readTls(settings.listen.caller),
+            tls: this.options.callerTls,
             config: this.config,
             dispatch: this.dispatch,
             limits: this.limits,
--- a/src/node/fleet/startVm.ts
+++ b/src/node/fleet/startVm.ts
@@ -8,6 +8,7 @@
 import { readTls } from "./readTls.js";
 import type { RunningVm } from "./RunningVm.js";
 import type { StartError } from "./StartError.js";
+import type { TlsTexts } from "./TlsTexts.js";
 import { Vm } from "./Vm.js";
 import type { VmSecrets } from "./VmSecrets.js";
 
@@ -52,14 +53,19 @@
 async function start(settings: Settings, secrets: VmSecrets, version: string, signal: AbortSignal): Promise<Result<Started, StartError>> {
     const scheduler = new SystemScheduler();
     const incarnation = newIncarnation(scheduler.wallMs());
-    const links = createLinks(settings, secrets, incarnation, scheduler);
+    const peerTls = readTls(settings.listen.peer, "listen.peer");
+    const callerTls = readTls(settings.listen.caller, "listen.caller");
+    if (peerTls.isErr() || callerTls.isErr()) {
+        return err(peerTls.isErr() ? peerTls.error : callerTls._unsafeUnwrapErr());
+    }
+    const links = createLinks(settings, secrets, incarnation, scheduler, peerTls.value);
     const peerPort = await links.start(signal);
     if (peerPort.isErr()) {
         return err({ kind: "not-listening", message: peerPort.error.message });
     }
     const peerUrl = settings.peers.advertiseUrl ??
         urlOf(settings.listen.peer.tls ? "wss" : "ws", settings.listen.peer.host, peerPort.value);
-    const vm = new Vm({ settings, secrets, incarnation, links, peerUrl, scheduler, version });
+    const vm = new Vm({ settings, secrets, incarnation, links, peerUrl, callerTls: callerTls.value, scheduler, version });
     vm.startTasks(signal);
     const callerUrl = await vm.caller.start(signal);
     if (callerUrl.isErr()) {
@@ -74,9 +80,14 @@
     return ok({ vm, urls: { callerUrl: callerUrl.value, operatorUrl, peerUrl } });
 }
 
-function createLinks(settings: Settings, secrets: VmSecrets, incarnation: string, scheduler: SystemScheduler): WebSocketPeerLinks {
+function createLinks(
+    settings: Settings,
+    secrets: VmSecrets,
+    incarnation: string,
+    scheduler: SystemScheduler,
+    tls: TlsTexts | undefined,
+): WebSocketPeerLinks {
     const { host, port } = settings.listen.peer;
-    const tls = readTls(settings.listen.peer);
     return new WebSocketPeerLinks({
         self: { vm: settings.vm.id, incarnation },
         listenHost: host,
