Take an answer without a length that ends by a reset for broken

Ruled out: answers in chunks that end early, which it reports (tested). Each connection now tells its exchange that it failed. The test of the reset fails without that.

--- /dev/null
+++ b/src/node/upstream/TrackedClient.ts
@@ -0,0 +1,44 @@
+import { buildConnector, Client, type Dispatcher } from "undici";
+import type { ConnectionState } from "./ConnectionState.js";
+import type { TrackedDispatchOptions } from "./TrackedDispatchOptions.js";
+
+interface TrackedClientOptions {
+    readonly connectTimeoutMs: number;
+    readonly keepAliveMs: number;
+}
+
+/**
+ * One connection to an upstream that tells its exchanges when it fails. The library takes what arrived before a reset for a whole
+ * answer when the answer has no length.
+ */
+export class TrackedClient extends Client {
+    private readonly state: ConnectionState;
+
+    constructor(origin: string | URL, { connectTimeoutMs, keepAliveMs }: TrackedClientOptions) {
+        const state: ConnectionState = { hasFailed: false };
+        const connect = buildConnector({ timeout: connectTimeoutMs, keepAlive: true });
+        super(origin, {
+            connect: (options, callback) => {
+                connect(options, (...result) => {
+                    const socket = result[1];
+                    state.hasFailed = false;
+                    socket?.once("error", () => {
+                        state.hasFailed = true;
+                    });
+                    callback(...result);
+                });
+            },
+            keepAliveTimeout: keepAliveMs,
+            keepAliveMaxTimeout: keepAliveMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            pipelining: 1,
+        });
+        this.state = state;
+    }
+
+    override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+        options.onConnection?.(this.state);
+        return super.dispatch(options, handler);
+    }
+}
--- a/src/node/upstream/UpstreamConnections.ts
+++ b/src/node/upstream/UpstreamConnections.ts
@@ -1,4 +1,7 @@
-import { Agent, type Dispatcher } from "undici";
+import { Agent, type Dispatcher, Pool } from "undici";
+import { TrackedClient } from "./TrackedClient.js";
+import type { TrackedDispatchOptions } from "./TrackedDispatchOptions.js";
+import type { UpstreamExchange } from "./UpstreamExchange.js";
 
 interface UpstreamConnectionOptions {
     readonly connectTimeoutMs: number;
@@ -15,17 +18,19 @@
     constructor(options: Partial<UpstreamConnectionOptions> = {}) {
         const { connectTimeoutMs, keepAliveMs } = { ...defaultOptions, ...options };
         this.agent = new Agent({
-            connect: { timeout: connectTimeoutMs, keepAlive: true },
-            keepAliveTimeout: keepAliveMs,
-            keepAliveMaxTimeout: keepAliveMs,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            pipelining: 1,
+            factory: origin =>
+                new Pool(origin, { factory: poolOrigin => new TrackedClient(poolOrigin, { connectTimeoutMs, keepAliveMs }) }),
         });
     }
 
-    dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-        this.agent.dispatch(options, handler);
+    dispatch(options: Dispatcher.DispatchOptions, exchange: UpstreamExchange): void {
+        const tracked: TrackedDispatchOptions = {
+            ...options,
+            onConnection: state => {
+                exchange.connection = state;
+            },
+        };
+        this.agent.dispatch(tracked, exchange);
     }
 
     /** Closes every connection at once. */
--- /dev/null
+++ b/src/node/upstream/UpstreamExchange.test.ts
@@ -0,0 +1,59 @@
+import { expect } from "earl";
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import type { EngineFailure } from "./EngineFailure.js";
+import { UpstreamConnections } from "./UpstreamConnections.js";
+import { UpstreamExchange } from "./UpstreamExchange.js";
+
+/** Sends one request to an upstream that answers by `answer`, and resolves with how its body ended. */
+async function exchangeWith(answer: (socket: Socket) => void): Promise<string> {
+    const server: Server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            answer(socket);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const connections = new UpstreamConnections();
+    const end = new Promise<string>(resolve => {
+        const exchange = new UpstreamExchange(() => ({
+            onData: () => undefined,
+            onEnd: () => {
+                resolve("whole");
+            },
+            onError: (failure: EngineFailure) => {
+                resolve(failure.kind);
+            },
+        }));
+        const { port } = server.address() as AddressInfo;
+        connections.dispatch({ origin: `http://127.0.0.1:${port}`, path: "/", method: "GET" }, exchange);
+    });
+    const result = await end;
+    await connections.close();
+    server.close();
+    return result;
+}
+
+test("an answer without a length that ends with its connection is whole", async () => {
+    const end = await exchangeWith(socket => {
+        socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello");
+    });
+    expect(end).toEqual("whole");
+});
+
+test("an answer without a length is broken when its connection is reset", async () => {
+    const end = await exchangeWith(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel", () => {
+            setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+    });
+    expect(end).toEqual("broken");
+});
+
+test("an answer in chunks is broken when its connection ends before the last chunk", async () => {
+    const end = await exchangeWith(socket => {
+        socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n");
+    });
+    expect(end).toEqual("broken");
+});
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import type { ConnectionState } from "./ConnectionState.js";
 import { EngineFailure } from "./EngineFailure.js";
 import type { ResponseSink } from "./ResponseSink.js";
 
@@ -15,6 +16,8 @@
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
     /** The request may have reached the upstream. */
     isSent = false;
+    /** The connection that this exchange runs on. */
+    connection: ConnectionState | undefined;
     /** Called once, when nothing more will happen on this exchange. */
     onFinished: () => void = () => undefined;
     private controller: Dispatcher.DispatchController | undefined;
@@ -76,6 +79,10 @@
     }
 
     onResponseEnd(): void {
+        if (this.connection?.hasFailed === true) {
+            this.settle(new EngineFailure("broken", undefined, "connection to the upstream was reset inside an answer without a length"));
+            return;
+        }
         this.isFinished = true;
         this.sink?.onEnd();
         this.onFinished();
