--- a/src/core/relay/LoadBoard.ts
+++ b/src/core/relay/LoadBoard.ts
@@ -1,51 +1,40 @@
 import type { UpstreamLoad } from "../../schema/relay/UpstreamLoad.js";
 
-interface OwnLoad {
+/** Work on one upstream: calls in flight, of these streams that have begun, and the time it needs for prompts not read yet. */
+interface Load {
     calls: number;
     streams: number;
-    /** Prompt reading handed out since the last report, milliseconds. */
-    unreportedReadMs: number;
+    unreadMs: number;
 }
 
 interface PeerLoads {
-    readonly loads: Map<string, { readonly calls: number; readonly streams: number; }>;
+    readonly loads: Map<string, Readonly<Load>>;
     heardMs: number;
 }
 
 /** Reports of a VM that has not been heard for this long count no more; several times the longest period between reports. */
 const forgetPeerMs = 2_500;
-const noLoad: OwnLoad = { calls: 0, streams: 0, unreportedReadMs: 0 };
 
-/**
- * What all VMs together have in flight on each upstream: this VM's own calls exactly, the others' as they last told. Prompts that
- * wait to be read are kept as the moment at which an engine will have read them all, so that a lost report heals by itself.
- */
+/** What all VMs together have in flight on each upstream: this VM's own calls exactly, the others' as they last told. */
 export class LoadBoard {
-    private readonly own = new Map<string, OwnLoad>();
+    private readonly own = new Map<string, Load>();
     private readonly peers = new Map<string, PeerLoads>();
-    private readonly peerSums = new Map<string, { calls: number; streams: number; }>();
-    private readonly readUntilMs = new Map<string, number>();
+    private readonly peerSums = new Map<string, Load>();
     private readonly changed = new Set<string>();
 
     /** A call is sent to an upstream, which will take `readMs` to read its prompt. */
-    begin(id: string, readMs: number, nowMs: number): void {
-        const load = this.ownOf(id);
-        load.calls++;
-        load.unreportedReadMs += readMs;
-        this.addRead(id, readMs, nowMs);
-        this.changed.add(id);
+    begin(id: string, readMs: number): void {
+        this.change(id, 1, 0, readMs);
     }
 
-    streamBegan(id: string): void {
-        this.ownOf(id).streams++;
-        this.changed.add(id);
+    /** The first event of a stream came, so that its prompt has been read. */
+    streamBegan(id: string, readMs: number): void {
+        this.change(id, 0, 1, -readMs);
     }
 
-    end(id: string, hadStream: boolean): void {
-        const load = this.ownOf(id);
-        load.calls--;
-        load.streams -= hadStream ? 1 : 0;
-        this.changed.add(id);
+    /** A call is over; `readMs` counts as long as no stream began. */
+    end(id: string, hadStream: boolean, readMs: number): void {
+        this.change(id, -1, hadStream ? -1 : 0, hadStream ? 0 : -readMs);
     }
 
     calls(id: string): number {
@@ -60,9 +49,9 @@
         return (this.own.get(id)?.streams ?? 0) + (this.peerSums.get(id)?.streams ?? 0);
     }
 
-    /** How long the upstream needs for the prompts that wait there. */
-    unreadMs(id: string, nowMs: number): number {
-        return Math.max(0, (this.readUntilMs.get(id) ?? 0) - nowMs);
+    /** Time that the upstream needs for all prompts whose first event has not come. */
+    unreadMs(id: string): number {
+        return Math.max(0, (this.own.get(id)?.unreadMs ?? 0) + (this.peerSums.get(id)?.unreadMs ?? 0));
     }
 
     /** Takes what has changed since the last call; undefined when nothing has. */
@@ -77,6 +66,7 @@
 
     /** Every own load, for VMs that may have missed reports. */
     wholeReport(): UpstreamLoad[] {
+        this.changed.clear();
         return [...this.own.keys()].map(id => this.entryOf(id));
     }
 
@@ -88,9 +78,8 @@
         if (isWhole) {
             this.clearPeer(peer);
         }
-        for (const [id, calls, streams, readMs] of report) {
-            this.replacePeerLoad(peer, id, calls, streams);
-            this.addRead(id, readMs, nowMs);
+        for (const [id, calls, streams, unreadMs] of report) {
+            this.replacePeerLoad(peer, id, { calls, streams, unreadMs });
         }
     }
 
@@ -108,52 +97,45 @@
     drop(id: string): void {
         if (this.ownCalls(id) === 0) {
             this.own.delete(id);
-            this.readUntilMs.delete(id);
             this.changed.delete(id);
         }
     }
 
-    private entryOf(id: string): UpstreamLoad {
-        const load = this.own.get(id) ?? noLoad;
-        const readMs = Math.round(load.unreportedReadMs * 10) / 10;
-        if (load !== noLoad) {
-            load.unreportedReadMs = 0;
-        }
-        return [id, load.calls, load.streams, readMs];
-    }
-
-    private ownOf(id: string): OwnLoad {
+    private change(id: string, calls: number, streams: number, unreadMs: number): void {
         let load = this.own.get(id);
         if (load === undefined) {
-            load = { ...noLoad };
+            load = { calls: 0, streams: 0, unreadMs: 0 };
             this.own.set(id, load);
         }
-        return load;
+        load.calls += calls;
+        load.streams += streams;
+        load.unreadMs = load.calls === 0 ? 0 : load.unreadMs + unreadMs;
+        this.changed.add(id);
     }
 
-    private addRead(id: string, readMs: number, nowMs: number): void {
-        if (readMs > 0) {
-            this.readUntilMs.set(id, Math.max(nowMs, this.readUntilMs.get(id) ?? 0) + readMs);
-        }
+    private entryOf(id: string): UpstreamLoad {
+        const load = this.own.get(id);
+        return [id, load?.calls ?? 0, load?.streams ?? 0, Math.max(0, Math.round(load?.unreadMs ?? 0))];
     }
 
-    private replacePeerLoad(peer: PeerLoads, id: string, calls: number, streams: number): void {
+    private replacePeerLoad(peer: PeerLoads, id: string, load: Readonly<Load>): void {
         const before = peer.loads.get(id);
-        const sum = this.peerSums.get(id) ?? { calls: 0, streams: 0 };
-        sum.calls += calls - (before?.calls ?? 0);
-        sum.streams += streams - (before?.streams ?? 0);
+        const sum = this.peerSums.get(id) ?? { calls: 0, streams: 0, unreadMs: 0 };
+        sum.calls += load.calls - (before?.calls ?? 0);
+        sum.streams += load.streams - (before?.streams ?? 0);
+        sum.unreadMs += load.unreadMs - (before?.unreadMs ?? 0);
         this.peerSums.set(id, sum);
-        if (calls === 0 && streams === 0) {
+        if (load.calls === 0) {
             peer.loads.delete(id);
         }
         else {
-            peer.loads.set(id, { calls, streams });
+            peer.loads.set(id, load);
         }
     }
 
     private clearPeer(peer: PeerLoads): void {
         for (const id of [...peer.loads.keys()]) {
-            this.replacePeerLoad(peer, id, 0, 0);
+            this.replacePeerLoad(peer, id, { calls: 0, streams: 0, unreadMs: 0 });
         }
     }
 }
--- a/src/node/relay/RelayRun.ts
+++ b/src/node/relay/RelayRun.ts
@@ -32,6 +32,10 @@
     private failedAnswer: HeldAnswer | undefined;
     private attempt: RelayAttempt | undefined;
     private lastBytesMs = 0;
+    private lastEventMs = 0;
+    /** Of the attempt under way: the time expected for reading its prompt, and whether its first event has come. */
+    private readMs = 0;
+    private hasStream = false;
 
     constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
         const { call, route, arrivedMs } = request;
@@ -134,24 +138,17 @@
         this.logPlacement(placement, patienceMs);
         const ended = new AbortController();
         this.watch(attempt, ended.signal);
-        parts.board.begin(upstream.id, readMs, parts.scheduler.nowMs());
+        this.readMs = readMs;
+        this.hasStream = false;
+        parts.board.begin(upstream.id, readMs);
         const end = await attempt.run();
         ended.abort();
-        parts.board.end(upstream.id, this.takeStreamMark());
+        parts.board.end(upstream.id, this.hasStream, readMs);
         this.attempt = undefined;
         this.judge(placement, end);
         return end;
     }
 
-    /** A stream of this call is counted on the upstream that sends it. */
-    private hasStreamMark = false;
-
-    private takeStreamMark(): boolean {
-        const had = this.hasStreamMark;
-        this.hasStreamMark = false;
-        return had;
-    }
-
     private logPlacement(placement: Placement, patienceMs: number): void {
         const { request, parts, summary } = this;
         log("placed", {
@@ -344,8 +341,6 @@
 
     private beginAnswer(status: number, headers: IncomingHttpHeaders): void {
         this.lastBytesMs = this.parts.scheduler.nowMs();
-        this.hasStreamMark = true;
-        this.parts.board.streamBegan(this.summary.upstreamId ?? "");
         if (this.isBegun || this.request.outgoing.destroyed) {
             return;
         }
@@ -367,10 +362,25 @@
         if (events.length === 0) {
             return true;
         }
-        this.summary.firstTokenMs ??= nowMs - this.request.arrivedMs;
+        this.noteEvents(nowMs);
+        if (!this.hasStream) {
+            this.hasStream = true;
+            this.parts.board.streamBegan(this.summary.upstreamId ?? "", this.readMs);
+        }
         return this.request.outgoing.write(events);
     }
 
+    private noteEvents(nowMs: number): void {
+        const { summary } = this;
+        if (summary.firstTokenMs === undefined) {
+            summary.firstTokenMs = nowMs - this.request.arrivedMs;
+        }
+        else {
+            summary.maxTokenGapMs = Math.max(summary.maxTokenGapMs ?? 0, nowMs - this.lastEventMs);
+        }
+        this.lastEventMs = nowMs;
+    }
+
     private deliver({ status, headers, body }: HeldAnswer): void {
         const { outgoing, call } = this.request;
         const kept = forwardedHeaders(headers);
@@ -488,6 +498,7 @@
             upstream: summary.upstreamId,
             attempts: summary.attempts,
             firstMs: summary.firstTokenMs === undefined ? undefined : Math.round(summary.firstTokenMs),
+            maxGapMs: summary.maxTokenGapMs === undefined ? undefined : Math.round(summary.maxTokenGapMs),
             totalMs: Math.round(totalMs),
             events: this.framer.eventCount,
             isAbandoned,
