Send long prompts as less urgent and see which engines run late

Cause: behind a prompt that takes half a second to read many short ones came late, and an engine that ran slow was seen only by its sums.

--- a/src/core/relay/EnginePlacer.ts
+++ b/src/core/relay/EnginePlacer.ts
@@ -15,6 +15,13 @@
 const firstEventMs = 110;
 /** A prompt stays with the engine that keeps its shared part while its first event is expected within this share of its target. */
 const homeShare = 0.7;
+/** The first event of a call is overdue only this much after it was expected, to pass over the ways there and back. */
+const dueSlackMs = 20;
+/**
+ * Prompts that take longer to read are sent as less urgent, a class for each step, so that engines read short ones first: behind a
+ * prompt that takes half a second, many short ones would be late, while it is late by itself.
+ */
+const sizeStepsMs = [60, 120, 240];
 /** Delay that each stream on an engine causes a further one, in milliseconds. */
 const streamCostMs = 0.3;
 /** Reading a shared part again counts as this much waiting, since it also delays all that come after it. */
@@ -55,22 +62,23 @@
         return groups;
     }
 
-    /** Expected time until the engine has read all prompts that wait there. */
-    private waitMs(id: string): number {
-        return Math.max(0, this.board.unreadMs(id) - firstEventMs);
+    /** Expected time until the engine has read all prompts that wait there. One that runs late is taken to stay behind. */
+    private waitMs(id: string, nowMs: number): number {
+        return Math.max(0, this.board.unreadMs(id) - firstEventMs) + this.board.overdueMs(id, nowMs);
     }
 
     private leastWaiting(group: readonly RelayUpstream[], request: PlacementRequest): Placement | undefined {
         let best: RelayUpstream | undefined;
         let bestCost = Infinity;
         for (const engine of group) {
-            const cost = this.board.unreadMs(engine.id) + this.board.calls(engine.id) * streamCostMs + this.random();
+            const crowdMs = this.board.unreadMs(engine.id) + this.board.calls(engine.id) * streamCostMs;
+            const cost = crowdMs + this.board.overdueMs(engine.id, request.nowMs) + this.random();
             if (cost < bestCost) {
                 best = engine;
                 bestCost = cost;
             }
         }
-        return best && this.placement(best, false, request.call, "least-loaded");
+        return best && this.placement(best, false, request, "least-loaded");
     }
 
     private placeLong(group: readonly RelayUpstream[], request: PlacementRequest): Placement | undefined {
@@ -79,34 +87,48 @@
         if (home === undefined) {
             return undefined;
         }
-        const atHome = this.placement(home, true, call, group.length === 1 ? "only-one" : "cached-prefix");
+        const atHome = this.placement(home, true, request, group.length === 1 ? "only-one" : "cached-prefix");
         if (firstEventMs + atHome.waitMs + atHome.readMs <= route.targetMs * homeShare) {
             return atHome;
         }
-        const away = this.shortestWait(group.filter(engine => engine !== home), call);
+        const away = this.shortestWait(group.filter(engine => engine !== home), request);
         return away !== undefined && away.waitMs + away.readMs * rereadWeight < atHome.waitMs + atHome.readMs ? away : atHome;
     }
 
-    private shortestWait(engines: readonly RelayUpstream[], call: RelayCall): Placement | undefined {
+    private shortestWait(engines: readonly RelayUpstream[], request: PlacementRequest): Placement | undefined {
+        const { nowMs } = request;
         let best: RelayUpstream | undefined;
         let bestCost = Infinity;
         for (const engine of engines) {
-            const cost = this.board.unreadMs(engine.id) + this.random();
+            const cost = this.board.unreadMs(engine.id) + this.waitMs(engine.id, nowMs) + this.random();
             if (cost < bestCost) {
                 best = engine;
                 bestCost = cost;
             }
         }
-        return best && this.placement(best, false, call, "shorter-wait");
+        return best && this.placement(best, false, request, "shorter-wait");
     }
 
-    private placement(upstream: RelayUpstream, isKept: boolean, call: RelayCall, reason: Placement["reason"]): Placement {
-        const { ownTokens, sharedTokens } = promptSize(call);
+    private placement(upstream: RelayUpstream, isKept: boolean, request: PlacementRequest, reason: Placement["reason"]): Placement {
+        const { ownTokens, sharedTokens } = promptSize(request.call);
         const readMs = isKept ? readingMs(ownTokens, sharedTokens) : readingMs(ownTokens + sharedTokens, 0);
-        return { upstream, readMs, waitMs: this.waitMs(upstream.id), reason };
+        const waitMs = this.waitMs(upstream.id, request.nowMs);
+        return {
+            upstream,
+            readMs,
+            waitMs,
+            dueMs: request.nowMs + firstEventMs + dueSlackMs + waitMs + readMs,
+            delay: delayOf(readMs),
+            reason,
+        };
     }
 }
 
+/** By how many classes of urgency an engine is to put a prompt behind shorter ones. */
+function delayOf(readMs: number): number {
+    return sizeStepsMs.filter(stepMs => readMs > stepMs).length;
+}
+
 /** The longest part of the prompt that others share: all but the last. */
 function sharedPartOf(call: RelayCall): string {
     const parts = call.prompt?.parts ?? [];
--- a/src/core/relay/LoadBoard.ts
+++ b/src/core/relay/LoadBoard.ts
@@ -1,4 +1,5 @@
 import type { UpstreamLoad } from "../../schema/relay/UpstreamLoad.js";
+import type { PlacedWork } from "./PlacedWork.js";
 
 /** Work on one upstream: calls in flight, of these streams that have begun, and the time it needs for prompts not read yet. */
 interface Load {
@@ -14,27 +15,38 @@
 
 /** Reports of a VM that has not been heard for this long count no more; several times the longest period between reports. */
 const forgetPeerMs = 2_500;
+/** Reading that other VMs should know of at once: about half a chunk of an engine's step. */
+const urgentReadMs = 15;
 
 /** What all VMs together have in flight on each upstream: this VM's own calls exactly, the others' as they last told. */
 export class LoadBoard {
     private readonly own = new Map<string, Load>();
     private readonly peers = new Map<string, PeerLoads>();
     private readonly peerSums = new Map<string, Load>();
+    /** Own calls whose prompts have not been read. */
+    private readonly unread = new Map<string, Set<PlacedWork>>();
     private readonly changed = new Set<string>();
-
-    /** A call is sent to an upstream, which will take `readMs` to read its prompt. */
-    begin(id: string, readMs: number): void {
-        this.change(id, 1, 0, readMs);
+    private isUrgent = false;
+
+    /** A call is sent to an upstream. */
+    begin(id: string, work: PlacedWork): void {
+        this.change(id, 1, 0, work.readMs);
+        this.isUrgent ||= work.readMs >= urgentReadMs;
+        if (work.dueMs !== undefined) {
+            this.unreadOf(id).add(work);
+        }
     }
 
     /** The first event of a stream came, so that its prompt has been read. */
-    streamBegan(id: string, readMs: number): void {
-        this.change(id, 0, 1, -readMs);
+    streamBegan(id: string, work: PlacedWork): void {
+        this.change(id, 0, 1, -work.readMs);
+        this.unreadOf(id).delete(work);
     }
 
-    /** A call is over; `readMs` counts as long as no stream began. */
-    end(id: string, hadStream: boolean, readMs: number): void {
-        this.change(id, -1, hadStream ? -1 : 0, hadStream ? 0 : -readMs);
+    /** A call is over, after its first event or without one. */
+    end(id: string, work: PlacedWork, hadStream: boolean): void {
+        this.change(id, -1, hadStream ? -1 : 0, hadStream ? 0 : -work.readMs);
+        this.unreadOf(id).delete(work);
     }
 
     calls(id: string): number {
@@ -54,6 +66,20 @@
         return Math.max(0, (this.own.get(id)?.unreadMs ?? 0) + (this.peerSums.get(id)?.unreadMs ?? 0));
     }
 
+    /** How much later than expected the first event of this VM's most delayed call is. */
+    overdueMs(id: string, nowMs: number): number {
+        let worstMs = 0;
+        for (const work of this.unread.get(id) ?? []) {
+            worstMs = Math.max(worstMs, nowMs - (work.dueMs ?? nowMs));
+        }
+        return worstMs;
+    }
+
+    /** A prompt that takes long to read was placed since the last report. */
+    get hasUrgentNews(): boolean {
+        return this.isUrgent;
+    }
+
     /** Takes what has changed since the last call; undefined when nothing has. */
     takeReport(): UpstreamLoad[] | undefined {
         if (this.changed.size === 0) {
@@ -61,12 +87,14 @@
         }
         const report = [...this.changed].map(id => this.entryOf(id));
         this.changed.clear();
+        this.isUrgent = false;
         return report;
     }
 
     /** Every own load, for VMs that may have missed reports. */
     wholeReport(): UpstreamLoad[] {
         this.changed.clear();
+        this.isUrgent = false;
         return [...this.own.keys()].map(id => this.entryOf(id));
     }
 
@@ -97,6 +125,7 @@
     drop(id: string): void {
         if (this.ownCalls(id) === 0) {
             this.own.delete(id);
+            this.unread.delete(id);
             this.changed.delete(id);
         }
     }
@@ -113,9 +142,18 @@
         this.changed.add(id);
     }
 
+    private unreadOf(id: string): Set<PlacedWork> {
+        let works = this.unread.get(id);
+        if (works === undefined) {
+            works = new Set();
+            this.unread.set(id, works);
+        }
+        return works;
+    }
+
     private entryOf(id: string): UpstreamLoad {
-        const load = this.own.get(id);
-        return [id, load?.calls ?? 0, load?.streams ?? 0, Math.max(0, Math.round(load?.unreadMs ?? 0))];
+        const { calls, streams, unreadMs } = this.own.get(id) ?? { calls: 0, streams: 0, unreadMs: 0 };
+        return [id, calls, streams, Math.max(0, Math.round(unreadMs))];
     }
 
     private replacePeerLoad(peer: PeerLoads, id: string, load: Readonly<Load>): void {
--- /dev/null
+++ b/src/core/relay/PlacedWork.ts
@@ -0,0 +1,7 @@
+/** A call on its way at an upstream. */
+export interface PlacedWork {
+    /** Time expected for reading its prompt; 0 for a plain call. */
+    readonly readMs: number;
+    /** When its first event is expected; undefined where that shows nothing about the upstream. */
+    readonly dueMs: number | undefined;
+}
--- a/src/core/relay/Placement.ts
+++ b/src/core/relay/Placement.ts
@@ -7,5 +7,9 @@
     readonly readMs: number;
     /** Time that prompts before it are expected to take there. */
     readonly waitMs: number;
+    /** When the first event is expected; undefined where that shows nothing about the upstream. */
+    readonly dueMs: number | undefined;
+    /** Classes of urgency by which the upstream is to put the call behind others of its tier. */
+    readonly delay: number;
     readonly reason: "least-loaded" | "cached-prefix" | "shorter-wait" | "only-one";
 }
--- a/src/core/relay/PlainPlacer.ts
+++ b/src/core/relay/PlainPlacer.ts
@@ -23,7 +23,8 @@
                 bestCost = cost;
             }
         }
-        return best && { upstream: best, readMs: 0, waitMs: 0, reason: request.candidates.length === 1 ? "only-one" : "least-loaded" };
+        const reason = request.candidates.length === 1 ? "only-one" : "least-loaded";
+        return best && { upstream: best, readMs: 0, waitMs: 0, dueMs: undefined, delay: 0, reason };
     }
 
     /** Share of the slots taken. A fraction of a call of chance keeps VMs with the same view apart. */
--- a/src/node/relay/LoadExchange.ts
+++ b/src/node/relay/LoadExchange.ts
@@ -11,8 +11,10 @@
     readonly scheduler: Scheduler;
 }
 
-/** Shortest time between two reports, in a fleet small enough for it. */
-const minPeriodMs = 25;
+/** Shortest time between two reports when a long prompt was placed, in a fleet small enough for it. */
+const urgentPeriodMs = 25;
+/** Time between reports of everything else. */
+const usualPeriodMs = 100;
 /** Each further VM makes reports this much rarer, so that the traffic of a VM stays bounded. */
 const periodPerVmMs = 2.5;
 const wholeReportMs = 1_000;
@@ -30,7 +32,7 @@
             board.receive(from, message.loads, message.isWhole, scheduler.nowMs());
             return undefined;
         }, signal);
-        scheduler.every(minPeriodMs, () => {
+        scheduler.every(urgentPeriodMs, () => {
             this.tick();
         }, signal);
     }
@@ -38,7 +40,7 @@
     private tick(): void {
         const { board, scheduler, membership } = this.options;
         const nowMs = scheduler.nowMs();
-        const periodMs = Math.max(minPeriodMs, membership.members.length * periodPerVmMs);
+        const periodMs = Math.max(board.hasUrgentNews ? urgentPeriodMs : usualPeriodMs, membership.members.length * periodPerVmMs);
         if (nowMs - this.lastReportMs < periodMs) {
             return;
         }
--- a/src/node/relay/RelayRun.ts
+++ b/src/node/relay/RelayRun.ts
@@ -33,8 +33,8 @@
     private attempt: RelayAttempt | undefined;
     private lastBytesMs = 0;
     private lastEventMs = 0;
-    /** Of the attempt under way: the time expected for reading its prompt, and whether its first event has come. */
-    private readMs = 0;
+    /** Of the attempt under way: where it is, and whether its first event has come. */
+    private placement: Placement | undefined;
     private hasStream = false;
 
     constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
@@ -108,7 +108,7 @@
     private async send(placement: Placement): Promise<AttemptEnd> {
         const { parts, request } = this;
         const { call, customer, incoming, body, route } = request;
-        const { upstream, readMs } = placement;
+        const { upstream } = placement;
         const patienceMs = Math.max(1, Math.floor(this.remainingMs()));
         const isContinued = this.isBegun;
         const attempt = new RelayAttempt({
@@ -119,7 +119,7 @@
                 upstreamId: upstream.id,
                 patienceMs,
                 customer: customer?.name,
-                urgency: request.tier,
+                urgency: request.tier + placement.delay,
                 lastEventId: isContinued ? this.framer.lastEventId : call.lastEventId,
             }),
             dialect: parts.dialect,
@@ -138,12 +138,12 @@
         this.logPlacement(placement, patienceMs);
         const ended = new AbortController();
         this.watch(attempt, ended.signal);
-        this.readMs = readMs;
+        this.placement = placement;
         this.hasStream = false;
-        parts.board.begin(upstream.id, readMs);
+        parts.board.begin(upstream.id, placement);
         const end = await attempt.run();
         ended.abort();
-        parts.board.end(upstream.id, this.hasStream, readMs);
+        parts.board.end(upstream.id, placement, this.hasStream);
         this.attempt = undefined;
         this.judge(placement, end);
         return end;
@@ -363,9 +363,9 @@
             return true;
         }
         this.noteEvents(nowMs);
-        if (!this.hasStream) {
+        if (!this.hasStream && this.placement !== undefined) {
             this.hasStream = true;
-            this.parts.board.streamBegan(this.summary.upstreamId ?? "", this.readMs);
+            this.parts.board.streamBegan(this.placement.upstream.id, this.placement);
         }
         return this.request.outgoing.write(events);
     }
