Let one VM read the platform's log for all

Now the VM that a rendezvous over the ready ones picks reads and hands records on over the peer links; one that hears nothing for 1.1 s reads for itself.

--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -7,6 +7,12 @@
 
 const log = createLog("follow");
 
+interface KeyedRead {
+    readonly fromOffset: number;
+    readonly nextOffset: number;
+    readonly records: readonly KeyedRecord[];
+}
+
 interface KeyedLogFollowerOptions {
     /** Names the stream in the log. */
     readonly name: string;
@@ -17,6 +23,12 @@
     /** Time between the end of one read and the next. */
     readonly restMs: number;
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => void;
+    /** Whether this VM reads for others too; one that does not reads only when nothing has been heard from one that does. */
+    readonly isReader: () => boolean;
+    /** Hands what was read to the other VMs. */
+    readonly onRead: (
+        read: { readonly fromOffset: number; readonly nextOffset: number; readonly records: readonly KeyedRecord[]; },
+    ) => void;
     /** The platform stopped or started to answer. */
     readonly onReach: (isReached: boolean) => void;
 }
@@ -24,6 +36,9 @@
 /** After a failed read the next one waits this long, doubled up to the greatest pause. */
 const firstRetryMs = 100;
 const maxRetryMs = 800;
+/** A VM that does not read for others reads for itself when it has heard nothing for this long; within the time a change may take. */
+const unheardMs = 1_100;
+const checkMs = 100;
 
 /** Keeps up with a keyed stream: its newest records first, then what changes. */
 export class KeyedLogFollower {
@@ -31,6 +46,8 @@
     nextOffset: number | undefined;
     private isReached: boolean | undefined;
     private failures = 0;
+    private heardMs = -Infinity;
+    private reader: string | undefined;
 
     constructor(private readonly options: KeyedLogFollowerOptions) {}
 
@@ -38,6 +55,10 @@
     async run(signal: AbortSignal): Promise<void> {
         const { scheduler, restMs } = this.options;
         while (!signal.aborted) {
+            if (this.nextOffset !== undefined && !this.options.isReader() && scheduler.nowMs() - this.heardMs < unheardMs) {
+                await pause(scheduler, checkMs);
+                continue;
+            }
             const isDone = this.nextOffset === undefined ? await this.readNewest(signal) : await this.readChanges(this.nextOffset, signal);
             const restNowMs = isDone ? restMs : Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(this.failures, 8));
             if (restNowMs > 0 && !signal.aborted) {
@@ -46,9 +67,24 @@
         }
     }
 
-    /** Takes records that another VM has read; ignored unless they continue what is known here. */
-    take(fromOffset: number, records: readonly KeyedRecord[], nextOffset: number): void {
-        if (this.nextOffset === undefined || fromOffset > this.nextOffset || nextOffset <= this.nextOffset) {
+    /** Takes records that another VM has read. When some are missing before them, the next read comes at once. */
+    hear(from: string, { fromOffset, records, nextOffset }: KeyedRead): void {
+        if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
+            this.heardMs = -Infinity;
+            return;
+        }
+        if (from !== this.reader) {
+            log("another VM reads for this one", { stream: this.options.name, vm: from, nextOffset });
+            this.reader = from;
+        }
+        if (nextOffset >= this.nextOffset) {
+            this.heardMs = this.options.scheduler.nowMs();
+        }
+        this.take(records, nextOffset);
+    }
+
+    private take(records: readonly KeyedRecord[], nextOffset: number): void {
+        if (this.nextOffset === undefined || nextOffset <= this.nextOffset) {
             return;
         }
         const known = this.nextOffset;
@@ -84,7 +120,10 @@
             return false;
         }
         this.reached();
-        this.take(offset, read.value.records, read.value.nextOffset);
+        this.take(read.value.records, read.value.nextOffset);
+        if (this.options.isReader()) {
+            this.options.onRead({ fromOffset: offset, ...read.value });
+        }
         return true;
     }
 
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -6,13 +6,17 @@
 import { PlainPlacer } from "../../core/relay/PlainPlacer.js";
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
+import { rendezvous } from "../../core/util/rendezvous.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { VmList } from "../../schema/platform/VmList.js";
 import { pause } from "../config/pause.js";
 import { createLog } from "../logs/createLog.js";
 import { GossipMembership } from "../membership/GossipMembership.js";
 import { Metrics } from "../metrics/Metrics.js";
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
+import type { KeyedLog } from "../services/KeyedLog.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
 import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
 import { LoadExchange } from "./LoadExchange.js";
@@ -27,8 +31,12 @@
 const connectTimeoutMs = 300;
 /** Idle connections to upstreams are closed after this, before upstreams or faults on the way close them unnoticed. */
 const keepAliveMs = 4_000;
-/** A change of the configuration is to be in force within two seconds of its confirmation. */
-const configWaitMs = 2_500;
+/**
+ * Longest wait of a read for changes. The VM that reads is heard by the others this often, so that one that falls silent is replaced
+ * within the two seconds that a change of the configuration may take.
+ */
+const configWaitMs = 500;
+/** Upstreams write to the list all the time; a change of one is to be known within two seconds. */
 const upstreamsRestMs = 600;
 const expirePeriodMs = 200;
 /** How long a VM that stops still takes calls: the platform stops sending callers after two probes, a second apart. */
@@ -38,6 +46,8 @@
 const farewellMs = 50;
 /** A VM alone for this long looks for others in the registry on the platform. */
 const aloneCheckMs = 3_000;
+/** Names the duty of reading the platform's log in the choice of the VM that has it. */
+const readerDuty = "log-reader";
 /** Share of the retry budget that VMs may use; the rest covers uneven traffic among them. */
 const budgetShare = 0.7;
 
@@ -138,34 +148,17 @@
         const { scheduler, links } = parts;
         this.membership.start(signal);
         new LoadExchange({ vm: parts.vm, board: this.board, links, membership: this.membership, scheduler }).start(signal);
-        const config = new KeyedLogFollower({
-            name: "config",
-            source: parts.config.source,
-            scheduler,
-            waitMs: configWaitMs,
-            restMs: 0,
-            onRecords: records => {
-                state.takeConfig(records);
-                this.announceReadiness();
-            },
-            onReach: () => undefined,
+        const config = this.follow("config", parts.config.source, configWaitMs, 0, records => {
+            state.takeConfig(records);
         });
-        const upstreams = new KeyedLogFollower({
-            name: "upstreams",
-            source: parts.upstreams.source,
-            scheduler,
-            waitMs: 0,
-            restMs: upstreamsRestMs,
-            onRecords: (records, isWhole) => {
-                state.takeUpstreams(records, isWhole);
-                this.announceReadiness();
-            },
-            onReach: isReached => {
-                if (!isReached) {
-                    state.noteListTrouble();
-                }
-            },
+        const upstreams = this.follow("upstreams", parts.upstreams.source, 0, upstreamsRestMs, (records, isWhole) => {
+            state.takeUpstreams(records, isWhole);
         });
+        links.onMessage("keyedRecords", (from, { stream, fromOffset, records, nextOffset }) => {
+            const heard = records.map(({ offset, key, value }) => ({ offset, key, value }));
+            (stream === "config" ? config : upstreams).hear(from, { fromOffset, records: heard, nextOffset });
+            return undefined;
+        }, signal);
         void config.run(signal);
         void upstreams.run(signal);
         scheduler.every(expirePeriodMs, () => {
@@ -177,6 +170,49 @@
         }, { once: true });
     }
 
+    private follow(
+        name: "config" | "upstreams",
+        source: KeyedLog,
+        waitMs: number,
+        restMs: number,
+        onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => void,
+    ): KeyedLogFollower {
+        return new KeyedLogFollower({
+            name,
+            source,
+            scheduler: this.parts.scheduler,
+            waitMs,
+            restMs,
+            isReader: () => this.isReader,
+            onRecords: (records, isWhole) => {
+                onRecords(records, isWhole);
+                this.announceReadiness();
+            },
+            onRead: read => {
+                this.tellAll({ type: "keyedRecords", stream: name, ...read, records: [...read.records] });
+            },
+            onReach: isReached => {
+                if (!isReached && name === "upstreams") {
+                    this.state.noteListTrouble();
+                }
+            },
+        });
+    }
+
+    /** One VM reads the platform's log for all; which one follows from who is in the view. */
+    private get isReader(): boolean {
+        const ready = this.membership.members.filter(member => member.state === "ready").map(member => member.vm);
+        return ready.length === 0 || rendezvous(readerDuty, ready) === this.parts.vm;
+    }
+
+    private tellAll(message: PeerMessage): void {
+        for (const { vm } of this.membership.members) {
+            if (vm !== this.parts.vm) {
+                this.parts.links.send(vm, message);
+            }
+        }
+    }
+
     /** Leaves this VM's address on the platform, and looks there for others when no seed answers. */
     private startRegistry(signal: AbortSignal): void {
         const { registry, vm, availabilityZone, peerUrl, scheduler } = this.parts;
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -106,7 +106,9 @@
         stream: z.string(),
         fromOffset: z.int(),
         nextOffset: z.int(),
-        records: z.array(z.object({ offset: z.int(), key: z.string(), value: z.instanceof(Uint8Array).optional() })),
+        records: z.array(
+            z.object({ offset: z.int(), key: z.string(), value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).optional() }),
+        ),
     }),
     z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
     z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
