Share engines out by a load played in a model, and let short prompts overflow by wait

The model (src/core/relay/testing) plays both kinds on engines that read in chunks and now and then run slow.

--- /dev/null
+++ b/src/core/relay/EnginePlacer.test.ts
@@ -0,0 +1,97 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { EnginePlacer } from "./EnginePlacer.js";
+import { LoadBoard } from "./LoadBoard.js";
+import type { Placement } from "./Placement.js";
+import type { PlacementRequest } from "./PlacementRequest.js";
+import { exampleCall } from "./testing/exampleCall.js";
+import { exampleRoute } from "./testing/exampleRoute.js";
+import { exampleUpstream } from "./testing/exampleUpstream.js";
+import { playEngineLoad } from "./testing/playEngineLoad.js";
+
+const engines = Array.from(
+    { length: 8 },
+    (value, index) => exampleUpstream(`engine-${index}`, { slots: 64, availabilityZone: `z${index % 3}` }),
+);
+const longRoute = exampleRoute({ name: "long", kind: "stream", targetMs: 600 });
+const shortRoute = exampleRoute({ name: "short", kind: "stream", targetMs: 300 });
+
+function prompt(route: typeof longRoute, part: string, ownTokens: number, sharedTokens: number): PlacementRequest {
+    const parts = [{ id: part, tokens: sharedTokens }, { id: "own", tokens: ownTokens }];
+    const call = exampleCall({ prompt: { model: "m", promptTokens: ownTokens + sharedTokens, maxOutputTokens: 50, parts } });
+    return { call, route, candidates: engines, nowMs: 0 };
+}
+
+const placerOn = (board: LoadBoard) => new EnginePlacer(board, () => 0.5);
+
+test("prompts with one shared part go to one engine, on every VM", () => {
+    const [first, second] = [placerOn(new LoadBoard()), placerOn(new LoadBoard())];
+    const request = prompt(longRoute, "manual-7", 2_000, 6_000);
+    expect(first.place(request)?.upstream.id).toEqual(second.place(request)?.upstream.id ?? "none");
+    expect(first.place(request)?.reason).toEqual("cached-prefix");
+});
+
+test("long prompts and short ones go to different engines", () => {
+    const placer = placerOn(new LoadBoard());
+    const where = (route: typeof longRoute, ownTokens: number, sharedTokens: number) =>
+        new Set(
+            [...Array(50).keys()].map(index => placer.place(prompt(route, `part-${index}`, ownTokens, sharedTokens))?.upstream.id),
+        );
+    const long = where(longRoute, 2_000, 6_000);
+    const short = where(shortRoute, 600, 200);
+    expect([...short].filter(id => long.has(id))).toEqual([]);
+});
+
+test("a prompt leaves the engine that keeps its shared part when the wait there makes it late", () => {
+    const board = new LoadBoard();
+    const placer = placerOn(board);
+    const request = prompt(longRoute, "manual-7", 2_000, 6_000);
+    const home = placer.place(request) as Placement;
+    for (let index = 0; index < 8; index++) {
+        board.begin(home.upstream.id, { readMs: 120, dueMs: undefined });
+    }
+    const away = placer.place(request);
+    expect(away?.reason).toEqual("shorter-wait");
+    expect(away?.upstream.id === home.upstream.id).toEqual(false);
+});
+
+test("longer prompts are put behind shorter ones of their kind", () => {
+    const placer = placerOn(new LoadBoard());
+    const delays = [1_000, 5_000, 10_000, 30_000].map(tokens => placer.place(prompt(longRoute, "manual-7", tokens, 6_000))?.delay);
+    expect(delays).toEqual([0, 1, 2, 3]);
+});
+
+test("without engines there is no placement, and a single one takes everything", () => {
+    const placer = placerOn(new LoadBoard());
+    expect(placer.place({ ...prompt(longRoute, "a", 100, 100), candidates: [] })).toEqual(undefined);
+    const only = { candidates: engines.slice(0, 1) };
+    expect(placer.place({ ...prompt(longRoute, "a", 5_000, 100), ...only })?.upstream.id).toEqual("engine-0");
+    expect(placer.place({ ...prompt(shortRoute, "a", 50, 10), ...only })?.upstream.id).toEqual("engine-0");
+});
+
+/** Picks the less loaded of two engines at random, as a router without knowledge of prompts does. */
+function powerOfTwo(board: LoadBoard, random: () => number): (request: PlacementRequest) => Placement | undefined {
+    return ({ candidates }) => {
+        const pick = () => candidates[Math.floor(random() * candidates.length)];
+        const [left, right] = [pick(), pick()];
+        const upstream = left !== undefined && right !== undefined && board.calls(right.id) < board.calls(left.id) ? right : left;
+        return upstream && { upstream, readMs: 0, waitMs: 0, dueMs: undefined, delay: 0, reason: "least-loaded" };
+    };
+}
+
+for (const seed of [1, 2, 3]) {
+    test(`at twice the usual long prompts callers of both kinds are served better than by the less loaded of two engines, seed ${seed}`, () => {
+        const load = { seed, seconds: 20, engines: 8, vms: 7, longPerSecond: 32, shortPerSecond: 35 };
+        const ours = playEngineLoad({
+            ...load,
+            placer: (board, random) => {
+                const placer = new EnginePlacer(board, random);
+                return request => placer.place(request);
+            },
+        });
+        const baseline = playEngineLoad({ ...load, placer: powerOfTwo });
+        expect(ours.longOnTime > baseline.longOnTime).toEqual(true);
+        expect(ours.shortOnTime > baseline.shortOnTime).toEqual(true);
+        expect(ours.readTokens < baseline.readTokens).toEqual(true);
+    });
+}
--- a/src/core/relay/EnginePlacer.ts
+++ b/src/core/relay/EnginePlacer.ts
@@ -1,6 +1,5 @@
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import type { RelayUpstream } from "../../schema/relay/RelayUpstream.js";
-import { EngineGroups } from "./EngineGroups.js";
 import type { LoadBoard } from "./LoadBoard.js";
 import type { Placement } from "./Placement.js";
 import type { PlacementRequest } from "./PlacementRequest.js";
@@ -8,6 +7,7 @@
 import { rankByHash } from "./rankByHash.js";
 import { readingMs } from "./readingMs.js";
 import { RouteProfiles } from "./RouteProfiles.js";
+import { splitEngines } from "./splitEngines.js";
 
 /** Prompts that are longer on average fill more than one chunk of reading and hold up the streams beside them. */
 const longPromptTokens = 2_048;
@@ -22,10 +22,14 @@
  * prompt that takes half a second, many short ones would be late, while it is late by itself.
  */
 const sizeStepsMs = [60, 120, 240];
+/** A short prompt overflows when its first event is expected after this share of its target. */
+const overflowShare = 0.6;
+/** It goes only where it waits this much less, since long prompts there will hold up its events. */
+const overflowMs = 60;
 /** Delay that each stream on an engine causes a further one, in milliseconds. */
 const streamCostMs = 0.3;
 /** Reading a shared part again counts as this much waiting, since it also delays all that come after it. */
-const rereadWeight = 3;
+const rereadWeight = 4;
 
 /**
  * Places prompts on engines. It answers mixed loads of long prompts and many short streams: a long prompt that is read delays each
@@ -34,39 +38,39 @@
  */
 export class EnginePlacer {
     private readonly profiles = new RouteProfiles();
-    private readonly groups = new Map<string, EngineGroups>();
 
     constructor(private readonly board: LoadBoard, private readonly random: () => number) {}
 
     place(request: PlacementRequest): Placement | undefined {
-        const { call, route, candidates, nowMs } = request;
-        const service = candidates[0]?.service;
-        if (service === undefined) {
-            return undefined;
-        }
+        const { call, route, candidates } = request;
         const { ownTokens, sharedTokens } = promptSize(call);
         this.profiles.observe(route.name, ownTokens + sharedTokens);
-        const groups = this.groupsOf(service).split(candidates, id => this.board.streams(id), nowMs);
+        const groups = splitEngines(candidates);
         if ((this.profiles.meanPromptTokens(route.name) ?? 0) < longPromptTokens) {
-            return this.leastWaiting(groups.short, request);
+            return this.placeShort(groups.short, groups.long, request);
         }
         return this.placeLong(groups.long, request);
     }
 
-    private groupsOf(service: string): EngineGroups {
-        let groups = this.groups.get(service);
-        if (groups === undefined) {
-            groups = new EngineGroups();
-            this.groups.set(service, groups);
-        }
-        return groups;
-    }
-
     /** Expected time until the engine has read all prompts that wait there. One that runs late is taken to stay behind. */
     private waitMs(id: string, nowMs: number): number {
         return Math.max(0, this.board.unreadMs(id) - firstEventMs) + this.board.overdueMs(id, nowMs);
     }
 
+    /** Short prompts keep to their own engines while they are in time there. */
+    private placeShort(
+        group: readonly RelayUpstream[],
+        others: readonly RelayUpstream[],
+        request: PlacementRequest,
+    ): Placement | undefined {
+        const own = this.leastWaiting(group, request);
+        if (own === undefined || firstEventMs + own.waitMs + own.readMs <= request.route.targetMs * overflowShare) {
+            return own ?? this.leastWaiting(others, request);
+        }
+        const other = this.leastWaiting(others, request);
+        return other !== undefined && other.waitMs + overflowMs < own.waitMs ? other : own;
+    }
+
     private leastWaiting(group: readonly RelayUpstream[], request: PlacementRequest): Placement | undefined {
         let best: RelayUpstream | undefined;
         let bestCost = Infinity;
--- /dev/null
+++ b/src/core/relay/testing/exampleConfig.ts
@@ -0,0 +1,14 @@
+import type { RelayConfig } from "../../../schema/relay/RelayConfig.js";
+import { exampleRoute } from "./exampleRoute.js";
+
+/** A configuration for tests; fields that matter are given. */
+export function exampleConfig(fields: Partial<RelayConfig> = {}): RelayConfig {
+    return {
+        version: 1,
+        routes: [exampleRoute()],
+        services: [{ name: "orders", maxConnections: 100, engine: undefined }],
+        customers: [{ name: "ana", keys: ["key-1"], tier: undefined }],
+        limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        ...fields,
+    };
+}
--- /dev/null
+++ b/src/core/relay/testing/exampleUpstream.ts
@@ -0,0 +1,15 @@
+import type { RelayUpstream } from "../../../schema/relay/RelayUpstream.js";
+
+/** An upstream for tests; fields that matter are given. */
+export function exampleUpstream(id: string, fields: Partial<RelayUpstream> = {}): RelayUpstream {
+    return {
+        id,
+        service: "orders",
+        address: "127.0.0.1:1",
+        availabilityZone: "z1",
+        slots: 6,
+        isDraining: false,
+        startedWallMs: 0,
+        ...fields,
+    };
+}
--- /dev/null
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -0,0 +1,113 @@
+import { expect } from "earl";
+import { errAsync, okAsync } from "neverthrow";
+import { test } from "node:test";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import type { KeyedLog } from "../services/KeyedLog.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
+import type { LogError } from "../services/LogError.js";
+import { KeyedLogFollower } from "./KeyedLogFollower.js";
+
+const restMs = 600;
+
+function create(isReader: () => boolean) {
+    const stream: KeyedRecord[] = [];
+    const state: { failure: LogError["kind"] | undefined; reads: number; } = { failure: undefined, reads: 0 };
+    const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
+    const source: KeyedLog = {
+        newest: () => {
+            state.reads++;
+            return state.failure === "unavailable" ? fail() : okAsync({ records: [...stream], nextOffset: stream.length });
+        },
+        changes: offset => {
+            state.reads++;
+            return state.failure === undefined ? okAsync({ records: stream.slice(offset), nextOffset: stream.length }) : fail();
+        },
+    };
+    const scheduler = new VirtualScheduler();
+    const controller = new AbortController();
+    const seen: string[] = [];
+    const told: number[] = [];
+    const reached: boolean[] = [];
+    const follower = new KeyedLogFollower({
+        name: "test",
+        source,
+        scheduler,
+        waitMs: 0,
+        restMs,
+        isReader,
+        onRecords: (records, isWhole) => seen.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`)),
+        onRead: read => told.push(read.nextOffset),
+        onReach: isReached => reached.push(isReached),
+    });
+    const start = () => void follower.run(controller.signal);
+    const put = (key: string) => {
+        stream.push({ offset: stream.length, key, value: undefined });
+    };
+    return { follower, start, put, state, scheduler, seen, told, reached, stop: () => controller.abort() };
+}
+
+test("the newest records come first, then each change once, and others are told", async () => {
+    const { start, put, scheduler, seen, told, stop } = create(() => true);
+    put("a");
+    start();
+    await scheduler.advanceAsync(restMs + 1);
+    put("b");
+    await scheduler.advanceAsync(2 * restMs);
+    expect(seen).toEqual(["a!", "b"]);
+    expect(told.at(-1)).toEqual(2);
+    stop();
+});
+
+test("a VM that hears from the reader does not read, and does once it hears nothing more", async () => {
+    const { follower, start, scheduler, state, seen, stop } = create(() => false);
+    start();
+    await scheduler.advanceAsync(10);
+    const readsAtStart = state.reads;
+    for (let offset = 0; offset < 10; offset++) {
+        follower.hear("vm-1", { fromOffset: offset, records: [{ offset, key: `k${offset}`, value: undefined }], nextOffset: offset + 1 });
+        await scheduler.advanceAsync(500);
+    }
+    expect([state.reads, seen.length]).toEqual([readsAtStart, 10]);
+    await scheduler.advanceAsync(2_000);
+    expect(state.reads > readsAtStart).toEqual(true);
+    stop();
+});
+
+test("records that miss some before them are not taken; the VM reads for itself", async () => {
+    const { follower, start, put, scheduler, seen, stop } = create(() => false);
+    start();
+    await scheduler.advanceAsync(10);
+    follower.hear("vm-1", { fromOffset: 0, records: [], nextOffset: 0 });
+    ["a", "b", "c"].forEach(put);
+    follower.hear("vm-1", { fromOffset: 2, records: [{ offset: 2, key: "c", value: undefined }], nextOffset: 3 });
+    expect(seen).toEqual([]);
+    await scheduler.advanceAsync(restMs + 200);
+    expect(seen).toEqual(["a", "b", "c"]);
+    stop();
+});
+
+test("records that were forgotten are made up for by the newest", async () => {
+    const { start, put, state, scheduler, seen, stop } = create(() => true);
+    put("a");
+    start();
+    await scheduler.advanceAsync(10);
+    put("b");
+    state.failure = "forgotten";
+    await scheduler.advanceAsync(restMs + 1);
+    state.failure = undefined;
+    await scheduler.advanceAsync(2 * restMs);
+    expect(seen).toEqual(["a!", "a!", "b!"]);
+    stop();
+});
+
+test("a log that is not reached is tried again, and both turns are told", async () => {
+    const { start, put, state, scheduler, seen, reached, stop } = create(() => true);
+    state.failure = "unavailable";
+    put("a");
+    start();
+    await scheduler.advanceAsync(1_000);
+    state.failure = undefined;
+    await scheduler.advanceAsync(1_000);
+    expect([seen, reached[0], reached.at(-1)]).toEqual([["a!"], false, true]);
+    stop();
+});
--- /dev/null
+++ b/standins/store/StoreStandin.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { delay } from "../shared/delay.js";
+import { readBody } from "../shared/readBody.js";
+import { sendJson } from "../shared/sendJson.js";
+import { StandinServer } from "../shared/StandinServer.js";
+
+interface StoredRecord {
+    readonly offset: number;
+    readonly key: string;
+    readonly value: Buffer;
+}
+
+const lengthBytes = 4;
+const pollMs = 5;
+
+/**
+ * Stands in for the keyed topics of the users' store, written from their pages: append, read with waiting, and the newest record of
+ * each key. Faults: `down`, `refuse` (503), `silent`, `lose-answer` of an append.
+ */
+export class StoreStandin {
+    readonly server = new StandinServer((request, response) => this.answer(request, response));
+    private readonly topics = new Map<string, StoredRecord[]>();
+    private readonly firstOffsets = new Map<string, number>();
+
+    /** Writes a record as the operator or an upstream does; an empty value drops the key. */
+    put(topic: string, key: string, value: string): void {
+        const records = this.recordsOf(topic);
+        records.push({ offset: records.length, key, value: Buffer.from(value) });
+    }
+
+    /** Forgets all records of a topic but the newest of each key, which only `log-newest` still tells. */
+    forget(topic: string): void {
+        this.firstOffsets.set(topic, this.recordsOf(topic).length);
+    }
+
+    private recordsOf(topic: string): StoredRecord[] {
+        let records = this.topics.get(topic);
+        if (records === undefined) {
+            records = [];
+            this.topics.set(topic, records);
+        }
+        return records;
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { faults } = this.server;
+        const url = new URL(request.url ?? "/", "http://store");
+        if (faults.strike("silent") !== undefined) {
+            return;
+        }
+        if (faults.strike("refuse") !== undefined) {
+            sendJson(response, 503, {});
+            return;
+        }
+        const topic = url.searchParams.get("topic") ?? "";
+        switch (url.pathname) {
+            case "/v1/log-append":
+                await this.append(topic, request, response);
+                return;
+            case "/v1/log-newest":
+                this.sendNewest(topic, response);
+                return;
+            case "/v1/log-read":
+                await this.sendRead(topic, url.searchParams, response);
+                return;
+            default:
+                sendJson(response, 404, {});
+        }
+    }
+
+    private async append(topic: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readBody(request);
+        const keyBytes = body[lengthBytes] ?? 0;
+        const keyEnd = lengthBytes + 1 + keyBytes;
+        this.put(topic, body.toString("utf8", lengthBytes + 1, keyEnd), body.toString("utf8", keyEnd));
+        if (this.server.faults.strike("lose-answer") !== undefined) {
+            request.socket.destroy();
+            return;
+        }
+        const end = this.recordsOf(topic).length;
+        sendJson(response, 200, { offset: end - 1, end });
+    }
+
+    private sendNewest(topic: string, response: ServerResponse): void {
+        const newest = new Map(this.recordsOf(topic).map(record => [record.key, record]));
+        const items = [...newest.values()].filter(record => record.value.length > 0)
+            .map(({ key, value, offset }) => ({ key, value: value.toString("base64"), offset }));
+        sendJson(response, 200, { items, more: false, end: this.recordsOf(topic).length });
+    }
+
+    private async sendRead(topic: string, query: URLSearchParams, response: ServerResponse): Promise<void> {
+        const from = Number(query.get("from"));
+        const first = this.firstOffsets.get(topic) ?? 0;
+        if (from < first) {
+            sendJson(response, 410, { first });
+            return;
+        }
+        for (let waitedMs = 0; waitedMs < Number(query.get("wait_ms") ?? 0) && this.recordsOf(topic).length <= from; waitedMs += pollMs) {
+            await delay(pollMs);
+        }
+        const records = this.recordsOf(topic);
+        const head = Buffer.alloc(16);
+        head.writeBigUInt64BE(BigInt(records.length), 0);
+        head.writeBigUInt64BE(BigInt(first), 8);
+        response.writeHead(200, { "content-type": "application/octet-stream" });
+        response.end(Buffer.concat([head, ...records.slice(from).map(record => encode(record))]));
+    }
+}
+
+function encode({ key, value }: StoredRecord): Buffer {
+    const keyBytes = Buffer.from(key);
+    const head = Buffer.alloc(lengthBytes + 1);
+    head.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+    head.writeUInt8(keyBytes.length, lengthBytes);
+    return Buffer.concat([head, keyBytes, value]);
+}
