--- a/src/core/relay/EnginePlacer.test.ts
+++ b/src/core/relay/EnginePlacer.test.ts
@@ -9,10 +9,7 @@
 import { exampleUpstream } from "./testing/exampleUpstream.js";
 import { playEngineLoad } from "./testing/playEngineLoad.js";
 
-const engines = Array.from(
-    { length: 8 },
-    (value, index) => exampleUpstream(`engine-${index}`, { slots: 64, availabilityZone: `z${index % 3}` }),
-);
+const engines = [...Array(8).keys()].map(index => exampleUpstream(`engine-${index}`, { slots: 64, availabilityZone: `z${index % 3}` }));
 const longRoute = exampleRoute({ name: "long", kind: "stream", targetMs: 600 });
 const shortRoute = exampleRoute({ name: "short", kind: "stream", targetMs: 300 });
 
--- a/src/node/relay/RelayRun.ts
+++ b/src/node/relay/RelayRun.ts
@@ -16,6 +16,9 @@
 
 const log = createLog("relay");
 const eventStream = "text/event-stream";
+/** Why this VM gives an attempt up. */
+const timeLimit = "time limit";
+const callerGone = "caller gone";
 
 type HeldAnswer = Extract<AttemptEnd, { kind: "held"; }>["answer"];
 
@@ -51,11 +54,11 @@
         const { scheduler } = this.parts;
         const finished = new AbortController();
         const giveUp = () => {
-            this.callerGone();
+            this.stopForNobody();
         };
         this.request.gone.addEventListener("abort", giveUp, { once: true });
         scheduler.after(Math.max(0, this.limitMs - scheduler.nowMs()), () => {
-            this.attempt?.abort("time limit");
+            this.attempt?.abort(timeLimit);
         }, finished.signal);
         this.request.outgoing.on("drain", () => {
             this.attempt?.resume();
@@ -205,7 +208,7 @@
         }
         if (end.kind === "cancelled") {
             this.outcome = end.isSent ? "unknown" : this.outcome;
-            if (end.reason === "caller gone") {
+            if (end.reason === callerGone || !this.showsSilence(end.reason)) {
                 return;
             }
         }
@@ -257,7 +260,7 @@
                 if (this.request.gone.aborted) {
                     return false;
                 }
-                if (this.remainingMs() <= 0) {
+                if (end.reason === timeLimit) {
                     this.endAtLimit();
                     return false;
                 }
@@ -335,6 +338,11 @@
         return isAllowed;
     }
 
+    /** A call that reached its time limit tells something about its upstream only when nothing came for long. */
+    private showsSilence(reason: string): boolean {
+        return reason !== timeLimit || this.parts.scheduler.nowMs() - this.lastBytesMs >= relayLimits.silenceMs;
+    }
+
     private get isBegun(): boolean {
         return this.request.outgoing.headersSent;
     }
@@ -401,9 +409,9 @@
         this.outcome = "ran";
     }
 
-    private callerGone(): void {
+    private stopForNobody(): void {
         if (this.request.route.kind !== "once") {
-            this.attempt?.abort("caller gone");
+            this.attempt?.abort(callerGone);
         }
     }
 
--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -248,6 +248,22 @@
     expect(await stopped.promise).toEqual("stopped");
 });
 
+test("an upstream still at work at the time limit of a call is not avoided for it", async () => {
+    const working: Handler = (request, response) => {
+        request.resume().on("end", () => {
+            response.writeHead(200, { "call-id": "r-1", ...events });
+            response.write("id: 4\ndata: a\n\n");
+        });
+    };
+    const relay = await startRelay({ kind: "stream", maxAttempts: 1, timeoutMs: 60 }, [
+        working,
+        answering(200, "id: 4\ndata: b\n\n", events),
+    ]);
+    expect((await call(relay.port)).isComplete).toEqual(false);
+    expect((await call(relay.port)).isComplete).toEqual(false);
+    expect(relay.ends.map(end => end.upstreamId)).toEqual(["u0", "u0"]);
+});
+
 test("an upstream stops working on a repeatable call whose caller has gone", async () => {
     const stopped = Promise.withResolvers<string>();
     const arrived = Promise.withResolvers<void>();
--- a/src/node/relay/relayLimits.ts
+++ b/src/node/relay/relayLimits.ts
@@ -6,6 +6,8 @@
     repeatAfterShare: 0.45,
     /** A resumable stream that is silent this long is continued elsewhere; callers give up after two seconds. */
     streamSilenceMs: 1_000,
+    /** An upstream that sent nothing for this long until the time limit of a call has failed; shorter limits show nothing. */
+    silenceMs: 1_000,
     /** Sends that could not even connect; each costs a connect timeout. */
     maxUnreachable: 4,
     /** When to come back after a refusal for which no better time is known. */
