--- a/proof/processes/VmProcess.ts
+++ b/proof/processes/VmProcess.ts
@@ -30,13 +30,18 @@
     static async start(id: string, settingsFile: string, environment: Record<string, string>): Promise<VmProcess> {
         const child = spawn(process.execPath, ["--import", "tsx", "src/cli/main.ts", "serve", "--settings", settingsFile], {
             env: { ...process.env, ...environment },
-            stdio: ["ignore", "pipe", "inherit"],
+            stdio: ["ignore", "pipe", "pipe"],
         });
-        const exited = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
+        const complaints: string[] = [];
+        createInterface({ input: child.stderr }).on("line", line => {
+            complaints.push(line);
+            process.stderr.write(line + "\n");
+        });
+        const exited = once(child, "close").then(([code, signal]) => (code ?? signal) as number | string);
         const lines = createInterface({ input: child.stdout });
         const line = await Promise.race([once(lines, "line").then(([first]) => String(first)), exited]);
         if (typeof line !== "string" || !line.startsWith("{")) {
-            throw new Error(`VM ${id} did not start: ${line}`);
+            throw new Error(`VM ${id} did not start: ${line}; ${complaints.join("; ")}`);
         }
         const urls = JSON.parse(line) as ServeLine;
         return new VmProcess(id, urls.callerUrl, urls.operatorUrl, urls.peerUrl, child, exited);
