--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -82,7 +82,7 @@
         );
     }
     const scheduler = new SystemScheduler();
-    const connections = new UpstreamConnections({ tracksFailures: true });
+    const connections = new UpstreamConnections();
     controller.signal.addEventListener("abort", () => void connections.close());
     const placer = new PlainPlacer(board, "z1", () => 0.5);
     const probe = createServer();
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -63,7 +63,7 @@
     private readonly metrics = new Metrics();
     private readonly board = new LoadBoard();
     private readonly health = new UpstreamHealth();
-    private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs, tracksFailures: true });
+    private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs });
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly membership: GossipMembership;
     private readonly state: RelayState;
--- a/src/node/upstream/UpstreamConnections.ts
+++ b/src/node/upstream/UpstreamConnections.ts
@@ -7,31 +7,20 @@
     readonly connectTimeoutMs: number;
     /** Idle connections are closed after this long, so that few can have gone silent unnoticed. */
     readonly keepAliveMs: number;
-    /** Answers without a length are told from those that a reset cut off. */
-    readonly tracksFailures: boolean;
 }
 
-const defaultOptions: UpstreamConnectionOptions = { connectTimeoutMs: 1_000, keepAliveMs: 4_000, tracksFailures: false };
+const defaultOptions: UpstreamConnectionOptions = { connectTimeoutMs: 1_000, keepAliveMs: 4_000 };
 
 /** Connections to upstreams, one request at a time on each. Time limits are kept by the clients, which know what they wait for. */
 export class UpstreamConnections {
     private readonly agent: Agent;
 
     constructor(options: Partial<UpstreamConnectionOptions> = {}) {
-        const { connectTimeoutMs, keepAliveMs, tracksFailures } = { ...defaultOptions, ...options };
-        this.agent = tracksFailures
-            ? new Agent({
-                factory: origin =>
-                    new Pool(origin, { factory: poolOrigin => new TrackedClient(poolOrigin, { connectTimeoutMs, keepAliveMs }) }),
-            })
-            : new Agent({
-                connect: { timeout: connectTimeoutMs, keepAlive: true },
-                keepAliveTimeout: keepAliveMs,
-                keepAliveMaxTimeout: keepAliveMs,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-                pipelining: 1,
-            });
+        const { connectTimeoutMs, keepAliveMs } = { ...defaultOptions, ...options };
+        this.agent = new Agent({
+            factory: origin =>
+                new Pool(origin, { factory: poolOrigin => new TrackedClient(poolOrigin, { connectTimeoutMs, keepAliveMs }) }),
+        });
     }
 
     dispatch(options: Dispatcher.DispatchOptions, exchange: UpstreamExchange): void {
--- a/src/node/upstream/UpstreamExchange.test.ts
+++ b/src/node/upstream/UpstreamExchange.test.ts
@@ -15,7 +15,7 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const connections = new UpstreamConnections({ tracksFailures: true });
+    const connections = new UpstreamConnections();
     const end = new Promise<string>(resolve => {
         const exchange = new UpstreamExchange(() => ({
             onData: () => undefined,
