--- a/src/core/relay/splitEngines.ts
+++ b/src/core/relay/splitEngines.ts
@@ -9,6 +9,7 @@
 
 /** Share of the engines that take no long prompts; the model of a load of both kinds served most with a quarter. */
 const shortShare = 1 / 4;
+
 /**
  * Shares the engines of a service out between short prompts with many events and long prompts. All VMs put the engines in the same
  * order, so that they share them out alike without talking about it. Engines for long prompts stay the same whatever the load, as
--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -288,13 +288,21 @@
     expect(await stopped.promise).toEqual("stopped");
 });
 
-test("no route, no id and a closed VM are told as not run", async () => {
+test("a call without a route or an id is told as not run", async () => {
+    const relay = await startRelay({}, [answering(200, "fine")]);
+    for (const [headers, status] of [[{ host: "nowhere.example" }, 404], [{ "call-id": "" }, 400]] as const) {
+        const answer = await call(relay.port, headers);
+        expect([answer.status, JSON.parse(answer.body).error.outcome]).toEqual([status, "not-run"]);
+    }
+    expect(relay.ends.length).toEqual(0);
+});
+
+test("a VM that leaves still answers, and one that is closed takes no connection and resolves its drain", async () => {
     const relay = await startRelay({}, [answering(200, "fine")]);
-    expect((await call(relay.port, { host: "nowhere.example" })).status).toEqual(404);
-    expect((await call(relay.port, { "call-id": "" })).status).toEqual(400);
     relay.server.leave();
     const leaving = await call(relay.port);
     expect([leaving.status, leaving.headers.connection]).toEqual([200, "close"]);
     await relay.server.drain();
     expect(relay.server.activeCalls).toEqual(0);
+    expect(await call(relay.port).then(() => "answered", () => "refused")).toEqual("refused");
 });
