Soak the VMs of the platform as processes: signals, connections and the store fail from outside

Callers keep their connections open. The checker goes by what callers and upstreams saw, and is tested against planted faults.

--- /dev/null
+++ b/proof/soak/SoakUpstream.ts
@@ -0,0 +1,80 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { SwallowingProxy } from "../../standins/proxy/SwallowingProxy.js";
+import { delay } from "../../standins/shared/delay.js";
+import { readBody } from "../../standins/shared/readBody.js";
+import { soakEvents } from "./soakEvents.js";
+import type { SoakRun } from "./SoakRun.js";
+import { soakSeal } from "./soakSeal.js";
+
+const eventGapMs = 40;
+const workMs = 60;
+
+/** An upstream that runs what it is sent, and notes each run. Callers reach it through a proxy that can harm connections. */
+export class SoakUpstream {
+    readonly runs: SoakRun[] = [];
+    private readonly server: Server;
+    private proxyInUse: SwallowingProxy | undefined;
+    private proxyPort = 0;
+    private leavingSinceMs: number | undefined;
+
+    constructor(readonly id: string, private readonly nowMs: () => number) {
+        this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+            this.answer(request, response).catch(() => {
+                request.socket.destroy();
+            });
+        });
+    }
+
+    async start(signal: AbortSignal): Promise<void> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+        this.proxyInUse = new SwallowingProxy((this.server.address() as AddressInfo).port);
+        this.proxyPort = await this.proxyInUse.start(signal);
+        signal.addEventListener("abort", () => {
+            this.server.close();
+            this.server.closeAllConnections();
+        }, { once: true });
+    }
+
+    get proxy(): SwallowingProxy {
+        if (this.proxyInUse === undefined) {
+            throw new Error(`upstream ${this.id} has not been started`);
+        }
+        return this.proxyInUse;
+    }
+
+    /** From now on the upstream tells that it is leaving, or that it stays. */
+    setLeaving(isLeaving: boolean): void {
+        this.leavingSinceMs = isLeaving ? this.nowMs() : undefined;
+    }
+
+    /** What it writes to the list of upstreams. */
+    entry(sequence: number): string {
+        const state = this.leavingSinceMs === undefined ? "ready" : "draining";
+        return JSON.stringify({ service: "work", address: `127.0.0.1:${this.proxyPort}`, zone: "z1", slots: 64, state, sequence, born: 1 });
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const id = String(request.headers["x-attempt-id"]);
+        await readBody(request);
+        if (request.headers["x-expect-instance"] !== this.id) {
+            response.writeHead(421, { "x-attempt-id": id, "x-not-executed": "1" }).end();
+            return;
+        }
+        this.runs.push({ id, upstream: this.id, atMs: this.nowMs(), leavingSinceMs: this.leavingSinceMs });
+        const head = { "x-attempt-id": id, "x-server-seal": soakSeal(id) };
+        if (request.url?.startsWith("/stream/")) {
+            response.writeHead(200, { ...head, "content-type": "text/event-stream" });
+            for (const event of soakEvents(id, Number(request.headers["last-event-id"] ?? 0))) {
+                await delay(eventGapMs);
+                response.write(event);
+            }
+            response.end();
+            return;
+        }
+        await delay(workMs);
+        response.writeHead(200, head).end(`done ${id}`);
+    }
+}
--- /dev/null
+++ b/proof/soakProcesses.ts
@@ -0,0 +1,38 @@
+import { rmSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { checkSoak } from "./soak/checkSoak.js";
+import { planSoak } from "./soak/planSoak.js";
+import { SoakFleet } from "./soak/SoakFleet.js";
+
+const { values: options } = parseArgs({
+    options: {
+        seed: { type: "string", default: String(Date.now() % 1_000_000_000) },
+        seeds: { type: "string", default: "1" },
+        vms: { type: "string", default: "6" },
+        seconds: { type: "string", default: "10" },
+    },
+});
+const first = Number(options.seed);
+let failed = 0;
+for (let seed = first; seed < first + Number(options.seeds); seed++) {
+    const folder = `out/soak/${seed}`;
+    rmSync(folder, { recursive: true, force: true });
+    const vms = Number(options.vms);
+    const faults = planSoak(seed, { targets: vms, lengthMs: Number(options.seconds) * 1_000 });
+    const fleet = new SoakFleet({ seed, vms, upstreams: 4, folder });
+    const history = await fleet.play(faults).finally(() => fleet.end());
+    const broken = checkSoak(history);
+    const served = history.calls.filter(call => call.status === 200 && call.error === undefined).length;
+    const plan = faults.map(({ kind, atMs, target }) => `${kind}@${atMs}/${target}`).join(" ");
+    console.log(
+        `seed ${seed}: ${served} of ${history.calls.length} calls served, ${history.runs.length} runs, ${broken.length} broken; ${plan}`,
+    );
+    for (const line of broken.slice(0, 20)) {
+        console.log(`  ${line}`);
+    }
+    failed += broken.length > 0 ? 1 : 0;
+}
+console.log(
+    `${options.seeds} seeds from ${first}: ${failed} with broken promises${failed > 0 ? "; logs of their VMs are in out/soak" : ""}`,
+);
+process.exit(failed > 0 ? 1 : 0);
--- a/src/core/relay/LoadBoard.test.ts
+++ b/src/core/relay/LoadBoard.test.ts
@@ -68,3 +68,21 @@
     expect(board.takeReport()).toEqual([["e1", 2, 0, [85]]]);
     expect([board.takeReport(), board.hasUrgentNews]).toEqual([undefined, false]);
 });
+
+test("prompts count for those that are as urgent, whoever sent them", () => {
+    const board = new LoadBoard();
+    board.begin("e1", { readMs: 30, delay: 0, dueMs: undefined });
+    board.begin("e1", { readMs: 200, delay: 2, dueMs: undefined });
+    board.receive("vm-2", [["e1", 2, 0, [10, 0, 0, 300]]], false, 0);
+    expect([0, 1, 2, 3].map(delay => board.unreadMs("e1", delay))).toEqual([40, 40, 240, 540]);
+    expect(board.unreadMs("e1")).toEqual(540);
+});
+
+test("a call placed for another VM counts until that VM tells of it", () => {
+    const board = new LoadBoard();
+    board.placedFor("vm-2", "e1", { readMs: 80, delay: 1, dueMs: undefined }, 0);
+    board.placedFor("vm-2", "e1", { readMs: 20, delay: 0, dueMs: undefined }, 0);
+    expect([board.calls("e1"), board.unreadMs("e1", 0), board.unreadMs("e1")]).toEqual([2, 20, 100]);
+    board.receive("vm-2", [["e1", 1, 1, []]], false, 50);
+    expect([board.calls("e1"), board.streams("e1"), board.unreadMs("e1")]).toEqual([1, 1, 0]);
+});
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -79,3 +79,19 @@
     state.expire();
     expect([available(state), gone]).toEqual([["b"], ["a"]]);
 });
+
+test("only what other VMs may not know yet is news", () => {
+    const { state } = newState();
+    const news = (...records: KeyedRecord[]) => state.takeUpstreams(records, false).map(({ key }) => key);
+    state.takeUpstreams([record("a", "ready")], true);
+    expect(news(record("a", "ready"), record("b", "ready"))).toEqual(["b"]);
+    expect(news(record("a", "draining"), record("b", "ready"))).toEqual(["a"]);
+    expect(news(record("a", "draining"), record("b", "broken"))).toEqual(["b"]);
+    // A VM that began after the entry that cannot be read does not know the one before it.
+    expect(news(record("b", "ready"))).toEqual(["b"]);
+    expect(news(record("b", "ready"))).toEqual([]);
+    state.noteListTrouble();
+    expect(news(record("b", undefined))).toEqual(["b"]);
+    // It is kept here, but was dropped where the outage was not seen.
+    expect(news(record("b", "ready"))).toEqual(["b"]);
+});
--- a/standins/proxy/SwallowingProxy.ts
+++ b/standins/proxy/SwallowingProxy.ts
@@ -1,11 +1,16 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { delay } from "../shared/delay.js";
 
 /** A TCP proxy that can stop passing on the bytes of open connections, one way or both, while new connections still work. */
 export class SwallowingProxy {
     private readonly pairs = new Set<{ readonly client: Socket; readonly server: Socket; swallowsUp: boolean; swallowsDown: boolean; }>();
     /** Connections taken since the start. */
     acceptedCount = 0;
+    /** Bytes are passed on this much later. */
+    delayMs = 0;
     private refusesNew = false;
+    /** When the last of the delayed bytes will have been passed on to a socket. */
+    private readonly late = new WeakMap<Socket, Promise<void>>();
 
     constructor(private readonly targetPort: number) {}
 
@@ -35,6 +40,14 @@
         this.refusesNew = refuses;
     }
 
+    /** Resets every open connection. */
+    resetAll(): void {
+        for (const pair of [...this.pairs]) {
+            pair.client.resetAndDestroy();
+            pair.server.resetAndDestroy();
+        }
+    }
+
     private accept(client: Socket): void {
         if (this.refusesNew) {
             client.destroy();
@@ -44,10 +57,21 @@
         const server = connect(this.targetPort, "127.0.0.1");
         const pair = { client, server, swallowsUp: false, swallowsDown: false };
         this.pairs.add(pair);
-        client.on("data", bytes => pair.swallowsUp || server.write(bytes));
-        server.on("data", bytes => pair.swallowsDown || client.write(bytes));
+        client.on("data", bytes => {
+            this.pass(bytes, server, () => pair.swallowsUp);
+        });
+        server.on("data", bytes => {
+            this.pass(bytes, client, () => pair.swallowsDown);
+        });
         const end = () => {
             this.pairs.delete(pair);
+            if (this.delayMs > 0) {
+                setTimeout(destroyBoth, this.delayMs);
+                return;
+            }
+            destroyBoth();
+        };
+        const destroyBoth = () => {
             client.destroy();
             server.destroy();
         };
@@ -57,6 +81,29 @@
         }
     }
 
+    private pass(bytes: Buffer, to: Socket, isSwallowed: () => boolean): void {
+        if (isSwallowed()) {
+            return;
+        }
+        const isIdle = !this.late.has(to);
+        if (isIdle && this.delayMs === 0) {
+            to.write(bytes);
+            return;
+        }
+        // Bytes never overtake earlier ones, also when the delay becomes shorter.
+        const dueMs = performance.now() + this.delayMs;
+        const passed = (this.late.get(to) ?? Promise.resolve()).then(async () => {
+            await delay(Math.max(0, dueMs - performance.now()));
+            if (!to.destroyed) {
+                to.write(bytes);
+            }
+            if (this.late.get(to) === passed) {
+                this.late.delete(to);
+            }
+        });
+        this.late.set(to, passed);
+    }
+
     private closeAll(): void {
         for (const pair of this.pairs) {
             pair.client.destroy();
