--- a/proof/soak/SoakFleet.ts
+++ b/proof/soak/SoakFleet.ts
@@ -8,12 +8,14 @@
 import { SoakCaller } from "./SoakCaller.js";
 import type { SoakFault } from "./SoakFault.js";
 import type { SoakHistory } from "./SoakHistory.js";
+import type { SoakPorts } from "./SoakPorts.js";
 import { SoakUpstream } from "./SoakUpstream.js";
 import { SoakVm } from "./SoakVm.js";
 
 interface SoakFleetOptions {
     readonly seed: number;
-    readonly vms: number;
+    /** Of each VM; the next soak may use them again once this one has ended. */
+    readonly ports: readonly SoakPorts[];
     readonly upstreams: number;
     readonly folder: string;
 }
@@ -79,7 +81,7 @@
 
     private async start(): Promise<void> {
         const { signal } = this.controller;
-        const { vms, folder, seed } = this.options;
+        const { ports, folder, seed } = this.options;
         mkdirSync(folder, { recursive: true });
         const storeUrl = new URL(await this.store.server.start(signal));
         this.storeProxy = new SwallowingProxy(Number(storeUrl.port));
@@ -93,7 +95,6 @@
             clearInterval(beat);
         }, { once: true });
         this.beat();
-        const ports = await Promise.all([...Array(vms).keys()].map(() => SoakVm.takePorts()));
         const seeds = ports.slice(0, 3).map(({ peer }) => `127.0.0.1:${peer}`);
         const onOwnExit = (vm: string) => this.ownExits.push(vm);
         this.vms = ports.map((ofVm, index) => {
--- a/proof/soak/SoakVm.ts
+++ b/proof/soak/SoakVm.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { freePort } from "../processes/freePort.js";
+import type { SoakPorts } from "./SoakPorts.js";
 
 interface SoakVmOptions {
     readonly name: string;
@@ -15,13 +15,6 @@
     readonly onOwnExit: (vm: string) => void;
 }
 
-interface SoakPorts {
-    readonly caller: number;
-    readonly probe: number;
-    readonly peer: number;
-    readonly metrics: number;
-}
-
 const restartMs = 300;
 
 /** A VM of the platform as a process of its own, which is started again whenever it ends. */
@@ -33,10 +26,6 @@
 
     constructor(private readonly options: SoakVmOptions) {}
 
-    static async takePorts(): Promise<SoakPorts> {
-        return { caller: await freePort(), probe: await freePort(), peer: await freePort(), metrics: await freePort() };
-    }
-
     get name(): string {
         return this.options.name;
     }
--- a/proof/soakProcesses.ts
+++ b/proof/soakProcesses.ts
@@ -3,6 +3,7 @@
 import { checkSoak } from "./soak/checkSoak.js";
 import { planSoak } from "./soak/planSoak.js";
 import { SoakFleet } from "./soak/SoakFleet.js";
+import { takeSoakPorts } from "./soak/takeSoakPorts.js";
 
 const { values: options } = parseArgs({
     options: {
@@ -12,14 +13,15 @@
         seconds: { type: "string", default: "10" },
     },
 });
+const vms = Number(options.vms);
+const ports = await Promise.all([...Array(vms).keys()].map(() => takeSoakPorts()));
 const first = Number(options.seed);
 let failed = 0;
 for (let seed = first; seed < first + Number(options.seeds); seed++) {
     const folder = `out/soak/${seed}`;
     rmSync(folder, { recursive: true, force: true });
-    const vms = Number(options.vms);
     const faults = planSoak(seed, { targets: vms, lengthMs: Number(options.seconds) * 1_000 });
-    const fleet = new SoakFleet({ seed, vms, upstreams: 4, folder });
+    const fleet = new SoakFleet({ seed, ports, upstreams: 4, folder });
     const history = await fleet.play(faults).finally(() => fleet.end());
     const broken = checkSoak(history);
     const served = history.calls.filter(call => call.status === 200 && call.error === undefined).length;
--- a/src/node/relay/startRelayVm.ts
+++ b/src/node/relay/startRelayVm.ts
@@ -14,6 +14,11 @@
  * records of the log are larger.
  */
 const compressFromBytes = 512;
+/**
+ * Small VMs that all start at once answer a handshake late. Giving up sooner makes them dial again, which takes more time than it
+ * saves: 32 VMs on a busy machine kept dialling each other.
+ */
+const patientLinks = { handshakeTimeoutMs: 2_000, redialAfterMs: 1_000, pingAfterMs: 900, silentAfterMs: 1_400 };
 
 /** Starts one VM that relays calls; the error tells which port could not be opened. Everything is released when `signal` aborts. */
 export function startRelayVm(options: RelayVmOptions, signal: AbortSignal): ResultAsync<RelayVm, string> {
@@ -26,7 +31,7 @@
         listenPort: port,
         sharedKey: options.peerKey,
         scheduler,
-        limits: { ...defaultPeerLinkLimits, compressFromBytes },
+        limits: { ...defaultPeerLinkLimits, ...patientLinks, compressFromBytes },
     });
     const vm = new RelayVm({ ...options, scheduler, links, incarnation, peerUrl: `ws://${host}:${port}` });
     return links.start(signal).mapErr(error => error.message).andThen(() => vm.start(signal)).map(() => {
