--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -9,7 +9,7 @@
 
 const restMs = 600;
 
-function create(isReader: () => boolean) {
+function create(rank: number) {
     const stream: KeyedRecord[] = [];
     const state: { failure: LogError["kind"] | undefined; reads: number; } = { failure: undefined, reads: 0 };
     const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
@@ -34,7 +34,7 @@
         scheduler,
         waitMs: 0,
         restMs,
-        isReader,
+        rank: () => rank,
         onRecords: (records, isWhole) => {
             seen.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
             return records;
@@ -50,7 +50,7 @@
 }
 
 test("the newest records come first, then each change once, and others are told", async () => {
-    const { start, put, scheduler, seen, told, stop } = create(() => true);
+    const { start, put, scheduler, seen, told, stop } = create(0);
     put("a");
     start();
     await scheduler.advanceAsync(restMs + 1);
@@ -62,7 +62,7 @@
 });
 
 test("a VM that hears from the reader does not read, and does once it hears nothing more", async () => {
-    const { follower, start, scheduler, state, seen, stop } = create(() => false);
+    const { follower, start, scheduler, state, seen, stop } = create(9);
     start();
     await scheduler.advanceAsync(10);
     const readsAtStart = state.reads;
@@ -77,7 +77,7 @@
 });
 
 test("records that miss some before them are not taken; the VM reads for itself", async () => {
-    const { follower, start, put, scheduler, seen, stop } = create(() => false);
+    const { follower, start, put, scheduler, seen, stop } = create(9);
     start();
     await scheduler.advanceAsync(10);
     follower.hear("vm-1", { fromOffset: 0, records: [], nextOffset: 0 });
@@ -90,7 +90,7 @@
 });
 
 test("records that were forgotten are made up for by the newest", async () => {
-    const { start, put, state, scheduler, seen, stop } = create(() => true);
+    const { start, put, state, scheduler, seen, stop } = create(0);
     put("a");
     start();
     await scheduler.advanceAsync(10);
@@ -104,7 +104,7 @@
 });
 
 test("a log that is not reached is tried again, and both turns are told", async () => {
-    const { start, put, state, scheduler, seen, reached, stop } = create(() => true);
+    const { start, put, state, scheduler, seen, reached, stop } = create(0);
     state.failure = "unavailable";
     put("a");
     start();
@@ -114,3 +114,27 @@
     expect([seen, reached[0], reached.at(-1)]).toEqual([["a!"], false, true]);
     stop();
 });
+
+test("when nobody is heard the next in rank reads for all before the others read for themselves", async () => {
+    const [second, last] = [create(1), create(9)];
+    for (const { start, scheduler } of [second, last]) {
+        start();
+        await scheduler.advanceAsync(10);
+    }
+    const hear = { fromOffset: 0, records: [], nextOffset: 0 };
+    second.follower.hear("vm-1", hear);
+    last.follower.hear("vm-1", hear);
+    const [before, toldBefore] = [second.state.reads, second.told.length];
+    const lastBefore = last.state.reads;
+    for (const { scheduler } of [second, last]) {
+        await scheduler.advanceAsync(1_350);
+    }
+    expect([second.state.reads > before, second.told.length > toldBefore, last.state.reads]).toEqual([true, true, lastBefore]);
+    last.follower.hear("vm-2", hear);
+    await last.scheduler.advanceAsync(1_000);
+    expect(last.state.reads).toEqual(lastBefore);
+    await last.scheduler.advanceAsync(2_000);
+    expect([last.state.reads > lastBefore, last.told.length]).toEqual([true, 0]);
+    second.stop();
+    last.stop();
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -24,8 +24,8 @@
     readonly restMs: number;
     /** Returns the records that said something new. */
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
-    /** Whether this VM reads for others too; one that does not reads only when nothing has been heard from one that does. */
-    readonly isReader: () => boolean;
+    /** How many VMs come before this one in reading for all; 0 for the one that does. */
+    readonly rank: () => number;
     /** Hands what was read to the other VMs: `news` are the records that said something new. */
     readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, news: readonly KeyedRecord[]) => void;
     /** The platform stopped or started to answer. */
@@ -35,8 +35,13 @@
 /** After a failed read the next one waits this long, doubled up to the greatest pause. */
 const firstRetryMs = 100;
 const maxRetryMs = 800;
-/** A VM that does not read for others reads for itself when it has heard nothing for this long; within the time a change may take. */
+/**
+ * A VM reads when it has heard nothing for this long, and for each VM that comes before it a little longer, so that the next one takes
+ * over for all when the first is silent or cut off from the platform. All read for themselves within the time a change may take.
+ */
 const unheardMs = 1_100;
+const unheardPerRankMs = 100;
+const maxWaitRanks = 4;
 const checkMs = 100;
 
 /** Keeps up with a keyed stream: its newest records first, then what changes. */
@@ -54,7 +59,7 @@
     async run(signal: AbortSignal): Promise<void> {
         const { scheduler, restMs } = this.options;
         while (!signal.aborted) {
-            if (this.nextOffset !== undefined && !this.options.isReader() && scheduler.nowMs() - this.heardMs < unheardMs) {
+            if (this.nextOffset !== undefined && scheduler.nowMs() - this.heardMs < this.patienceMs) {
                 await pause(scheduler, checkMs);
                 continue;
             }
@@ -66,6 +71,12 @@
         }
     }
 
+    /** How long this VM does without hearing from another one that reads. */
+    private get patienceMs(): number {
+        const rank = this.options.rank();
+        return rank === 0 ? 0 : unheardMs + Math.min(rank, maxWaitRanks) * unheardPerRankMs;
+    }
+
     /** Takes records that another VM has read. When some are missing before them, the next read comes at once. */
     hear(from: string, { fromOffset, records, nextOffset }: KeyedRead): void {
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
@@ -120,7 +131,7 @@
         }
         this.reached();
         const news = this.take(read.value.records, read.value.nextOffset);
-        if (this.options.isReader()) {
+        if (this.options.rank() < maxWaitRanks) {
             this.options.onRead({ fromOffset: offset, nextOffset: read.value.nextOffset }, news);
         }
         return true;
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -6,7 +6,7 @@
 import { PlainPlacer } from "../../core/relay/PlainPlacer.js";
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
-import { rendezvous } from "../../core/util/rendezvous.js";
+import { rendezvousRank } from "../../core/util/rendezvousRank.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { VmList } from "../../schema/platform/VmList.js";
@@ -204,7 +204,7 @@
             scheduler: this.parts.scheduler,
             waitMs,
             restMs,
-            isReader: () => this.isReader,
+            rank: () => this.readerRank,
             onRecords: (records, isWhole) => {
                 const news = onRecords(records, isWhole);
                 this.announceReadiness();
@@ -221,10 +221,10 @@
         });
     }
 
-    /** One VM reads the platform's log for all; which one follows from who is in the view. */
-    private get isReader(): boolean {
+    /** One VM reads the platform's log for all, the next ones when it does not; their order follows from who is in the view. */
+    private get readerRank(): number {
         const ready = this.membership.members.filter(member => member.state === "ready").map(member => member.vm);
-        return ready.length === 0 || rendezvous(readerDuty, ready) === this.parts.vm;
+        return rendezvousRank(readerDuty, this.parts.vm, ready);
     }
 
     private tellAll(message: PeerMessage): void {
