--- a/proof/soak/SoakVm.ts
+++ b/proof/soak/SoakVm.ts
@@ -22,6 +22,8 @@
     private child: ChildProcess | undefined;
     private isRunning = false;
     private isSignalled = false;
+    /** The process has written something, so that its own code runs. */
+    private hasBegun = false;
     private isOver = false;
 
     constructor(private readonly options: SoakVmOptions) {}
@@ -41,14 +43,20 @@
         const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
         child.stdout.pipe(log, { end: false });
         child.stderr.pipe(log, { end: false });
+        child.stdout.once("data", () => {
+            this.hasBegun = true;
+        });
         child.once("exit", () => {
             log.end();
             this.isRunning = false;
+            // Until its own code runs, no process can keep the system from ending it at SIGHUP.
+            this.isSignalled ||= child.signalCode === "SIGHUP" && !this.hasBegun;
             this.restart();
         });
         this.child = child;
         this.isRunning = true;
         this.isSignalled = false;
+        this.hasBegun = false;
     }
 
     /** Sends a signal to the process that this VM is now. */
