Keep calls of a more urgent rank ahead whatever their size, and order calls of one customer by their route

A customer's priority replaced the route's, so that short prompts and long ones of a customer were equally urgent, and sizes shifted long prompts past the next tier. Now urgency goes by the customer's tier, then the route's, then the size, in classes of their own.

--- a/src/core/relay/RouteTable.ts
+++ b/src/core/relay/RouteTable.ts
@@ -2,10 +2,13 @@
 import type { RelayCustomer } from "../../schema/relay/RelayCustomer.js";
 import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
 import type { RelayService } from "../../schema/relay/RelayService.js";
+import { relayRank } from "./relayRank.js";
 
 /** Index of one version of the configuration: routes by host and longest path prefix, customers by key. */
 export class RouteTable {
     readonly version: number;
+    /** Ranks that streams may have, the most urgent first. */
+    readonly streamRanks: readonly number[];
     private readonly routesByHost = new Map<string, RelayRoute[]>();
     private readonly customersByKey = new Map<string, RelayCustomer>();
     private readonly servicesByName: ReadonlyMap<string, RelayService>;
@@ -26,6 +29,11 @@
                 this.customersByKey.set(key, customer);
             }
         }
+        const ranks = config.routes.filter(route => route.kind === "stream").flatMap(route => [
+            relayRank(route.tier, route.tier),
+            ...(config.customers ?? []).flatMap(({ tier }) => tier === undefined ? [] : relayRank(tier, route.tier)),
+        ]);
+        this.streamRanks = [...new Set(ranks)].sort((left, right) => left - right);
         this.servicesByName = new Map(config.services.map(service => [service.name, service]));
     }
 
--- /dev/null
+++ b/src/core/relay/relayRank.ts
@@ -0,0 +1,7 @@
+/** Most tiers that routes are told apart by within a tier of customers. */
+const maxRouteTiers = 1_000;
+
+/** Orders calls by tier, that of the customer before that of the route; of calls of one tier, by the tier of their route. 0 comes first. */
+export function relayRank(tier: number, routeTier: number): number {
+    return tier * maxRouteTiers + Math.min(routeTier, maxRouteTiers - 1);
+}
--- a/src/node/relay/RelayRun.ts
+++ b/src/node/relay/RelayRun.ts
@@ -2,6 +2,8 @@
 import { EventFramer } from "../../core/relay/EventFramer.js";
 import { pickService } from "../../core/relay/pickService.js";
 import type { Placement } from "../../core/relay/Placement.js";
+import { relayRank } from "../../core/relay/relayRank.js";
+import { urgencyOf } from "../../core/relay/urgencyOf.js";
 import type { Outcome } from "../../schema/Outcome.js";
 import { newCallSummary } from "../caller/newCallSummary.js";
 import { createLog } from "../logs/createLog.js";
@@ -123,7 +125,7 @@
                 upstreamId: upstream.id,
                 patienceMs,
                 customer: customer?.name,
-                urgency: request.tier + placement.delay,
+                urgency: urgencyOf(relayRank(request.tier, route.tier), placement.delay, request.table.streamRanks),
                 lastEventId: isContinued ? this.framer.lastEventId : call.lastEventId,
             }),
             dialect: parts.dialect,
@@ -162,6 +164,8 @@
             upstream: placement.upstream.id,
             attempt: summary.attempts,
             reason: placement.reason,
+            tier: request.tier,
+            delay: placement.delay,
             waitMs: Math.round(placement.waitMs),
             readMs: Math.round(placement.readMs),
             callsThere: parts.board.calls(placement.upstream.id),
