Hold the ports of the test of freePort until all processes have chosen

Beside load the processes started further apart than that, and a later one rightly took the range of one that had ended. Now all hold until all have chosen; the assertion is unchanged.

--- a/proof/processes/freePort.test.ts
+++ b/proof/processes/freePort.test.ts
@@ -1,19 +1,25 @@
 import { expect } from "earl";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { text } from "node:stream/consumers";
+import { createInterface } from "node:readline/promises";
 import { test } from "node:test";
 
 const script = 'import("./proof/processes/freePort.ts").then(async ({ freePort }) => { const ports = []; '
     + "for (let count = 0; count < 20; count++) { ports.push(await freePort()); } console.log(JSON.stringify(ports)); "
-    + "setTimeout(() => undefined, 500); });";
+    + "process.stdin.resume(); });";
 
 test("processes that choose ports side by side never get the same one, nor one that the system hands out", async () => {
-    const lists = await Promise.all([1, 2, 3, 4].map(async () => {
-        const child = spawn(process.execPath, ["--import", "tsx", "-e", script], { stdio: ["ignore", "pipe", "inherit"] });
-        const [output] = await Promise.all([text(child.stdout), once(child, "exit")]);
-        return JSON.parse(output) as number[];
-    }));
+    const children = [1, 2, 3, 4].map(() =>
+        spawn(process.execPath, ["--import", "tsx", "-e", script], { stdio: ["pipe", "pipe", "inherit"] })
+    );
+    const exits = children.map(child => once(child, "exit"));
+    const lines = await Promise.all(children.map(child => once(createInterface(child.stdout), "line")));
+    // Each holds its ports until all have chosen; they may start seconds apart.
+    for (const child of children) {
+        child.stdin.end();
+    }
+    await Promise.all(exits);
+    const lists = lines.map(([line]) => JSON.parse(String(line)) as number[]);
     const ports = lists.flat();
     expect(new Set(ports).size).toEqual(80);
     expect(ports.every(port => port < 32_768)).toEqual(true);
