Keep messages of the path bench's programs until they are asked for

A message that came between two waits, or while another program was waited for, was lost and waited for ever. Messages are queued now.

--- a/bench/path/BenchProgram.ts
+++ b/bench/path/BenchProgram.ts
@@ -1,6 +1,5 @@
 import { buildSync } from "esbuild";
 import { type ChildProcess, fork } from "node:child_process";
-import { once } from "node:events";
 import { fileURLToPath } from "node:url";
 import type { BenchCommand } from "./BenchCommand.js";
 import type { BenchMessage } from "./BenchMessage.js";
@@ -11,7 +10,16 @@
 
 /** A program of the benchmark, bundled as the shipped binary is, in a process of its own. */
 export class BenchProgram {
-    private constructor(private readonly child: ChildProcess) {}
+    /** Messages that came before they were asked for. */
+    private readonly messages: BenchMessage[] = [];
+    private wake: () => void = () => undefined;
+
+    private constructor(private readonly child: ChildProcess) {
+        child.on("message", message => {
+            this.messages.push(message as BenchMessage);
+            this.wake();
+        });
+    }
 
     /** Builds, once a run, and starts `bench/path/{name}.ts`. */
     static start(name: string, argument: unknown, nodeOptions: readonly string[] = []): BenchProgram {
@@ -23,8 +31,13 @@
     /** The next message of one type. */
     async next<T extends BenchMessage["type"]>(type: T): Promise<Extract<BenchMessage, { type: T; }>> {
         for (;;) {
-            const [message] = await once(this.child, "message") as [BenchMessage];
-            if (message.type === type) {
+            const message = this.messages.shift();
+            if (message === undefined) {
+                await new Promise<void>(resolve => {
+                    this.wake = resolve;
+                });
+            }
+            else if (message.type === type) {
                 return message as Extract<BenchMessage, { type: T; }>;
             }
         }
