--- a/proof/platform/platformVm.test.ts
+++ b/proof/platform/platformVm.test.ts
@@ -30,7 +30,9 @@
     tenants: [{ name: "ana", api_keys: ["key-1"] }],
 };
 
-/** An upstream that tells whose call it ran, or resets the connection once `isBroken` says so. */
+const slowMs = 700;
+
+/** An upstream that tells whose call it ran, later for ids that begin with `slow`, or resets the connection once `isBroken` says so. */
 async function startUpstream(isBroken: () => boolean): Promise<Server> {
     const upstream = createServer((incoming, outgoing) => {
         incoming.resume().on("end", () => {
@@ -38,8 +40,11 @@
                 incoming.socket.resetAndDestroy();
                 return;
             }
-            outgoing.writeHead(200, { "x-attempt-id": String(incoming.headers["x-attempt-id"]), "x-server-seal": "seal" });
-            outgoing.end(String(incoming.headers["x-tenant"]));
+            const id = String(incoming.headers["x-attempt-id"]);
+            setTimeout(() => {
+                outgoing.writeHead(200, { "x-attempt-id": id, "x-server-seal": "seal" });
+                outgoing.end(String(incoming.headers["x-tenant"]));
+            }, id.startsWith("slow") ? slowMs : 0);
         });
     }).listen(0, "127.0.0.1");
     await once(upstream, "listening");
@@ -102,9 +107,15 @@
 
     child.kill("SIGHUP");
     await log.until(line => String(line["message"]).startsWith("settings file changed"));
+    isBroken = false;
+    const slow = book("slow-1");
+    await log.until(line => line["requestId"] === "slow-1" && line["message"] === "placed");
     child.kill("SIGTERM");
     await log.until(line => line["message"] === "stopping");
+    // A second one asks for nothing more; the call in flight is still answered.
+    child.kill("SIGTERM");
     expect((await ask(ready, "/v1/ready")).status).toEqual(503);
+    expect(await slow).toEqual({ status: 200, text: "ana" });
     expect((await exited)[0]).toEqual(0);
     expect(log.lines.some(line => line["message"] === "stopped" && line["unfinishedCalls"] === 0)).toEqual(true);
 
