Let the soak tell each VM twice to stop, and take a call without any answer for lost when it was sent on

The checker passed over calls whose connection ended without the head of an answer, the likeliest way to lose one at a stop.

--- a/proof/soak/checkSoak.test.ts
+++ b/proof/soak/checkSoak.test.ts
@@ -52,6 +52,10 @@
             calls: [call({ error: "terminated", endedMs: 3_000 })],
             faults: [{ kind: "stop", atMs: 2_000, forMs: 0, target: 0 }],
         }, "lost"],
+        ["a call that a planned stop left without an answer", {
+            calls: [call({ status: 0, seal: undefined, text: "", error: "other side closed", endedMs: 3_000 })],
+            faults: [{ kind: "stop", atMs: 2_000, forMs: 0, target: 0 }],
+        }, "lost"],
         ["calls that stay unserved", { calls: [call({ status: 503 })], runs: [], calmMs: -20_000 }, "recover"],
         ["a process that ended by itself", { ownExits: ["front-0"] }, "exit"],
     ] as const
--- a/proof/soak/checkSoak.ts
+++ b/proof/soak/checkSoak.ts
@@ -74,9 +74,10 @@
         );
 }
 
-/** Calls that a VM broke off while it was being stopped, with no other fault around. */
-function checkStops({ calls, faults, vms }: SoakHistory): readonly string[] {
-    return calls.filter(call => call.error !== undefined && call.status !== 0).flatMap(call => {
+/** Calls that a VM broke off or never answered though it had sent them on, while it was being stopped, with no other fault around. */
+function checkStops({ calls, runs, faults, vms }: SoakHistory): readonly string[] {
+    const ran = new Set(runs.map(run => run.id));
+    return calls.filter(call => call.error !== undefined && (call.status !== 0 || ran.has(call.id))).flatMap(call => {
         const stop = faults.find(({ kind, atMs, target }) =>
             kind === "stop" && vms[target] === call.vm && call.endedMs >= atMs && call.askedMs <= atMs + graceMs
         );
--- a/proof/soak/planSoak.ts
+++ b/proof/soak/planSoak.ts
@@ -24,6 +24,8 @@
 /** A fault is followed by another one of its kind this often, so that signals and changes come in series. */
 const seriesShare = 0.4;
 const seriesGapMs = 400;
+/** Each VM that is to stop is told so a second time, while it still answers what is in flight. */
+const secondStopMs = 700;
 
 /** Draws the faults of one soak, in order of time: they overlap, and some come in series. */
 export function planSoak(seed: number, options: { readonly targets: number; readonly lengthMs: number; }): readonly SoakFault[] {
@@ -40,6 +42,9 @@
             target: below(options.targets),
         };
         faults.push(fault);
+        if (kind === "stop") {
+            faults.push({ ...fault, atMs: fault.atMs + secondStopMs });
+        }
         if (random() < seriesShare) {
             faults.push({ ...fault, atMs: fault.atMs + seriesGapMs, target: below(options.targets) });
         }
