--- a/proof/soak/checkSoak.test.ts
+++ b/proof/soak/checkSoak.test.ts
@@ -4,6 +4,7 @@
 import { planSoak } from "./planSoak.js";
 import type { SoakCall } from "./SoakCall.js";
 import { soakEvents } from "./soakEvents.js";
+import type { SoakFault } from "./SoakFault.js";
 import type { SoakHistory } from "./SoakHistory.js";
 import type { SoakRun } from "./SoakRun.js";
 import { soakSeal } from "./soakSeal.js";
@@ -68,7 +69,10 @@
 test("faults that were at work excuse what they cause", () => {
     const calls = [call({ error: "terminated", endedMs: 3_000 })];
     const stop = { kind: "stop", atMs: 2_000, forMs: 0, target: 0 } as const;
-    expect(broken({ calls, faults: [stop, { kind: "upstream-resets", atMs: 2_500, forMs: 0, target: 1 }] })).toEqual([]);
+    const beside = (fault: Pick<SoakFault, "kind" | "target">) => broken({ calls, faults: [stop, { ...fault, atMs: 2_500, forMs: 0 }] });
+    expect(beside({ kind: "upstream-resets", target: 1 })).toEqual([]);
+    expect(beside({ kind: "kill", target: 0 })).toEqual([]);
+    expect([beside({ kind: "kill", target: 1 }), beside({ kind: "store-resets", target: 0 })]).toEqual([["lost"], ["lost"]]);
     const runs = [run({ atMs: 9_000, leavingSinceMs: 2_000 })];
     expect(broken({ runs, faults: [{ kind: "store-silent", atMs: 3_000, forMs: 2_000, target: 0 }] })).toEqual([]);
 });
--- a/proof/soak/checkSoak.ts
+++ b/proof/soak/checkSoak.ts
@@ -74,15 +74,19 @@
         );
 }
 
-/** Calls that a VM broke off or never answered though it had sent them on, while it was being stopped, with no other fault around. */
+/**
+ * Calls that a VM broke off or never answered though it had sent them on, while it was being stopped. Only faults of upstreams, and of that VM
+ * itself, excuse it: the store and other VMs have no part in a call that was sent on.
+ */
 function checkStops({ calls, runs, faults, vms }: SoakHistory): readonly string[] {
     const ran = new Set(runs.map(run => run.id));
     return calls.filter(call => call.error !== undefined && (call.status !== 0 || ran.has(call.id))).flatMap(call => {
         const stop = faults.find(({ kind, atMs, target }) =>
             kind === "stop" && vms[target] === call.vm && call.endedMs >= atMs && call.askedMs <= atMs + graceMs
         );
-        const isPlanned = ({ kind }: SoakFault) => kind === "stop" || kind === "reload" || kind === "configure";
-        const isDisturbed = faults.some(fault => !isPlanned(fault) && overlaps(fault, call.askedMs - stableMs, call.endedMs));
+        const excuses = ({ kind, target }: SoakFault) =>
+            kind.startsWith("upstream-") || (kind === "kill" || kind === "pause") && vms[target] === call.vm;
+        const isDisturbed = faults.some(fault => excuses(fault) && overlaps(fault, call.askedMs - stableMs, call.endedMs));
         return stop === undefined || isDisturbed ? [] : [`lost: ${call.vm} broke ${call.id} off while it stopped: ${String(call.error)}`];
     });
 }
