Split what a caller is answered from how a relayed call is tried

RelayRun keeps the attempts and what they show; CallerAnswer writes the one answer, whole events or whole bodies.

--- a/src/node/relay/AttemptEnd.ts
+++ b/src/node/relay/AttemptEnd.ts
@@ -1,11 +1,4 @@
-import type { IncomingHttpHeaders } from "node:http";
-
-/** The upstream's own answer, held whole. */
-interface HeldAnswer {
-    readonly status: number;
-    readonly headers: IncomingHttpHeaders;
-    readonly body: Buffer;
-}
+import type { HeldAnswer } from "./HeldAnswer.js";
 
 /**
  * How one send to an upstream ended. `forwarded`: the answer went to the caller as it arrived, to its end; `held`: it is whole and nothing of it went
--- /dev/null
+++ b/src/node/relay/HeldAnswer.ts
@@ -0,0 +1,8 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** An upstream's own answer, held whole. */
+export interface HeldAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: Buffer;
+}
--- a/src/node/relay/RelayRun.ts
+++ b/src/node/relay/RelayRun.ts
@@ -1,5 +1,3 @@
-import type { IncomingHttpHeaders } from "node:http";
-import { EventFramer } from "../../core/relay/EventFramer.js";
 import { pickService } from "../../core/relay/pickService.js";
 import type { Placement } from "../../core/relay/Placement.js";
 import { relayRank } from "../../core/relay/relayRank.js";
@@ -7,29 +5,26 @@
 import type { Outcome } from "../../schema/Outcome.js";
 import { newCallSummary } from "../caller/newCallSummary.js";
 import { createLog } from "../logs/createLog.js";
-import { forwardedHeaders } from "../upstream/forwardedHeaders.js";
 import type { AttemptEnd } from "./AttemptEnd.js";
+import { CallerAnswer } from "./CallerAnswer.js";
+import type { HeldAnswer } from "./HeldAnswer.js";
+import { isEventStream } from "./isEventStream.js";
 import { RelayAttempt } from "./RelayAttempt.js";
 import { relayLimits } from "./relayLimits.js";
 import type { RelayParts } from "./RelayParts.js";
-import type { RelayRefusal } from "./RelayRefusal.js";
 import type { RelayRequest } from "./RelayRequest.js";
-import { sendRefusal } from "./sendRefusal.js";
 
 const log = createLog("relay");
-const eventStream = "text/event-stream";
 /** Why this VM gives an attempt up. */
 const timeLimit = "time limit";
 const callerGone = "caller gone";
 
-type HeldAnswer = Extract<AttemptEnd, { kind: "held"; }>["answer"];
-
 /** Takes one call from its arrival to the end of its answer: places it, sends it, and sends it again where that is allowed. */
 export class RelayRun {
     private readonly summary = newCallSummary();
     private readonly limitMs: number;
     private readonly tried = new Set<string>();
-    private readonly framer: EventFramer;
+    private readonly answer: CallerAnswer;
     private readonly service: string;
     private unreachable = 0;
     /** Some upstream may have run the call, or surely has. */
@@ -37,7 +32,6 @@
     private failedAnswer: HeldAnswer | undefined;
     private attempt: RelayAttempt | undefined;
     private lastBytesMs = 0;
-    private lastEventMs = 0;
     /** Of the attempt under way: where it is, and whether its first event has come. */
     private placement: Placement | undefined;
     private hasStream = false;
@@ -46,7 +40,7 @@
         const { call, route, arrivedMs } = request;
         const patienceMs = call.patienceMs === undefined ? Infinity : call.patienceMs - relayLimits.patienceMarginMs;
         this.limitMs = arrivedMs + Math.min(route.timeoutMs, patienceMs);
-        this.framer = new EventFramer(call.lastEventId);
+        this.answer = new CallerAnswer(parts, request, this.summary);
         this.service = pickService(route, call.requestId) ?? "";
         this.summary.service = this.service;
     }
@@ -116,7 +110,7 @@
         const { call, customer, incoming, body, route } = request;
         const { upstream } = placement;
         const patienceMs = Math.max(1, Math.floor(this.remainingMs()));
-        const isContinued = this.isBegun;
+        const isContinued = this.answer.isBegun;
         const attempt = new RelayAttempt({
             call,
             upstream,
@@ -126,13 +120,14 @@
                 patienceMs,
                 customer: customer?.name,
                 urgency: urgencyOf(relayRank(request.tier, route.tier), placement.delay, request.table.streamRanks),
-                lastEventId: isContinued ? this.framer.lastEventId : call.lastEventId,
+                lastEventId: isContinued ? this.answer.framer.lastEventId : call.lastEventId,
             }),
             dialect: parts.dialect,
             connections: parts.connections,
             isForwarded: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
             onHead: (status, headers) => {
-                this.beginAnswer(status, headers);
+                this.lastBytesMs = parts.scheduler.nowMs();
+                this.answer.begin(status, headers);
             },
             onBytes: bytes => this.forward(bytes),
         });
@@ -237,13 +232,13 @@
     private goesOnAfter(end: AttemptEnd, placement: Placement): boolean {
         switch (end.kind) {
             case "forwarded":
-                if (this.framer.pendingBytes === 0) {
-                    this.request.outgoing.end();
-                    this.complete();
+                if (this.answer.framer.pendingBytes === 0) {
+                    this.answer.end();
+                    this.outcome = "ran";
                     return false;
                 }
                 return this.repeatOr("broken", () => {
-                    this.cut("the stream ended inside an event");
+                    this.answer.cut("the stream ended inside an event");
                 });
             case "held":
                 return this.afterAnswer(end.answer);
@@ -276,8 +271,8 @@
     }
 
     private afterAnswer(answer: HeldAnswer): boolean {
-        if (this.isBegun) {
-            this.cut("the upstream that was to continue the stream refused to");
+        if (this.answer.isBegun) {
+            this.answer.cut("the upstream that was to continue the stream refused to");
             return false;
         }
         if (answer.status < 500) {
@@ -305,7 +300,7 @@
             this.endBroken("a further upstream refused the call");
             return false;
         }
-        this.refuse({
+        this.answer.refuse({
             status: 503,
             reason: "upstream_busy",
             outcome: "not-run",
@@ -324,7 +319,7 @@
 
     private repeatOr(reason: string, otherwise: () => void): boolean {
         if (!this.request.gone.aborted && this.remainingMs() > 0 && this.mayRepeat() && this.hasAlternative() && this.spendRetry(reason)) {
-            this.framer.dropPending();
+            this.answer.framer.dropPending();
             return true;
         }
         otherwise();
@@ -338,7 +333,7 @@
             service: this.service,
             reason,
             attempts: this.summary.attempts,
-            lastEventId: this.framer.lastEventId,
+            lastEventId: this.answer.framer.lastEventId,
         });
         return isAllowed;
     }
@@ -348,72 +343,33 @@
         return reason !== timeLimit || this.parts.scheduler.nowMs() - this.lastBytesMs >= relayLimits.silenceMs;
     }
 
-    private get isBegun(): boolean {
-        return this.request.outgoing.headersSent;
-    }
-
-    private beginAnswer(status: number, headers: IncomingHttpHeaders): void {
-        this.lastBytesMs = this.parts.scheduler.nowMs();
-        if (this.isBegun || this.request.outgoing.destroyed) {
-            return;
-        }
-        this.summary.status = status;
-        const kept = forwardedHeaders(headers);
-        if (isEventStream(headers)) {
-            delete kept["content-length"];
-        }
-        this.request.outgoing.writeHead(status, kept);
-    }
-
     private forward(bytes: Buffer): boolean {
         const nowMs = this.parts.scheduler.nowMs();
         this.lastBytesMs = nowMs;
-        if (this.request.outgoing.destroyed) {
-            return true;
-        }
-        const events = this.framer.push(bytes);
-        if (events.length === 0) {
-            return true;
-        }
-        if (this.hasStream && this.placement !== undefined) {
-            this.parts.board.pace.note(this.placement.upstream.id, nowMs - this.lastEventMs, nowMs);
-        }
-        this.noteEvents(nowMs);
-        if (!this.hasStream && this.placement !== undefined) {
-            this.hasStream = true;
-            this.parts.board.streamBegan(this.placement.upstream.id, this.placement);
+        const isTaken = this.answer.forward(bytes);
+        if (isTaken !== undefined) {
+            this.noteEvent(nowMs);
         }
-        return this.request.outgoing.write(events);
+        return isTaken ?? true;
     }
 
-    private noteEvents(nowMs: number): void {
-        const { summary } = this;
-        if (summary.firstTokenMs === undefined) {
-            summary.firstTokenMs = nowMs - this.request.arrivedMs;
-        }
-        else {
-            summary.maxTokenGapMs = Math.max(summary.maxTokenGapMs ?? 0, nowMs - this.lastEventMs);
-        }
-        this.lastEventMs = nowMs;
-    }
-
-    private deliver({ status, headers, body }: HeldAnswer): void {
-        const { outgoing, call } = this.request;
-        const kept = forwardedHeaders(headers);
-        if (call.method !== "HEAD") {
-            kept["content-length"] = String(body.length);
+    /** The first event of an attempt tells that its prompt was read, each further one how fast its upstream is. */
+    private noteEvent(nowMs: number): void {
+        if (this.placement === undefined) {
+            return;
         }
-        this.summary.status = status;
-        this.summary.firstTokenMs = this.parts.scheduler.nowMs() - this.request.arrivedMs;
-        if (!outgoing.destroyed) {
-            outgoing.writeHead(status, kept);
-            outgoing.end(body);
+        const { board } = this.parts;
+        const { id } = this.placement.upstream;
+        if (this.hasStream) {
+            board.pace.note(id, this.answer.gapMs, nowMs);
+            return;
         }
-        this.complete();
+        this.hasStream = true;
+        board.streamBegan(id, this.placement);
     }
 
-    private complete(): void {
-        this.summary.isComplete = true;
+    private deliver(held: HeldAnswer): void {
+        this.answer.deliver(held);
         this.outcome = "ran";
     }
 
@@ -424,8 +380,8 @@
     }
 
     private endAtLimit(): void {
-        if (this.isBegun) {
-            this.cut("time limit");
+        if (this.answer.isBegun) {
+            this.answer.cut("time limit");
             return;
         }
         if (this.failedAnswer !== undefined) {
@@ -433,7 +389,7 @@
             return;
         }
         const isNotRun = this.outcome === "not-run";
-        this.refuse({
+        this.answer.refuse({
             status: isNotRun ? 503 : 504,
             reason: "time_limit",
             outcome: this.outcome,
@@ -444,8 +400,8 @@
     }
 
     private endWithoutUpstream(): void {
-        if (this.isBegun) {
-            this.cut("no upstream is left to continue the stream");
+        if (this.answer.isBegun) {
+            this.answer.cut("no upstream is left to continue the stream");
             return;
         }
         if (this.failedAnswer !== undefined) {
@@ -456,7 +412,7 @@
             this.endBroken("no other upstream is left");
             return;
         }
-        this.refuse({
+        this.answer.refuse({
             status: 503,
             reason: "no_upstream",
             outcome: "not-run",
@@ -466,29 +422,15 @@
     }
 
     private endBroken(reason: string): void {
-        if (this.isBegun) {
-            this.cut(reason);
+        if (this.answer.isBegun) {
+            this.answer.cut(reason);
             return;
         }
         if (this.failedAnswer !== undefined) {
             this.deliver(this.failedAnswer);
             return;
         }
-        this.refuse({ status: 502, reason: "upstream_broken", outcome: "unknown", message: `${reason}; the call may have run` });
-    }
-
-    private refuse(refusal: RelayRefusal): void {
-        const { outgoing, call } = this.request;
-        this.summary.status = refusal.status;
-        this.summary.errorCode = refusal.reason;
-        sendRefusal(outgoing, refusal, call.requestId, this.parts.dialect);
-    }
-
-    /** Breaks an answer off in a way that does not look complete. */
-    private cut(reason: string): void {
-        this.summary.errorCode = "cut";
-        log("answer broken off", { requestId: this.request.call.requestId, reason, lastEventId: this.framer.lastEventId });
-        this.request.outgoing.destroy();
+        this.answer.refuse({ status: 502, reason: "upstream_broken", outcome: "unknown", message: `${reason}; the call may have run` });
     }
 
     private report(): void {
@@ -516,12 +458,8 @@
             firstMs: summary.firstTokenMs === undefined ? undefined : Math.round(summary.firstTokenMs),
             maxGapMs: summary.maxTokenGapMs === undefined ? undefined : Math.round(summary.maxTokenGapMs),
             totalMs: Math.round(totalMs),
-            events: this.framer.eventCount,
+            events: this.answer.framer.eventCount,
             isAbandoned,
         });
     }
 }
-
-function isEventStream(headers: IncomingHttpHeaders): boolean {
-    return String(headers["content-type"] ?? "").startsWith(eventStream);
-}
