--- a/src/core/relay/LoadBoard.ts
+++ b/src/core/relay/LoadBoard.ts
@@ -194,7 +194,12 @@
         before?.unreadMs.forEach((ms, delay) => {
             addAt(sum.unreadMs, delay, -ms);
         });
-        this.peerSums.set(id, sum);
+        if (sum.calls > 0) {
+            this.peerSums.set(id, sum);
+        }
+        else {
+            this.peerSums.delete(id);
+        }
         if (load.calls === 0) {
             peer.loads.delete(id);
         }
--- a/src/core/relay/testing/exampleLoads.ts
+++ b/src/core/relay/testing/exampleLoads.ts
@@ -11,12 +11,6 @@
 const longPrompt = { commonTokens: 2_520, subjectTokens: 3_780, ownTokens: 2_890, maxOwnTokens: 39_600 };
 const shortPrompt = { commonTokens: 119, subjectTokens: 79, ownTokens: 628, maxOwnTokens: 3_310 };
 
-const longKind = {
-    targetMs: 600,
-    timeoutMs: 5_000,
-} satisfies Partial<KindLoad>;
-const shortKind = { targetMs: 300, timeoutMs: 15_000 } satisfies Partial<KindLoad>;
-
 /** Calls a second that swing by half around `mean`, with bursts. */
 function wave(mean: number, bursts: readonly Burst[]): (nowMs: number) => number {
     return nowMs => {
@@ -28,102 +22,81 @@
 const longBursts: readonly Burst[] = [{ fromMs: 500, toMs: 9_500, factor: 2.1 }, { fromMs: 17_500, toMs: 22_000, factor: 2.2 }];
 const shortBursts: readonly Burst[] = [{ fromMs: 11_000, toMs: 16_000, factor: 2.2 }];
 
-/** A heavy day of one of the users' sites: bursts of one kind after the other, of which none is announced. */
+/** What one site has. Rates, gaps and subjects of long prompts come first, those of short ones second. */
+interface Site {
+    readonly engines: number;
+    readonly vms: number;
+    readonly engine: EngineLoad["engine"];
+    readonly perSecond: readonly [number, number];
+    readonly gapTargetMs: readonly [number, number];
+    readonly worth: readonly [number, number];
+    readonly subjects: readonly [number, number];
+    readonly outputTokens: readonly [number, number];
+}
+
+function heavyDay(site: Site): (seed: number) => EngineLoad {
+    const kind = (index: 0 | 1) => ({
+        gapTargetMs: site.gapTargetMs[index],
+        worth: site.worth[index],
+        subjects: site.subjects[index],
+    });
+    const long: KindLoad = {
+        ...kind(0),
+        targetMs: 600,
+        timeoutMs: 5_000,
+        perSecond: wave(site.perSecond[0], longBursts),
+        prompt: { ...longPrompt, outputTokens: site.outputTokens[0] },
+    };
+    const short: KindLoad = {
+        ...kind(1),
+        targetMs: 300,
+        timeoutMs: 15_000,
+        perSecond: wave(site.perSecond[1], shortBursts),
+        prompt: { ...shortPrompt, outputTokens: site.outputTokens[1] },
+    };
+    return seed => ({ seed, seconds: 33, speeds, engines: site.engines, vms: site.vms, engine: site.engine, long, short });
+}
+
+/** A heavy day of each of the users' sites: bursts of one kind after the other, of which none is announced. */
 export const exampleLoads = {
-    vatukoula: (seed: number): EngineLoad => ({
-        seed,
-        seconds: 33,
+    vatukoula: heavyDay({
         engines: 8,
         vms: 7,
-        speeds,
         engine: { slots: 64, tokensPerEvent: 4, keptTokens: 300_000 },
-        long: {
-            ...longKind,
-            perSecond: wave(18.4, longBursts),
-            gapTargetMs: 250,
-            worth: 5.9,
-            subjects: 128,
-            prompt: { ...longPrompt, outputTokens: 52 },
-        },
-        short: {
-            ...shortKind,
-            perSecond: wave(38.8, shortBursts),
-            gapTargetMs: 150,
-            worth: 1.2,
-            subjects: 609,
-            prompt: { ...shortPrompt, outputTokens: 292 },
-        },
+        perSecond: [18.4, 38.8],
+        gapTargetMs: [250, 150],
+        worth: [5.9, 1.2],
+        subjects: [128, 609],
+        outputTokens: [52, 292],
     }),
-    maderas: (seed: number): EngineLoad => ({
-        seed,
-        seconds: 33,
+    maderas: heavyDay({
         engines: 13,
         vms: 9,
-        speeds,
         engine: { slots: 48, tokensPerEvent: 5, keptTokens: 200_000 },
-        long: {
-            ...longKind,
-            perSecond: wave(25, longBursts),
-            gapTargetMs: 300,
-            worth: 5.4,
-            subjects: 174,
-            prompt: { ...longPrompt, outputTokens: 50 },
-        },
-        short: {
-            ...shortKind,
-            perSecond: wave(45, shortBursts),
-            gapTargetMs: 200,
-            worth: 1.1,
-            subjects: 609,
-            prompt: { ...shortPrompt, outputTokens: 290 },
-        },
+        perSecond: [25, 45],
+        gapTargetMs: [300, 200],
+        worth: [5.4, 1.1],
+        subjects: [174, 609],
+        outputTokens: [50, 290],
     }),
-    vatukoulaGrown: (seed: number): EngineLoad => ({
-        seed,
-        seconds: 33,
+    vatukoulaGrown: heavyDay({
         engines: 78,
         vms: 79,
-        speeds,
         engine: { slots: 12, tokensPerEvent: 7, keptTokens: 220_000 },
-        long: {
-            ...longKind,
-            perSecond: wave(180, longBursts),
-            gapTargetMs: 300,
-            worth: 3.7,
-            subjects: 1_077,
-            prompt: { ...longPrompt, outputTokens: 52 },
-        },
-        short: {
-            ...shortKind,
-            perSecond: wave(104, shortBursts),
-            gapTargetMs: 200,
-            worth: 0.77,
-            subjects: 1_814,
-            prompt: { ...shortPrompt, outputTokens: 291 },
-        },
+        perSecond: [180, 104],
+        gapTargetMs: [300, 200],
+        worth: [3.7, 0.77],
+        subjects: [1_077, 1_814],
+        outputTokens: [52, 291],
     }),
-    maderasGrown: (seed: number): EngineLoad => ({
-        seed,
-        seconds: 33,
+    maderasGrown: heavyDay({
         engines: 42,
         vms: 87,
-        speeds,
         engine: { slots: 32, tokensPerEvent: 7, keptTokens: 200_000 },
-        long: {
-            ...longKind,
-            perSecond: wave(95, longBursts),
-            gapTargetMs: 300,
-            worth: 4.8,
-            subjects: 852,
-            prompt: { ...longPrompt, outputTokens: 52 },
-        },
-        short: {
-            ...shortKind,
-            perSecond: wave(106, shortBursts),
-            gapTargetMs: 200,
-            worth: 1,
-            subjects: 1_237,
-            prompt: { ...shortPrompt, outputTokens: 291 },
-        },
+        perSecond: [95, 106],
+        gapTargetMs: [300, 200],
+        worth: [4.8, 1],
+        subjects: [852, 1_237],
+        outputTokens: [52, 291],
     }),
 };
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -41,6 +41,7 @@
  */
 const unheardMs = 1_100;
 const unheardPerRankMs = 100;
+/** VMs from this rank on all read at the same time, and only for themselves. */
 const maxWaitRanks = 4;
 const checkMs = 100;
 
--- a/src/node/relay/PlacementExchange.ts
+++ b/src/node/relay/PlacementExchange.ts
@@ -83,6 +83,7 @@
             });
             return placeHere({ ...request, nowMs });
         }
+        this.restsUntilMs.delete(placing);
         const placement = answer.value.type === "placementAnswer" ? answer.value.placement : undefined;
         const upstream = candidates.find(({ id }) => id === placement?.upstreamId);
         if (placement === undefined || upstream === undefined) {
