--- a/bench/path/BenchProgram.ts
+++ b/bench/path/BenchProgram.ts
@@ -13,25 +13,35 @@
     /** Messages that came before they were asked for. */
     private readonly messages: BenchMessage[] = [];
     private wake: () => void = () => undefined;
+    private endedBy: string | undefined;
 
-    private constructor(private readonly child: ChildProcess) {
+    private constructor(private readonly name: string, private readonly child: ChildProcess) {
         child.on("message", message => {
             this.messages.push(message as BenchMessage);
             this.wake();
         });
+        child.on("exit", (code, signal) => {
+            this.endedBy = signal ?? `code ${code}`;
+            this.wake();
+        });
+        // A command to a program that has just ended is told by its end.
+        child.on("error", () => undefined);
     }
 
     /** Builds, once a run, and starts `bench/path/{name}.ts`. */
     static start(name: string, argument: unknown, nodeOptions: readonly string[] = []): BenchProgram {
         const outfile = built.get(name) ?? build(name);
         built.set(name, outfile);
-        return new BenchProgram(fork(outfile, [JSON.stringify(argument)], { execArgv: [...nodeOptions] }));
+        return new BenchProgram(name, fork(outfile, [JSON.stringify(argument)], { execArgv: [...nodeOptions] }));
     }
 
-    /** The next message of one type. */
+    /** The next message of one type. Rejects when the program ends before it. */
     async next<T extends BenchMessage["type"]>(type: T): Promise<Extract<BenchMessage, { type: T; }>> {
         for (;;) {
             const message = this.messages.shift();
+            if (message === undefined && this.endedBy !== undefined) {
+                throw new Error(`${this.name} ended (${this.endedBy}) before it told "${type}"; run it alone to see why`);
+            }
             if (message === undefined) {
                 await new Promise<void>(resolve => {
                     this.wake = resolve;
@@ -52,7 +62,9 @@
 
     stop(): void {
         // The program exits when its channel closes.
-        this.child.disconnect();
+        if (this.child.connected) {
+            this.child.disconnect();
+        }
     }
 }
 
--- a/bench/path/loadProgram.ts
+++ b/bench/path/loadProgram.ts
@@ -97,7 +97,7 @@
     });
 }
 
-/** Resolves when every stream has received its first bytes. */
+/** Resolves when every stream has received its first bytes; a stream that ends before fails, and ends this program. */
 async function openStreams(url: string, count: number): Promise<void> {
     await Promise.all(Array.from(Array(count).keys(), () => openStream(url)));
 }
@@ -135,6 +135,7 @@
             });
             answer.on("close", () => {
                 openCount--;
+                reject(new Error(`the stream ended with status ${answer.statusCode} before its first bytes`));
             });
         });
         outgoing.on("error", reject);
