Start a VM of the users' platform in half of the processor time

Cause: a start took 0.27 s of processor time natively, of which the program's own modules a quarter: the index of undici (fetch, WebSocket, caches, mocks), all locales of zod, hono's adapter with the global fetch for a server of two paths, and the runtime's own modules, whose code cache does not fit when the runtime gets options.

--- a/bench/booking/main.ts
+++ b/bench/booking/main.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import { Bound } from "../policy/Bound.js";
 import { BookingBench } from "./BookingBench.js";
 import { ConfigBench } from "./ConfigBench.js";
--- a/bench/membership/main.ts
+++ b/bench/membership/main.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import { measureReaction } from "./measureReaction.js";
 import { measureTraffic } from "./measureTraffic.js";
 import type { TrafficFigures } from "./TrafficFigures.js";
--- a/bench/policy/Bound.ts
+++ b/bench/policy/Bound.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Limit of one figure, from the target of the issue. */
 export const Bound = z.strictObject({ atLeast: z.number().optional(), atMost: z.number().optional(), target: z.string() });
--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -1,6 +1,6 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import { Bound } from "./Bound.js";
 import { checkBounds } from "./checkBounds.js";
 import { formatTable } from "./formatTable.js";
--- a/proof/operatorDocs.test.ts
+++ b/proof/operatorDocs.test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { parse } from "yaml";
-import type { z } from "zod";
+import type * as z from "zod";
 import { ChangeFile } from "../src/cli/ChangeFile.js";
 import { commandTable } from "../src/cli/commandTable.js";
 import { ExitCode } from "../src/cli/ExitCode.js";
--- a/proof/processes/hold.test.ts
+++ b/proof/processes/hold.test.ts
@@ -4,7 +4,7 @@
 import { createInterface } from "node:readline";
 import { test } from "node:test";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const Place = z.strictObject({ id: z.string(), url: z.url() });
 const HoldLine = z.strictObject({
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -38,8 +38,11 @@
     external: ["msgpackr-extract", "bufferutil", "utf-8-validate"],
     loader: { ".css": "text" },
     define: { "import.meta.url": "undefined" },
+    ...(isForPlatform ? { alias: { undici: "./scripts/undiciParts.js" } } : {}),
     logLevel: "warning",
 });
+// Options of the runtime make it compile its own modules again at each start, a sixth of a start on the platform.
+const options = isForPlatform ? [] : runtimeOptions;
 const config = `${workFolder}/sea.json`;
 writeFileSync(
     config,
@@ -48,12 +51,12 @@
         output: blob,
         disableExperimentalSEAWarning: true,
         useCodeCache: true,
-        execArgv: runtimeOptions,
+        execArgv: options,
         ...(isForPlatform ? {} : { assets }),
     }),
 );
 // The code cache is taken only by a runtime with the options that it was made with.
-runQuietly([...runtimeOptions, "--experimental-sea-config", config]);
+runQuietly([...options, "--experimental-sea-config", config]);
 
 // A running copy of the old executable cannot be overwritten, but its name can be taken away.
 rmSync(executable, { force: true });
--- a/src/core/booking/BookingBatch.ts
+++ b/src/core/booking/BookingBatch.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { BookingRecord } from "./BookingRecord.js";
 
 /** The booking records that one VM appended together as one record of the log. */
--- a/src/core/booking/BookingRecord.ts
+++ b/src/core/booking/BookingRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array);
 
--- a/src/core/config/ConfigSnapshot.ts
+++ b/src/core/config/ConfigSnapshot.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ConfigKind } from "../../schema/config/ConfigKind.js";
 import { ConfigObject } from "../../schema/config/ConfigObject.js";
 
--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { SecretSource } from "../schema/settings/SecretSource.js";
 
 const Lengths = z.strictObject({
--- a/src/load/LoadRunHead.ts
+++ b/src/load/LoadRunHead.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { LoadPlan } from "./LoadPlan.js";
 
 /** The first line of a results file; a line for each request follows. */
--- a/src/load/LoadSample.ts
+++ b/src/load/LoadSample.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One request of a load run, a line of its results. All times count from when the request was due, not from when it was sent. */
 export const LoadSample = z.object({
--- a/src/load/readLoadRun.ts
+++ b/src/load/readLoadRun.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import type { LoadRun } from "./LoadRun.js";
 import { LoadRunHead } from "./LoadRunHead.js";
 import { LoadSample } from "./LoadSample.js";
--- a/src/node/caller/AnswerEvent.ts
+++ b/src/node/caller/AnswerEvent.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Delta = z.looseObject({
     content: z.string().nullish(),
--- a/src/node/caller/CompletionRequest.ts
+++ b/src/node/caller/CompletionRequest.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Message = z.looseObject({ role: z.string() });
 
--- a/src/node/peer/PeerConnection.ts
+++ b/src/node/peer/PeerConnection.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from "node:crypto";
 import type { RawData, WebSocket } from "ws";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import { PeerHello } from "../../schema/peer/PeerHello.js";
 import { PeerHelloAnswer } from "../../schema/peer/PeerHelloAnswer.js";
--- a/src/node/platform/log/HttpLogClient.ts
+++ b/src/node/platform/log/HttpLogClient.ts
@@ -1,7 +1,7 @@
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { Scheduler } from "../../../core/util/Scheduler.js";
 import type { LogClient } from "../../services/LogClient.js";
 import type { LogError } from "../../services/LogError.js";
--- a/src/node/relay/startProbeServer.ts
+++ b/src/node/relay/startProbeServer.ts
@@ -1,8 +1,10 @@
-import { serve } from "@hono/node-server";
-import { Hono } from "hono";
 import { ResultAsync } from "neverthrow";
+import { createServer, type ServerResponse } from "node:http";
+import { createLog } from "../logs/createLog.js";
 import type { MetricsText } from "../services/MetricsText.js";
 
+const log = createLog("probe");
+
 interface ProbeServerOptions {
     readonly host: string;
     readonly port: number;
@@ -15,20 +17,34 @@
 /** Answers whether this VM takes callers, and tells its metrics, until `signal` aborts. */
 export function startProbeServer(options: ProbeServerOptions, signal: AbortSignal): ResultAsync<void, string> {
     const { host, port, readyPath, metricsPath, isReady, metrics } = options;
-    const app = new Hono();
-    app.get(readyPath, context => isReady() ? context.text("ready\n") : context.text("not ready\n", 503));
-    app.get(metricsPath, async context => context.body(await metrics.text(), 200, { "content-type": metrics.contentType }));
+    const server = createServer((request, response) => {
+        const path = request.url?.split("?", 1)[0];
+        if (request.method !== "GET" || path !== readyPath && path !== metricsPath) {
+            answer(response, 404, "text/plain", "not found\n");
+        }
+        else if (path === readyPath) {
+            answer(response, isReady() ? 200 : 503, "text/plain", isReady() ? "ready\n" : "not ready\n");
+        }
+        else {
+            void metrics.text().then(text => {
+                answer(response, 200, metrics.contentType, text);
+            }, (error: unknown) => {
+                log("metrics are not told", { reason: String(error) });
+                answer(response, 500, "text/plain", "metrics failed; see the log\n");
+            });
+        }
+    });
     const listening = new Promise<void>((resolve, reject) => {
-        const server = serve({ fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false }, () => {
-            resolve();
-        });
         server.once("error", reject);
+        server.listen(port, host, resolve);
         signal.addEventListener("abort", () => {
             server.close();
-            if ("closeAllConnections" in server) {
-                server.closeAllConnections();
-            }
+            server.closeAllConnections();
         }, { once: true });
     });
     return ResultAsync.fromPromise(listening, error => `cannot listen for probes on ${host}:${port} (${String(error)}); free the port`);
 }
+
+function answer(response: ServerResponse, status: number, contentType: string, body: string): void {
+    response.writeHead(status, { "content-type": contentType, "content-length": Buffer.byteLength(body) }).end(body);
+}
--- a/src/node/settings/parseSettings.ts
+++ b/src/node/settings/parseSettings.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { NonEmptyList } from "purify-ts/NonEmptyList";
 import { type Document, isMap, isNode, isScalar, LineCounter, parseDocument } from "yaml";
-import type { z } from "zod";
+import type * as z from "zod";
 import { Settings } from "../../schema/settings/Settings.js";
 import type { SettingsError } from "./SettingsError.js";
 
--- a/src/schema/Outcome.ts
+++ b/src/schema/Outcome.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a caller is told about its call: `not-run` only when no upstream ran any of it. */
 export const Outcome = z.enum(["not-run", "ran", "unknown"]);
--- a/src/schema/config/ConfigChange.ts
+++ b/src/schema/config/ConfigChange.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ConfigKind } from "./ConfigKind.js";
 import { ConfigObject } from "./ConfigObject.js";
 
--- a/src/schema/config/ConfigKind.ts
+++ b/src/schema/config/ConfigKind.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Kinds of configuration object. */
 export const ConfigKind = z.enum(["serviceClass", "customer", "pool", "pathShare"]);
--- a/src/schema/config/ConfigObject.ts
+++ b/src/schema/config/ConfigObject.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Customer } from "./Customer.js";
 import { PathShare } from "./PathShare.js";
 import { Pool } from "./Pool.js";
--- a/src/schema/config/Customer.ts
+++ b/src/schema/config/Customer.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A customer: hashed keys, permitted service classes and limits over the whole fleet. */
 export const Customer = z.strictObject({
--- a/src/schema/config/ModelPlacement.ts
+++ b/src/schema/config/ModelPlacement.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Wanted state of a pool's engines: `replicas` engines serve this model version, adapter and role. */
 export const ModelPlacement = z.strictObject({
--- a/src/schema/config/PathShare.ts
+++ b/src/schema/config/PathShare.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Share of a service's traffic of one class that takes the new path. The name is `service/class`. */
 export const PathShare = z.strictObject({
--- a/src/schema/config/Pool.ts
+++ b/src/schema/config/Pool.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ModelPlacement } from "./ModelPlacement.js";
 import { Upstream } from "./Upstream.js";
 
--- a/src/schema/config/ServiceClass.ts
+++ b/src/schema/config/ServiceClass.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A service class: its priority tier, latency targets and bounds on waiting. Tier 0 is served first. */
 export const ServiceClass = z.strictObject({
--- a/src/schema/config/Upstream.ts
+++ b/src/schema/config/Upstream.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One upstream of a pool: a model engine or a plain service instance. */
 export const Upstream = z.strictObject({
--- a/src/schema/explain/DecisionEvent.ts
+++ b/src/schema/explain/DecisionEvent.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One decision of the fleet. `subject` is a request id, or the name of what the decision is about. */
 export const DecisionEvent = z.object({
--- a/src/schema/explain/ExplainQuery.ts
+++ b/src/schema/explain/ExplainQuery.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What an operator wants explained. */
 export const ExplainQuery = z.discriminatedUnion("type", [
--- a/src/schema/explain/ExplanationPart.ts
+++ b/src/schema/explain/ExplanationPart.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { DecisionEvent } from "./DecisionEvent.js";
 import { ReasonCount } from "./ReasonCount.js";
 
--- a/src/schema/orders/EngineOrder.ts
+++ b/src/schema/orders/EngineOrder.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One order to an engine: the body of `POST /orders`. */
 export const EngineOrder = z.object({
--- a/src/schema/orders/EngineReport.ts
+++ b/src/schema/orders/EngineReport.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What an engine says of itself: the answer to `GET /orders/state`. */
 export const EngineReport = z.object({
--- a/src/schema/orders/LeaseRecord.ts
+++ b/src/schema/orders/LeaseRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * One record of the `leases` stream. `previousOffset` is the last record of the duty that its writer had read, -1 for none: the record
--- a/src/schema/peer/GoneStatement.ts
+++ b/src/schema/peer/GoneStatement.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A VM has left or crashed; a record of the same incarnation with a higher version refutes it. */
 export const GoneStatement = z.object({
--- a/src/schema/peer/GrantEnd.ts
+++ b/src/schema/peer/GrantEnd.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How a grant ended, told to the dispatcher so that it frees the slot and learns from what was seen. */
 export const GrantEnd = z.object({
--- a/src/schema/peer/MemberRecord.ts
+++ b/src/schema/peer/MemberRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a VM says of itself. Of two records of one VM the newer incarnation goes first, then the higher version. */
 export const MemberRecord = z.object({
--- a/src/schema/peer/PeerHello.ts
+++ b/src/schema/peer/PeerHello.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** First frame on a connection, sent by the VM that was dialled. Nothing in it is secret. */
 export const PeerHello = z.strictObject({
--- a/src/schema/peer/PeerHelloAnswer.ts
+++ b/src/schema/peer/PeerHelloAnswer.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { PeerHello } from "./PeerHello.js";
 
 /** Second frame: the dialler introduces itself and proves that it holds the shared key. */
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ExplainQuery } from "../explain/ExplainQuery.js";
 import { ExplanationPart } from "../explain/ExplanationPart.js";
 import { PlacementReason } from "../relay/PlacementReason.js";
--- a/src/schema/peer/PeerWelcome.ts
+++ b/src/schema/peer/PeerWelcome.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Third frame: the VM that was dialled proves in turn that it holds the shared key. */
 export const PeerWelcome = z.strictObject({ proof: z.string().length(64) });
--- a/src/schema/peer/QuotaLoan.ts
+++ b/src/schema/peer/QuotaLoan.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a VM may let through for one customer until the loan ends. It replaces the VM's earlier loan. */
 export const QuotaLoan = z.object({
--- a/src/schema/peer/QuotaReport.ts
+++ b/src/schema/peer/QuotaReport.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const amounts = z.array(z.number()).max(60);
 
--- a/src/schema/peer/Ticket.ts
+++ b/src/schema/peer/Ticket.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a dispatcher knows of a waiting request; the request itself stays on the entry VM. Times are durations, as VM clocks differ. */
 export const Ticket = z.object({
--- a/src/schema/platform/VmList.ts
+++ b/src/schema/platform/VmList.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The platform's list of VMs and upstreams, which lags behind what is so. */
 export const VmList = z.object({
--- a/src/schema/platform/WeightStoreLimits.ts
+++ b/src/schema/platform/WeightStoreLimits.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What the platform's weight store allows: the answer to `GET /limits`. */
 export const WeightStoreLimits = z.object({
--- a/src/schema/relay/PlacementReason.ts
+++ b/src/schema/relay/PlacementReason.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Why a call goes where it goes. */
 export const PlacementReason = z.enum(["least-loaded", "cached-prefix", "shorter-wait", "only-one"]);
--- a/src/schema/relay/PromptHead.ts
+++ b/src/schema/relay/PromptHead.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What the head of a call says of its language-model prompt. */
 export const PromptHead = z.object({
--- a/src/schema/relay/UpstreamLoad.ts
+++ b/src/schema/relay/UpstreamLoad.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.int().min(0);
 
--- a/src/schema/report/PublishedIntervals.ts
+++ b/src/schema/report/PublishedIntervals.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ServiceLevelInterval } from "./ServiceLevelInterval.js";
 
 /** One record of the report stream. Records may land twice: an interval is known by VM, incarnation and start. */
--- a/src/schema/report/ServiceLevel.ts
+++ b/src/schema/report/ServiceLevel.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Count = z.number().min(0);
 
--- a/src/schema/report/ServiceLevelInterval.ts
+++ b/src/schema/report/ServiceLevelInterval.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ServiceLevelCell } from "./ServiceLevelCell.js";
 
 /** Counts of one span of time on one VM. */
--- a/src/schema/report/ServiceLevelReport.ts
+++ b/src/schema/report/ServiceLevelReport.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ServiceLevel } from "./ServiceLevel.js";
 
 /** What the fleet did against its classes' targets, and which VMs' counts are in it. */
--- a/src/schema/settings/BookingSettings.ts
+++ b/src/schema/settings/BookingSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Settings of keyed calls. */
 export const BookingSettings = z.strictObject({
--- a/src/schema/settings/ConfigSettings.ts
+++ b/src/schema/settings/ConfigSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Settings of the configuration streams. */
 export const ConfigSettings = z.strictObject({
--- a/src/schema/settings/ListenSettings.ts
+++ b/src/schema/settings/ListenSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { TlsSettings } from "./TlsSettings.js";
 
 /** An address to listen on; port 0 takes a free one. */
--- a/src/schema/settings/SecretSource.ts
+++ b/src/schema/settings/SecretSource.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where a secret is read from: a file, or a variable of the environment. Its value never stands in the settings. */
 export const SecretSource = z.strictObject({
--- a/src/schema/settings/Settings.ts
+++ b/src/schema/settings/Settings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { BookingSettings } from "./BookingSettings.js";
 import { ConfigSettings } from "./ConfigSettings.js";
 import { ListenSettings } from "./ListenSettings.js";
--- a/src/schema/settings/TlsSettings.ts
+++ b/src/schema/settings/TlsSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Certificate files in PEM. With `caFile`, the other side must show a certificate signed by it. */
 export const TlsSettings = z.strictObject({
--- a/standins/engine/CompletionBody.ts
+++ b/standins/engine/CompletionBody.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The parts of an OpenAI completion request that the stand-in reads, with the extension fields of our engine protocol. */
 export const CompletionBody = z.looseObject({
--- a/standins/log/LogFaults.ts
+++ b/standins/log/LogFaults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults of the log stand-in. Counters apply to the next appends and count down; the rest hold until changed. */
 export const LogFaults = z.strictObject({
--- a/standins/log/LogStandin.ts
+++ b/standins/log/LogStandin.ts
@@ -2,7 +2,7 @@
 import type { ServerType } from "@hono/node-server";
 import type { Context } from "hono";
 import { Hono } from "hono";
-import type { z } from "zod";
+import type * as z from "zod";
 import { LogFaults } from "./LogFaults.js";
 import { LogStream } from "./LogStream.js";
 
--- a/standins/shared/Fault.ts
+++ b/standins/shared/Fault.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A fault that a stand-in brings about until `durationMs` has passed, or until cleared. */
 export const Fault = z.object({
