--- a/src/core/membership/MembershipSettings.ts
+++ b/src/core/membership/MembershipSettings.ts
@@ -13,6 +13,11 @@
     readonly rememberGoneMs: number;
     /** How long a VM that is gone, and that the platform does not list, counts as possibly alive. */
     readonly possiblyAliveMs: number;
+    /**
+     * Neighbours are chosen again only this long after the last choice, unless one is gone. While a fleet starts, a choice at each VM that
+     * joins would open links that are of no use a moment later.
+     */
+    readonly settleMs: number;
     readonly syncMs: number;
     /** Heartbeats in a row with another digest before the members are compared. */
     readonly mismatchesBeforeSync: number;
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -60,6 +60,7 @@
     private listed: ReadonlySet<string> = new Set();
     private watched: ReadonlySet<string> = new Set();
     private watchedAtChanges = -1;
+    private watchedAtMs: number;
     private version = 0;
     private state: MemberRecord["state"] = "starting";
     private nowMs: number;
@@ -72,6 +73,7 @@
         this.settings = options.settings ?? defaultMembershipSettings;
         this.nowMs = nowMs;
         this.nextHeartbeatMs = nowMs;
+        this.watchedAtMs = nowMs;
         const reach = (vm: string) => {
             options.send(vm, this.bareHeartbeatTo(vm));
         };
@@ -372,6 +374,10 @@
         if (this.watchedAtChanges === this.store.changes) {
             return;
         }
+        if (this.nowMs - this.watchedAtMs < this.settings.settleMs && ![...this.watched].some(vm => this.store.get(vm)?.isGone)) {
+            return;
+        }
+        this.watchedAtMs = this.nowMs;
         this.watchedAtChanges = this.store.changes;
         const zones = this.store.vmsByZone();
         const { vm, availabilityZone } = this.options.self;
--- a/src/core/membership/defaultMembershipSettings.ts
+++ b/src/core/membership/defaultMembershipSettings.ts
@@ -10,6 +10,7 @@
     freshStatementMs: 1000,
     rememberGoneMs: 600_000,
     possiblyAliveMs: 30_000,
+    settleMs: 0,
     syncMs: 3000,
     mismatchesBeforeSync: 3,
 };
--- a/src/core/relay/LoadBoard.ts
+++ b/src/core/relay/LoadBoard.ts
@@ -35,11 +35,20 @@
     private readonly unread = new Map<string, Set<PlacedWork>>();
     private readonly changed = new Set<string>();
     private isUrgent = false;
+    private newsListener: () => void = () => undefined;
+
+    /** Calls `listener` when there is something to report, and again when that becomes urgent. */
+    onNews(listener: () => void): void {
+        this.newsListener = listener;
+    }
 
     /** A call is sent to an upstream. */
     begin(id: string, work: PlacedWork): void {
         this.change(id, 1, 0, work, work.readMs);
-        this.isUrgent ||= work.readMs >= urgentReadMs;
+        if (work.readMs >= urgentReadMs && !this.isUrgent) {
+            this.isUrgent = true;
+            this.newsListener();
+        }
         if (work.dueMs !== undefined) {
             this.unreadOf(id).add(work);
         }
@@ -108,7 +117,7 @@
     wholeReport(): UpstreamLoad[] {
         this.changed.clear();
         this.isUrgent = false;
-        return [...this.own.keys()].map(id => this.entryOf(id));
+        return [...this.own].filter(([, load]) => load.calls > 0).map(([id]) => this.entryOf(id));
     }
 
     /** Another VM told its loads: all of them, or what has changed. */
@@ -166,7 +175,11 @@
         if (load.calls === 0) {
             load.unreadMs.length = 0;
         }
+        const hadNews = this.hasNews;
         this.changed.add(id);
+        if (!hadNews) {
+            this.newsListener();
+        }
     }
 
     private unreadOf(id: string): Set<PlacedWork> {
--- a/src/core/relay/placingVm.ts
+++ b/src/core/relay/placingVm.ts
@@ -7,6 +7,9 @@
  */
 const maxMeshVms = 24;
 
+/** What was chosen in a view; a view is a new array whenever it changes. */
+const chosen = new WeakMap<readonly Member[], Map<string, string | undefined>>();
+
 /**
  * The VM that places the calls of a service for all others, in a fleet that is too large for each VM to know the loads of all; undefined
  * in a small fleet, and while no VM is ready. It follows from the view alone, so that a VM that goes is replaced at once.
@@ -15,5 +18,15 @@
     if (members.length <= maxMeshVms) {
         return undefined;
     }
-    return rendezvous(`placing ${service}`, members.filter(member => member.state === "ready").map(member => member.vm));
+    let byService = chosen.get(members);
+    if (byService === undefined) {
+        byService = new Map();
+        chosen.set(members, byService);
+    }
+    let vm = byService.get(service);
+    if (vm === undefined) {
+        vm = rendezvous(`placing ${service}`, members.filter(member => member.state === "ready").map(member => member.vm));
+        byService.set(service, vm);
+    }
+    return vm;
 }
--- a/src/node/logs/createLineWriter.ts
+++ b/src/node/logs/createLineWriter.ts
@@ -8,7 +8,7 @@
 }
 
 /** Lines wait for each other this long, so that many leave in one call of the system. */
-const gatherMs = 100;
+const gatherMs = 250;
 /** Lines beyond this are dropped and counted, as whoever reads them does not keep up. */
 const maxWaitingBytes = 512 * 1024;
 
--- a/src/node/membership/GossipMembership.test.ts
+++ b/src/node/membership/GossipMembership.test.ts
@@ -3,6 +3,7 @@
 import { until } from "../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import { defaultPeerLinkLimits } from "../peer/defaultPeerLinkLimits.js";
 import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import { SystemScheduler } from "../timers/SystemScheduler.js";
@@ -89,3 +90,34 @@
     }
     expect([...views].filter(view => view !== all)).toEqual([]);
 });
+
+test("a VM that is alone dials one address at a time, whatever its name", () => {
+    const seeds = ["ws://a:1", "ws://b:1", "ws://c:1"];
+    const firstDialled = new Set<string>();
+    for (let index = 0; index < 40; index++) {
+        const dialled: string[] = [];
+        const links = {
+            send: () => false,
+            onMessage: () => undefined,
+            setAddress: () => undefined,
+            onLink: () => undefined,
+            greet: (url: string) => dialled.push(url),
+            request: () => {
+                throw new Error("not used");
+            },
+        };
+        const self = {
+            vm: `front-mvd-a-${index}`,
+            incarnation: "1",
+            availabilityZone: "mvd-a",
+            region: "montevideo",
+            peerUrl: "ws://self:1",
+        };
+        const scheduler = new VirtualScheduler();
+        new GossipMembership({ self, seeds, links, scheduler, greetedAtOnce: 1 }).start(stop.signal);
+        firstDialled.add(dialled.join());
+        scheduler.advance(2_500);
+        expect([...dialled].sort()).toEqual(seeds);
+    }
+    expect([...firstDialled].sort()).toEqual(seeds);
+});
--- a/src/node/membership/GossipMembership.ts
+++ b/src/node/membership/GossipMembership.ts
@@ -2,6 +2,7 @@
 import type { Member } from "../../core/membership/Member.js";
 import type { MembershipSettings } from "../../core/membership/MembershipSettings.js";
 import { MembershipTable } from "../../core/membership/MembershipTable.js";
+import { fnv1a } from "../../core/util/fnv1a.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { VmList } from "../../schema/platform/VmList.js";
 import { createLog } from "../logs/createLog.js";
@@ -22,6 +23,8 @@
     /** VMs of the platform's list as last read; empty when it never was. */
     readonly listedVms?: () => VmList["vms"];
     readonly settings?: MembershipSettings;
+    /** How many addresses a VM that is alone dials at once; by default all. */
+    readonly greetedAtOnce?: number;
 }
 
 /** Keeps the membership table going over peer links, and looks for VMs that are not in the view. */
@@ -30,10 +33,12 @@
     private readonly settings: MembershipSettings;
     private readonly listeners = new Set<(members: readonly Member[]) => void>();
     private publishedChanges = 0;
-    private rotation = 0;
+    /** VMs begin with different addresses, so that a fleet that starts does not dial the same seed. */
+    private rotation: number;
 
     constructor(private readonly options: GossipMembershipOptions) {
         this.settings = options.settings ?? defaultMembershipSettings;
+        this.rotation = fnv1a(options.self.vm) >>> 0;
         this.table = new MembershipTable({
             self: options.self,
             send: (vm, message) => options.links.send(vm, message),
@@ -118,7 +123,8 @@
             ...this.table.lostVms.map(vm => addresses.get(vm) ?? ""),
         ]);
         const missing = [...candidates].filter(url => url !== "" && !memberUrls.has(url));
-        const greetCount = this.table.members.length === 1 ? missing.length : Math.min(1, missing.length);
+        const mostAtOnce = this.table.members.length === 1 ? this.options.greetedAtOnce ?? missing.length : 1;
+        const greetCount = Math.min(mostAtOnce, missing.length);
         for (let index = 0; index < greetCount; index++) {
             this.options.links.greet(missing[this.rotation++ % missing.length] as string);
         }
--- a/src/node/peer/PeerLinkLimits.ts
+++ b/src/node/peer/PeerLinkLimits.ts
@@ -9,6 +9,8 @@
     /** Most connections that have not proved themselves yet. */
     readonly maxUnprovenConnections: number;
     readonly handshakeTimeoutMs: number;
+    /** How often connections are looked at. */
+    readonly checkPeriodMs: number;
     /** A connection on which nothing was heard for this long is pinged. */
     readonly pingAfterMs: number;
     /** A connection on which nothing was heard for this long is replaced by a new one beside it. */
--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -22,9 +22,8 @@
 
 const log = createLog("peer");
 
-const checkPeriodMs = 100;
-/** A check that comes later than this means that this process itself was paused. */
-const ownPauseMs = 400;
+/** A check that comes later than after this many periods means that this process itself was paused. */
+const pausedPeriods = 4;
 /** A connection that was replaced stays readable this long, for what was sent on it before. */
 const lingerMs = 1000;
 const maxWaitingFrames = 256;
@@ -70,7 +69,7 @@
     start(signal: AbortSignal): ResultAsync<number, PeerListenError> {
         this.signal = signal;
         this.lastCheckMs = this.options.scheduler.nowMs();
-        this.options.scheduler.every(checkPeriodMs, () => {
+        this.options.scheduler.every(this.limits.checkPeriodMs, () => {
             this.check();
         }, signal);
         signal.addEventListener("abort", () => {
@@ -365,7 +364,7 @@
         this.lastCheckMs = nowMs;
         for (const [vm, state] of this.peers) {
             for (const connection of [...state.connections]) {
-                if (pausedMs > ownPauseMs) {
+                if (pausedMs > pausedPeriods * this.limits.checkPeriodMs) {
                     connection.lastHeardMs += pausedMs;
                 }
                 this.checkConnection(vm, state, connection, nowMs);
--- a/src/node/peer/defaultPeerLinkLimits.ts
+++ b/src/node/peer/defaultPeerLinkLimits.ts
@@ -7,6 +7,7 @@
     compressFromBytes: 0,
     maxUnprovenConnections: 64,
     handshakeTimeoutMs: 600,
+    checkPeriodMs: 100,
     pingAfterMs: 600,
     silentAfterMs: 900,
     closeAfterMs: 5000,
--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -34,6 +34,7 @@
         scheduler,
         waitMs: 0,
         restMs,
+        settleMs: 0,
         rank: () => rank,
         onRecords: (records, isWhole) => {
             seen.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
@@ -76,6 +77,17 @@
     stop();
 });
 
+test("a VM that has just read the newest records waits for the reader before it reads for others", async () => {
+    const { start, put, scheduler, state, told, stop } = create(1);
+    put("a");
+    start();
+    await scheduler.advanceAsync(1_000);
+    expect([state.reads, told]).toEqual([1, []]);
+    await scheduler.advanceAsync(1_000);
+    expect(told.length > 0).toEqual(true);
+    stop();
+});
+
 test("records that miss some before them are not taken; the VM reads for itself", async () => {
     const { follower, start, put, scheduler, seen, stop } = create(9);
     start();
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -22,6 +22,11 @@
     readonly waitMs: number;
     /** Time between the end of one read and the next. */
     readonly restMs: number;
+    /**
+     * After its first read a VM goes without changes for this long, unless another one reads for it: VMs that start together would all take
+     * themselves for the one that reads for all.
+     */
+    readonly settleMs: number;
     /** Returns the records that said something new. */
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
     /** How many VMs come before this one in reading for all; 0 for the one that does. */
@@ -43,7 +48,8 @@
 const unheardPerRankMs = 100;
 /** VMs from this rank on all read at the same time, and only for themselves. */
 const maxWaitRanks = 4;
-const checkMs = 100;
+/** A VM that waits to hear from the reader looks this often whether it has become the reader itself, at times that are multiples of it. */
+const checkMs = 200;
 
 /** Keeps up with a keyed stream: its newest records first, then what changes. */
 export class KeyedLogFollower {
@@ -52,6 +58,8 @@
     private isReached: boolean | undefined;
     private failures = 0;
     private heardMs = -Infinity;
+    private settledMs = -Infinity;
+    private hasRead = false;
     private reader: string | undefined;
 
     constructor(private readonly options: KeyedLogFollowerOptions) {}
@@ -60,8 +68,10 @@
     async run(signal: AbortSignal): Promise<void> {
         const { scheduler, restMs } = this.options;
         while (!signal.aborted) {
-            if (this.nextOffset !== undefined && scheduler.nowMs() - this.heardMs < this.patienceMs) {
-                await pause(scheduler, checkMs);
+            const nowMs = scheduler.nowMs();
+            const quietMs = Math.max(this.heardMs, this.settledMs) + this.patienceMs - nowMs;
+            if (this.nextOffset !== undefined && quietMs > 0) {
+                await pause(scheduler, Math.min(checkMs - nowMs % checkMs, quietMs));
                 continue;
             }
             const isDone = this.nextOffset === undefined ? await this.readNewest(signal) : await this.readChanges(this.nextOffset, signal);
@@ -82,6 +92,7 @@
     hear(from: string, { fromOffset, records, nextOffset }: KeyedRead): void {
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
             this.heardMs = -Infinity;
+            this.settledMs = -Infinity;
             return;
         }
         if (from !== this.reader) {
@@ -111,6 +122,11 @@
         }
         this.reached();
         this.nextOffset = read.value.nextOffset;
+        this.heardMs = this.options.scheduler.nowMs();
+        if (!this.hasRead) {
+            this.hasRead = true;
+            this.settledMs = this.heardMs + this.options.settleMs;
+        }
         this.options.onRecords(read.value.records, true);
         return true;
     }
--- /dev/null
+++ b/src/node/relay/LoadExchange.test.ts
@@ -0,0 +1,91 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import type { Member } from "../../core/membership/Member.js";
+import { LoadBoard } from "../../core/relay/LoadBoard.js";
+import type { PlacedWork } from "../../core/relay/PlacedWork.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
+import { LoadExchange } from "./LoadExchange.js";
+
+const shortWork: PlacedWork = { readMs: 1, dueMs: undefined, delay: 0 };
+const longWork: PlacedWork = { readMs: 90, dueMs: undefined, delay: 1 };
+
+function create(vms: number) {
+    const scheduler = new VirtualScheduler();
+    const controller = new AbortController();
+    const board = new LoadBoard();
+    const sent: { readonly to: string; readonly atMs: number; readonly isWhole: boolean; readonly calls: number; }[] = [];
+    const members = [...Array(vms).keys()].map((index): Member => ({
+        vm: `vm-${index}`,
+        incarnation: "1",
+        availabilityZone: "nadi",
+        region: "fiji-west",
+        peerUrl: "ws://127.0.0.1:1",
+        state: "ready",
+        configOffset: 1,
+    }));
+    new LoadExchange({
+        vm: "vm-0",
+        board,
+        scheduler,
+        links: {
+            send: (to: string, message: PeerMessage) => {
+                if (message.type === "loadReport") {
+                    const calls = message.loads.reduce((sum, load) => sum + load[1], 0);
+                    sent.push({ to, atMs: scheduler.nowMs(), isWhole: message.isWhole, calls });
+                }
+                return true;
+            },
+            onMessage: () => undefined,
+            request: () => {
+                throw new Error("not used");
+            },
+        },
+        membership: { members, onChange: () => undefined },
+        services: () => ["model"],
+    }).start(controller.signal);
+    return { scheduler, board, sent };
+}
+
+test("a VM that never had a call tells nobody, and one whose calls have ended tells so and falls silent", async () => {
+    const { scheduler, board, sent } = create(3);
+    await scheduler.advanceAsync(5_000);
+    expect(sent).toEqual([]);
+
+    board.begin("engine-1", shortWork);
+    board.end("engine-1", shortWork, false);
+    await scheduler.advanceAsync(3_000);
+    expect(sent.filter(({ to }) => to === "vm-1").map(({ calls }) => calls)).toEqual([0]);
+    const count = sent.length;
+    await scheduler.advanceAsync(5_000);
+    expect(sent.length).toEqual(count);
+});
+
+test("calls in flight are told whole each second, for VMs that missed a report", async () => {
+    const { scheduler, board, sent } = create(3);
+    board.begin("engine-1", shortWork);
+    await scheduler.advanceAsync(3_500);
+    const whole = sent.filter(({ to, isWhole }) => to === "vm-2" && isWhole);
+    expect(whole.map(({ calls }) => calls)).toEqual([1, 1, 1]);
+});
+
+test("a long prompt is told within 25 ms of the last report, short ones within 100", async () => {
+    const { scheduler, board, sent } = create(2);
+    board.begin("engine-1", shortWork);
+    await scheduler.advanceAsync(5);
+    board.begin("engine-1", shortWork);
+    await scheduler.advanceAsync(5);
+    board.begin("engine-2", longWork);
+    await scheduler.advanceAsync(80);
+    expect(sent.map(({ atMs, calls }) => [atMs, calls])).toEqual([[0, 1], [25, 3]]);
+    board.begin("engine-1", shortWork);
+    await scheduler.advanceAsync(100);
+    expect(sent.map(({ atMs }) => atMs)).toEqual([0, 25, 125]);
+});
+
+test("in a large fleet only the VM that places hears of it", async () => {
+    const { scheduler, board, sent } = create(40);
+    board.begin("engine-1", longWork);
+    await scheduler.advanceAsync(200);
+    expect(new Set(sent.map(({ to }) => to)).size <= 1).toEqual(true);
+});
--- a/src/node/relay/LoadExchange.ts
+++ b/src/node/relay/LoadExchange.ts
@@ -1,6 +1,7 @@
 import type { LoadBoard } from "../../core/relay/LoadBoard.js";
 import { placingVm } from "../../core/relay/placingVm.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { UpstreamLoad } from "../../schema/relay/UpstreamLoad.js";
 import type { MembershipService } from "../services/MembershipService.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
 
@@ -22,47 +23,67 @@
 const toPlacingVmMs = 150;
 const wholeReportMs = 1_000;
 
-/** Tells the other VMs what this one has in flight on upstreams, and takes in what they tell. */
+/** Tells the other VMs what this one has in flight on upstreams, and takes in what they tell. A VM with nothing in flight is silent. */
 export class LoadExchange {
     private lastReportMs = -Infinity;
-    private lastWholeMs = -Infinity;
+    /** When the next report is due that was planned; undefined when there is none. */
+    private plannedMs: number | undefined;
+    private wasEmpty = true;
 
     constructor(private readonly options: LoadExchangeOptions) {}
 
     start(signal: AbortSignal): void {
-        const { links, board, scheduler } = this.options;
+        const { links, board, membership, scheduler } = this.options;
         links.onMessage("loadReport", (from, message) => {
             board.receive(from, message.loads, message.isWhole, scheduler.nowMs());
             return undefined;
         }, signal);
-        scheduler.every(urgentPeriodMs, () => {
-            this.tick();
+        board.onNews(() => {
+            this.plan(signal);
+        });
+        scheduler.every(wholeReportMs, () => {
+            board.forget(scheduler.nowMs(), vm => !membership.members.some(member => member.vm === vm));
+            this.reportAll();
         }, signal);
     }
 
-    private tick(): void {
-        const { board, scheduler, membership, links } = this.options;
+    private plan(signal: AbortSignal): void {
+        const { board, scheduler } = this.options;
         const nowMs = scheduler.nowMs();
-        const isWhole = nowMs - this.lastWholeMs >= wholeReportMs;
-        if (!isWhole && !board.hasNews) {
+        const periodMs = this.placingVms() !== undefined ? toPlacingVmMs : board.hasUrgentNews ? urgentPeriodMs : usualPeriodMs;
+        const dueMs = Math.max(nowMs, this.lastReportMs + periodMs);
+        if (this.plannedMs !== undefined && this.plannedMs <= dueMs) {
             return;
         }
-        const placing = this.placingVms();
-        const periodMs = placing !== undefined ? toPlacingVmMs : board.hasUrgentNews ? urgentPeriodMs : usualPeriodMs;
-        if (nowMs - this.lastReportMs < periodMs) {
-            return;
-        }
-        const loads = isWhole ? board.wholeReport() : board.takeReport();
-        if (isWhole) {
-            board.forget(nowMs, vm => !membership.members.some(member => member.vm === vm));
-            this.lastWholeMs = nowMs;
+        this.plannedMs = dueMs;
+        scheduler.after(dueMs - nowMs, () => {
+            if (this.plannedMs === dueMs) {
+                this.plannedMs = undefined;
+                this.reportChanges();
+            }
+        }, signal);
+    }
+
+    private reportChanges(): void {
+        const loads = this.options.board.takeReport();
+        if (loads !== undefined) {
+            this.tell(loads, false);
         }
-        if (loads === undefined || loads.length === 0 && !isWhole) {
-            return;
+    }
+
+    private reportAll(): void {
+        const loads = this.options.board.wholeReport();
+        if (loads.length > 0 || !this.wasEmpty) {
+            this.tell(loads, true);
         }
-        this.lastReportMs = nowMs;
-        for (const vm of placing ?? membership.members.map(member => member.vm)) {
-            if (vm !== this.options.vm) {
+        this.wasEmpty = loads.length === 0;
+    }
+
+    private tell(loads: UpstreamLoad[], isWhole: boolean): void {
+        const { links, membership, scheduler, vm: self } = this.options;
+        this.lastReportMs = scheduler.nowMs();
+        for (const vm of this.placingVms() ?? membership.members.map(member => member.vm)) {
+            if (vm !== self) {
                 links.send(vm, { type: "loadReport", isWhole, loads });
             }
         }
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -1,4 +1,5 @@
 import { ResultAsync } from "neverthrow";
+import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
 import { EnginePlacer } from "../../core/relay/EnginePlacer.js";
 import { LoadBoard } from "../../core/relay/LoadBoard.js";
 import type { Placement } from "../../core/relay/Placement.js";
@@ -39,6 +40,21 @@
 const configWaitMs = 500;
 /** Upstreams write to the list all the time; a change of one is to be known within two seconds. */
 const upstreamsRestMs = 600;
+/** A VM that starts goes this long without changes that no other VM tells it; less than the three seconds in which it need not keep up. */
+const followSettleMs = 1_500;
+/**
+ * Membership picks the VMs that read and place for others. Both duties also pass on when a VM falls silent, so that it may take its time: each
+ * heartbeat and tick wakes a small VM up. Neighbours are chosen again at most once a second, as all VMs of a fleet may start at once.
+ */
+const membershipPace = {
+    tickMs: 200,
+    heartbeatMs: 800,
+    suspectAfterMs: 1_600,
+    goneAfterMs: 2_600,
+    probeMs: 400,
+    freshStatementMs: 2_000,
+    settleMs: 1_000,
+};
 const expirePeriodMs = 200;
 /** How long a VM that stops still takes calls: the platform stops sending callers after two probes, a second apart. */
 const leaveMs = 2_800;
@@ -83,6 +99,8 @@
             links,
             scheduler,
             listedVms: () => this.listedVms,
+            settings: { ...defaultMembershipSettings, ...membershipPace },
+            greetedAtOnce: 1,
         });
         this.state = new RelayState({
             config: parts.config,
@@ -204,6 +222,7 @@
             scheduler: this.parts.scheduler,
             waitMs,
             restMs,
+            settleMs: followSettleMs,
             rank: () => this.readerRank,
             onRecords: (records, isWhole) => {
                 const news = onRecords(records, isWhole);
@@ -239,13 +258,16 @@
     private startRegistry(signal: AbortSignal): void {
         const { registry, vm, availabilityZone, peerUrl, scheduler } = this.parts;
         let isAnnounced = false;
+        const announce = async () => {
+            const announced = await registry.announce({ vm, availabilityZone, peerUrl, leaving: false }, signal);
+            isAnnounced = announced.isOk();
+            if (announced.isErr()) {
+                log("address is not in the registry yet", { reason: announced.error.message });
+            }
+        };
         const check = async () => {
             if (!isAnnounced) {
-                const announced = await registry.announce({ vm, availabilityZone, peerUrl, leaving: false }, signal);
-                isAnnounced = announced.isOk();
-                if (announced.isErr()) {
-                    log("address is not in the registry yet", { reason: announced.error.message });
-                }
+                await announce();
             }
             if (this.membership.members.length === 1) {
                 const listed = await registry.list(signal);
@@ -256,7 +278,7 @@
                 });
             }
         };
-        scheduler.after(aloneCheckMs / 10, () => void check(), signal);
+        scheduler.after(aloneCheckMs / 10, () => void announce(), signal);
         scheduler.every(aloneCheckMs, () => void check(), signal);
     }
 
--- a/src/node/relay/startRelayVm.ts
+++ b/src/node/relay/startRelayVm.ts
@@ -9,16 +9,15 @@
 
 const log = createLog("vm");
 
-/**
- * Loads and placements are small and frequent: of 32 idle VMs half of the processor time went into compressing them. Lists of members and
- * records of the log are larger.
- */
-const compressFromBytes = 512;
+/** Nothing is compressed: when 80 VMs start together, setting up and running the compression of their links took a fifth of the time. */
+const compressFromBytes = Infinity;
 /**
  * Small VMs that all start at once answer a handshake late. Giving up sooner makes them dial again, which takes more time than it
  * saves: 32 VMs on a busy machine kept dialling each other.
  */
-const patientLinks = { handshakeTimeoutMs: 2_000, redialAfterMs: 1_000, pingAfterMs: 900, silentAfterMs: 1_400 };
+const patientLinks = { handshakeTimeoutMs: 2_000, redialAfterMs: 1_000, pingAfterMs: 900, silentAfterMs: 1_400, checkPeriodMs: 200 };
+/** A link in use carries a heartbeat, a report or what was read each second; those of the time when VMs find each other are closed soon. */
+const idleAfterMs = 5_000;
 
 /** Starts one VM that relays calls; the error tells which port could not be opened. Everything is released when `signal` aborts. */
 export function startRelayVm(options: RelayVmOptions, signal: AbortSignal): ResultAsync<RelayVm, string> {
@@ -31,7 +30,7 @@
         listenPort: port,
         sharedKey: options.peerKey,
         scheduler,
-        limits: { ...defaultPeerLinkLimits, ...patientLinks, compressFromBytes },
+        limits: { ...defaultPeerLinkLimits, ...patientLinks, idleAfterMs, compressFromBytes },
     });
     const vm = new RelayVm({ ...options, scheduler, links, incarnation, peerUrl: `ws://${host}:${port}` });
     return links.start(signal).mapErr(error => error.message).andThen(() => vm.start(signal)).map(() => {
--- a/src/node/timers/SystemScheduler.ts
+++ b/src/node/timers/SystemScheduler.ts
@@ -24,13 +24,24 @@
         signal.addEventListener("abort", cancel, { once: true });
     }
 
+    /** Fires at multiples of the period, so that timers of tasks fall together and wake the process up less often. */
     every(periodMs: number, callback: () => void, signal: AbortSignal): void {
         if (signal.aborted) {
             return;
         }
-        const timer = setInterval(callback, periodMs);
+        let dueMs = 0;
+        let timer: NodeJS.Timeout;
+        const arm = () => {
+            const nowMs = this.nowMs();
+            dueMs = Math.max(dueMs + periodMs, Math.floor(nowMs / periodMs + 1) * periodMs);
+            timer = setTimeout(() => {
+                arm();
+                callback();
+            }, Math.ceil(dueMs - nowMs));
+        };
+        arm();
         signal.addEventListener("abort", () => {
-            clearInterval(timer);
+            clearTimeout(timer);
         }, { once: true });
     }
 }
