--- a/src/node/platform/vmlist/VmListTask.test.ts
+++ b/src/node/platform/vmlist/VmListTask.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { afterEach, test } from "node:test";
+import { until } from "../../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../../standins/proxy/SwallowingProxy.js";
 import { VmListStandin } from "../../../../standins/vmlist/VmListStandin.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
@@ -38,7 +39,8 @@
     const proxy = new SwallowingProxy(port);
     const client = new HttpVmListClient(`http://127.0.0.1:${await proxy.start(stop.signal)}`, 100);
     const task = new VmListTask({ client, scheduler: new SystemScheduler(), periodMs: 20 });
-    expect((await client.fetch(stop.signal)).isOk()).toEqual(true);
+    // The first call opens the connection; on a busy machine it takes longer than the client waits.
+    await until(async () => (await client.fetch(stop.signal)).isOk());
     proxy.swallow("both");
     standin.setUpstream("engine-3", true);
     const change = nextChange(task);
