--- a/src/core/relay/UpstreamDirectory.ts
+++ b/src/core/relay/UpstreamDirectory.ts
@@ -28,6 +28,11 @@
         this.byService.clear();
     }
 
+    /** The service of an upstream; undefined when it is not in use. */
+    serviceOf(id: string): string | undefined {
+        return this.entries.get(id)?.upstream.service;
+    }
+
     /** Removes an upstream whose entry has gone. One that lapsed around an outage of the list is kept a little longer. */
     remove(id: string, nowMs: number): void {
         const entry = this.entries.get(id);
--- a/src/node/relay/LoadExchange.test.ts
+++ b/src/node/relay/LoadExchange.test.ts
@@ -3,6 +3,7 @@
 import type { Member } from "../../core/membership/Member.js";
 import { LoadBoard } from "../../core/relay/LoadBoard.js";
 import type { PlacedWork } from "../../core/relay/PlacedWork.js";
+import { placingVm } from "../../core/relay/placingVm.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { LoadExchange } from "./LoadExchange.js";
@@ -42,9 +43,10 @@
             },
         },
         membership: { members, onChange: () => undefined },
-        services: () => ["model"],
+        services: () => ["model", "jobs"],
+        serviceOf: id => id.startsWith("engine") ? "model" : "jobs",
     }).start(controller.signal);
-    return { scheduler, board, sent };
+    return { scheduler, board, sent, members };
 }
 
 test("a VM that never had a call tells nobody, and one whose calls have ended tells so and falls silent", async () => {
@@ -83,9 +85,14 @@
     expect(sent.map(({ atMs }) => atMs)).toEqual([0, 25, 125]);
 });
 
-test("in a large fleet only the VM that places hears of it", async () => {
-    const { scheduler, board, sent } = create(40);
+test("in a large fleet each VM that places hears of the service that it places for, and only of that", async () => {
+    const { scheduler, board, sent, members } = create(40);
+    const [model, jobs] = [placingVm("model", members), placingVm("jobs", members)];
     board.begin("engine-1", longWork);
+    board.begin("job-1", shortWork);
+    board.begin("job-2", shortWork);
     await scheduler.advanceAsync(200);
-    expect(new Set(sent.map(({ to }) => to)).size <= 1).toEqual(true);
+    const heard = new Map([[model, 1], [jobs, 2]]);
+    heard.delete("vm-0");
+    expect(new Map(sent.map(({ to, calls }) => [to, calls]))).toEqual(heard as Map<string, number>);
 });
--- a/src/node/relay/LoadExchange.ts
+++ b/src/node/relay/LoadExchange.ts
@@ -13,6 +13,8 @@
     readonly scheduler: Scheduler;
     /** Names of the services that calls go to. */
     readonly services: () => readonly string[];
+    /** The service of an upstream; undefined when it is gone. */
+    readonly serviceOf: (upstreamId: string) => string | undefined;
 }
 
 /** Shortest time between two reports when a long prompt was placed, in a fleet whose VMs each place their own calls. */
@@ -23,12 +25,14 @@
 const toPlacingVmMs = 150;
 const wholeReportMs = 1_000;
 
-/** Tells the other VMs what this one has in flight on upstreams, and takes in what they tell. A VM with nothing in flight is silent. */
+/**
+ * Tells the other VMs what this one has in flight on upstreams, and takes in what they tell. A VM with nothing in flight is silent; the board
+ * forgets loads of VMs that are.
+ */
 export class LoadExchange {
     private lastReportMs = -Infinity;
     /** When the next report is due that was planned; undefined when there is none. */
     private plannedMs: number | undefined;
-    private wasEmpty = true;
 
     constructor(private readonly options: LoadExchangeOptions) {}
 
@@ -72,28 +76,35 @@
     }
 
     private reportAll(): void {
-        const loads = this.options.board.wholeReport();
-        if (loads.length > 0 || !this.wasEmpty) {
-            this.tell(loads, true);
-        }
-        this.wasEmpty = loads.length === 0;
+        this.tell(this.options.board.wholeReport(), true);
     }
 
     private tell(loads: UpstreamLoad[], isWhole: boolean): void {
-        const { links, membership, scheduler, vm: self } = this.options;
+        const { links, membership, scheduler, serviceOf, vm: self } = this.options;
+        if (loads.length === 0) {
+            return;
+        }
         this.lastReportMs = scheduler.nowMs();
-        for (const vm of this.placingVms() ?? membership.members.map(member => member.vm)) {
-            if (vm !== self) {
-                links.send(vm, { type: "loadReport", isWhole, loads });
+        const placing = this.placingVms();
+        for (const vm of placing?.keys() ?? membership.members.map(member => member.vm)) {
+            const services = placing?.get(vm);
+            const told = services === undefined ? loads : loads.filter(([id]) => services.has(serviceOf(id) ?? ""));
+            if (vm !== self && told.length > 0) {
+                links.send(vm, { type: "loadReport", isWhole, loads: told });
             }
         }
     }
 
-    /** The VMs that place calls for all; undefined when each VM places its own. */
-    private placingVms(): ReadonlySet<string> | undefined {
+    /** The VMs that place calls for all, with the services that they do it for; undefined when each VM places its own. */
+    private placingVms(): ReadonlyMap<string, ReadonlySet<string>> | undefined {
         const { membership, services } = this.options;
-        const vms = services().map(service => placingVm(service, membership.members));
-        const known = vms.filter(vm => vm !== undefined);
-        return known.length === 0 ? undefined : new Set(known);
+        const placing = new Map<string, Set<string>>();
+        for (const service of services()) {
+            const vm = placingVm(service, membership.members);
+            if (vm !== undefined) {
+                placing.set(vm, (placing.get(vm) ?? new Set()).add(service));
+            }
+        }
+        return placing.size === 0 ? undefined : placing;
     }
 }
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -183,6 +183,7 @@
             membership: this.membership,
             scheduler,
             services: () => state.table?.config.services.map(service => service.name) ?? [],
+            serviceOf: id => state.directory.serviceOf(id),
         }).start(signal);
         this.placing.start(signal);
         const config = this.follow("config", parts.config.source, configWaitMs, 0, records => state.takeConfig(records));
