--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -41,7 +41,7 @@
     ...(isForPlatform ? { alias: { undici: "./scripts/undiciParts.js" } } : {}),
     logLevel: "warning",
 });
-// Options of the runtime make it compile its own modules again at each start, a sixth of a start on the platform.
+// Options of the runtime make it compile its own modules again at each start.
 const options = isForPlatform ? [] : runtimeOptions;
 const config = `${workFolder}/sea.json`;
 writeFileSync(
