Forward a read from the position at which it was applied

Cause: a VM's read of the log is in flight while another reader's message brings it the same records. The reply then applies nothing, but the VM forwarded the range from the offset that the read had asked for, with the records that had just been applied: none. VMs that this message reached first moved past the records and never asked for them again. With two readers at once and VMs short of processor time, replies and messages cross often. The list of upstreams is forwarded the same way, so that new, draining and removed upstreams could be missed too.

The new test failed before: the forwarded read was "0-2: b" although the log held a and b.

A forwarded range now starts at the position from which its records were applied; receivers behind it see a gap and read the log, and a read that brought nothing new is not forwarded, as another VM forwards it.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "earl";
-import { errAsync, okAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { test } from "node:test";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import { sleepFor } from "../config/sleepFor.js";
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
@@ -11,8 +12,17 @@
 
 function create(rank: number, startupDelayMs = 0) {
     const log: KeyedRecord[] = [];
-    const state: { failure: LogError["kind"] | undefined; reads: number; } = { failure: undefined, reads: 0 };
+    const state: { failure: LogError["kind"] | undefined; reads: number; replyDelayMs: number; } = {
+        failure: undefined,
+        reads: 0,
+        replyDelayMs: 0,
+    };
     const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
+    const scheduler = new VirtualScheduler();
+    const reply = (records: KeyedRecord[]) => {
+        const read = { records, nextOffset: log.length };
+        return ResultAsync.fromSafePromise(sleepFor(scheduler, state.replyDelayMs)).map(() => read);
+    };
     const source: KeyedLog = {
         readNewest: () => {
             state.reads++;
@@ -20,13 +30,13 @@
         },
         readChanges: offset => {
             state.reads++;
-            return state.failure === undefined ? okAsync({ records: log.slice(offset), nextOffset: log.length }) : fail();
+            return state.failure === undefined ? reply(log.slice(offset)) : fail();
         },
     };
-    const scheduler = new VirtualScheduler();
     const controller = new AbortController();
     const appliedKeys: string[] = [];
     const forwardedOffsets: number[] = [];
+    const forwardedReads: string[] = [];
     const reachability: boolean[] = [];
     const follower = new KeyedLogFollower({
         name: "test",
@@ -40,14 +50,29 @@
             appliedKeys.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
             return records;
         },
-        onRead: read => forwardedOffsets.push(read.nextOffset),
+        onRead: ({ fromOffset, nextOffset }, records) => {
+            forwardedOffsets.push(nextOffset);
+            forwardedReads.push(`${fromOffset}-${nextOffset}: ${records.map(record => record.key).join()}`);
+        },
         onReachabilityChange: isReachable => reachability.push(isReachable),
     });
     const start = () => void follower.run(controller.signal);
     const append = (key: string) => {
         log.push({ offset: log.length, key, value: undefined });
     };
-    return { follower, start, append, state, scheduler, appliedKeys, forwardedOffsets, reachability, stop: () => controller.abort() };
+    return {
+        follower,
+        start,
+        append,
+        log,
+        state,
+        scheduler,
+        appliedKeys,
+        forwardedOffsets,
+        forwardedReads,
+        reachability,
+        stop: () => controller.abort(),
+    };
 }
 
 test("the newest records are applied first, then each change once, and reads are forwarded to other VMs", async () => {
@@ -179,3 +204,23 @@
     second.stop();
     last.stop();
 });
+
+test("a read that other VMs' messages overtake is not forwarded as a range without its records", async () => {
+    const { follower, start, append, log, state, scheduler, appliedKeys, forwardedReads, stop } = create(0);
+    start();
+    await scheduler.advanceAsync(1);
+    ["a", "b"].forEach(append);
+    state.replyDelayMs = 100;
+    await scheduler.advanceAsync(readPauseMs + 50);
+    follower.receiveFromPeer("vm-1", { fromOffset: 0, records: log.slice(0, 1), nextOffset: 1 });
+    await scheduler.advanceAsync(100);
+    expect(forwardedReads).toEqual(["1-2: b"]);
+
+    append("c");
+    await scheduler.advanceAsync(readPauseMs);
+    follower.receiveFromPeer("vm-1", { fromOffset: 2, records: log.slice(2), nextOffset: 3 });
+    await scheduler.advanceAsync(100);
+    expect(appliedKeys).toEqual(["a", "b", "c"]);
+    expect(forwardedReads).toEqual(["1-2: b"]);
+    stop();
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -31,7 +31,10 @@
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
     readonly readerRank: () => number;
-    /** Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. */
+    /**
+     * Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. `fromOffset` is the position from
+     * which the records were applied: a VM at an earlier position must not skip to `nextOffset`.
+     */
     readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => void;
     /** Called when the log becomes reachable, and after each read that fails. */
     readonly onReachabilityChange: (isReachable: boolean) => void;
@@ -151,9 +154,13 @@
             return false;
         }
         this.recordSuccess();
-        const forwarded = this.applyRecords(read.value.records, read.value.nextOffset);
-        if (this.options.readerRank() < firstNonForwardingRank) {
-            this.options.onRead({ fromOffset: offset, nextOffset: read.value.nextOffset }, forwarded);
+        // Messages of other VMs may have advanced the position during the read.
+        const fromOffset = Math.max(offset, this.nextOffset ?? offset);
+        const { nextOffset, records } = read.value;
+        const forwarded = this.applyRecords(records, nextOffset);
+        const isOvertaken = fromOffset > offset && nextOffset <= fromOffset;
+        if (!isOvertaken && this.options.readerRank() < firstNonForwardingRank) {
+            this.options.onRead({ fromOffset, nextOffset }, forwarded);
         }
         return true;
     }
