Do not forward as unchanged what the newest records already included

Those are unchanged when they are read again, and unchanged upstream entries are not forwarded, but the range that claimed them was. A VM at an earlier position would have missed a new or leaving upstream.

The forwarded range now starts after everything that the newest records included. The new test failed before: the first forwarded read was "1-3: b,c" although the newest records already held b and c.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -12,10 +12,11 @@
 
 function create(rank: number, startupDelayMs = 0) {
     const log: KeyedRecord[] = [];
-    const state: { failure: LogError["kind"] | undefined; reads: number; replyDelayMs: number; } = {
+    const state: { failure: LogError["kind"] | undefined; reads: number; replyDelayMs: number; newestOffset: number | undefined; } = {
         failure: undefined,
         reads: 0,
         replyDelayMs: 0,
+        newestOffset: undefined,
     };
     const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
     const scheduler = new VirtualScheduler();
@@ -26,7 +27,7 @@
     const source: KeyedLog = {
         readNewest: () => {
             state.reads++;
-            return state.failure === "unavailable" ? fail() : okAsync({ records: [...log], nextOffset: log.length });
+            return state.failure === "unavailable" ? fail() : okAsync({ records: [...log], nextOffset: state.newestOffset ?? log.length });
         },
         readChanges: offset => {
             state.reads++;
@@ -224,3 +225,15 @@
     expect(forwardedReads).toEqual(["1-2: b"]);
     stop();
 });
+
+test("records that the newest records already included are not forwarded as unchanged", async () => {
+    const { start, append, state, scheduler, forwardedReads, stop } = create(0);
+    ["a", "b", "c"].forEach(append);
+    state.newestOffset = 1;
+    start();
+    await scheduler.advanceAsync(2 * readPauseMs);
+    append("d");
+    await scheduler.advanceAsync(readPauseMs);
+    expect(forwardedReads).toEqual(["3-3: ", "3-4: d"]);
+    stop();
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -58,6 +58,8 @@
 export class KeyedLogFollower {
     /** Offset of the next record to read; undefined until the newest records are known. */
     nextOffset: number | undefined;
+    /** End of the newest records that were read; they may include records after `nextOffset`, which other VMs may lack. */
+    private snapshotEndOffset = 0;
     private isReachable: boolean | undefined;
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
@@ -129,6 +131,7 @@
         }
         this.recordSuccess();
         this.nextOffset = read.value.nextOffset;
+        this.snapshotEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
         if (!this.hasRead) {
             this.hasRead = true;
@@ -155,7 +158,7 @@
         }
         this.recordSuccess();
         // Messages of other VMs may have advanced the position during the read.
-        const fromOffset = Math.max(offset, this.nextOffset ?? offset);
+        const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.snapshotEndOffset);
         const { nextOffset, records } = read.value;
         const forwarded = this.applyRecords(records, nextOffset);
         const isOvertaken = fromOffset > offset && nextOffset <= fromOffset;
