--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -1,11 +1,14 @@
 import { expect } from "earl";
-import { errAsync, okAsync } from "neverthrow";
+import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
 import { test } from "node:test";
+import { exampleConfig } from "../../core/relay/testing/exampleConfig.js";
+import { exampleUpstream } from "../../core/relay/testing/exampleUpstream.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import { RelayState } from "./RelayState.js";
 
 const readPauseMs = 600;
 
@@ -50,6 +53,93 @@
     return { follower, start, append, state, scheduler, appliedKeys, forwardedOffsets, reachability, stop: () => controller.abort() };
 }
 
+/** A VM with the state of a relay; the value of a record is the version of the configuration or the start time of the upstream. */
+function createVm(source: KeyedLog, rank: number, onForward: (read: Parameters<KeyedLogFollower["receiveFromPeer"]>[1]) => void) {
+    const scheduler = new VirtualScheduler();
+    const unusedSource = undefined as never;
+    const state = new RelayState({
+        scheduler,
+        config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
+        upstreams: { source: unusedSource, decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })) },
+        onConfig: () => undefined,
+        onUpstreamRemoved: () => undefined,
+    });
+    const follower = new KeyedLogFollower({
+        name: "test",
+        source,
+        scheduler,
+        waitMs: 0,
+        readPauseMs,
+        startupDelayMs: 0,
+        readerRank: () => rank,
+        onRecords: (records, isWhole) => {
+            state.applyConfigRecords(records);
+            return state.applyUpstreamRecords(records, isWhole);
+        },
+        onRead: (read, records) => {
+            onForward({ ...read, records });
+        },
+        onReachabilityChange: () => undefined,
+    });
+    void follower.run(new AbortController().signal);
+    const valueOf = (key: string) => key === "config" ? state.routeTable?.version : state.directory.get(key)?.startedWallMs;
+    return { follower, scheduler, valueOf };
+}
+
+/**
+ * A reader whose read of changes is in flight, and a VM that receives what it forwards, both at the offset after `values`. The reader's
+ * newest records already hold `laterValues`.
+ */
+async function createReaderAndReceiver(values: Record<string, number>, laterValues: Record<string, number> = {}) {
+    const log: KeyedRecord[] = [];
+    const append = (key: string, value: number | undefined) => {
+        log.push({ offset: log.length, key, value: value === undefined ? undefined : Buffer.from(String(value)) });
+    };
+    Object.entries(values).forEach(([key, value]) => append(key, value));
+    const newest = () => [...new Map(log.map(record => [record.key, record])).values()].filter(record => record.value !== undefined);
+    const receiver = createVm(
+        {
+            readNewest: () => okAsync({ records: newest(), nextOffset: log.length }),
+            readChanges: offset => okAsync({ records: log.slice(offset), nextOffset: log.length }),
+        },
+        9,
+        () => undefined,
+    );
+    await receiver.scheduler.advanceAsync(1);
+    const newestEnd = log.length;
+    Object.entries(laterValues).forEach(([key, value]) => append(key, value));
+    let finishRead: (end: number) => void = () => undefined;
+    const reader = createVm(
+        {
+            readNewest: () => okAsync({ records: newest(), nextOffset: newestEnd }),
+            readChanges: offset =>
+                ResultAsync.fromSafePromise(
+                    new Promise(resolve => {
+                        finishRead = end => resolve({ records: log.slice(offset, end), nextOffset: end });
+                    }),
+                ),
+        },
+        0,
+        read => receiver.follower.receiveFromPeer("reader", read),
+    );
+    await reader.scheduler.advanceAsync(readPauseMs);
+    return {
+        append,
+        /** The reader receives records from another VM. */
+        receive: (fromOffset: number, nextOffset: number) => {
+            reader.follower.receiveFromPeer("other", { fromOffset, nextOffset, records: log.slice(fromOffset, nextOffset) });
+        },
+        /** Ends the read in flight at offset `end`; returns what the receiver has in the end. */
+        finishRead: async (end: number, ...keys: string[]) => {
+            finishRead(end);
+            await reader.scheduler.advanceAsync(1);
+            // Long enough for the receiver to read what it knows to be missing.
+            await receiver.scheduler.advanceAsync(5_000);
+            return keys.map(receiver.valueOf);
+        },
+    };
+}
+
 test("the newest records are applied first, then each change once, and reads are forwarded to other VMs", async () => {
     const { start, append, scheduler, appliedKeys, forwardedOffsets, stop } = create(0);
     append("a");
@@ -179,3 +269,43 @@
     second.stop();
     last.stop();
 });
+
+test("a read whose records all arrived from another VM in the meantime does not take receivers past a configuration", async () => {
+    const { append, receive, finishRead } = await createReaderAndReceiver({ config: 1 });
+    append("config", 2);
+    receive(1, 2);
+    expect(await finishRead(2, "config")).toEqual([2]);
+});
+
+test("a read whose first records arrived from another VM in the meantime does not take receivers past them", async () => {
+    const { append, receive, finishRead } = await createReaderAndReceiver({ config: 1 });
+    append("config", 2);
+    receive(1, 2);
+    append("other", 1);
+    expect(await finishRead(3, "config", "other")).toEqual([2, 1]);
+});
+
+test("a read that ends before records that arrived from another VM in the meantime does not take receivers past its own", async () => {
+    const { append, receive, finishRead } = await createReaderAndReceiver({ config: 1 });
+    append("config", 2);
+    append("other", 1);
+    receive(1, 3);
+    expect(await finishRead(2, "config", "other")).toEqual([2, 1]);
+});
+
+test("receivers of a read that was overtaken learn of new, changed and removed upstreams", async () => {
+    for (const end of [4, 5, 6]) {
+        const { append, receive, finishRead } = await createReaderAndReceiver({ changed: 1, removed: 1 });
+        append("new", 2);
+        append("changed", 2);
+        append("removed", undefined);
+        receive(2, 5);
+        append("other", 1);
+        expect([end, await finishRead(end, "new", "changed", "removed", "other")]).toEqual([end, [2, 2, undefined, 1]]);
+    }
+});
+
+test("receivers learn of an upstream that the reader's newest records held although it was appended after them", async () => {
+    const { finishRead } = await createReaderAndReceiver({ changed: 1 }, { changed: 2, new: 2 });
+    expect(await finishRead(3, "changed", "new")).toEqual([2, 2]);
+});
