Log forwarded and received reads of a log stream, gaps, and which VM reads

The logs of a VM that misses a record did not tell whether it was never sent, sent in a range without it, or not applied: only the sender and the end of the first received range were written. A VM now logs the range, records and receivers of what it forwards, what moves its own position, a gap (once for each position), and when it starts and stops reading itself, with the reason. KeyedLogFollower only gains calls of KeyedLogMonitor; what it decides is unchanged.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -6,6 +6,7 @@
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 
 const readPauseMs = 600;
 
@@ -42,6 +43,13 @@
         },
         onRead: read => forwardedOffsets.push(read.nextOffset),
         onReachabilityChange: isReachable => reachability.push(isReachable),
+        monitor: new KeyedLogMonitor({
+            name: "test",
+            nowMs: () => scheduler.nowMs(),
+            logsRangesWithoutRecords: true,
+            onRead: () => undefined,
+            onReceived: () => undefined,
+        }),
     });
     const start = () => void follower.run(controller.signal);
     const append = (key: string) => {
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -4,6 +4,7 @@
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
+import type { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 
 const log = createLogger("follow");
 
@@ -31,10 +32,14 @@
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
     readonly readerRank: () => number;
-    /** Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. */
-    readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => void;
+    /**
+     * Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. Returns the number of VMs that it
+     * was sent to.
+     */
+    readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => number;
     /** Called when the log becomes reachable, and after each read that fails. */
     readonly onReachabilityChange: (isReachable: boolean) => void;
+    readonly monitor: KeyedLogMonitor;
 }
 
 /** Delay of the next read after a failed one, doubled with each further failure up to the maximum. */
@@ -71,6 +76,7 @@
             const nowMs = scheduler.nowMs();
             const remainingWaitMs = Math.max(this.lastHeardMs, this.startupDelayEndMs) + this.silenceTimeoutMs - nowMs;
             if (this.nextOffset !== undefined && remainingWaitMs > 0) {
+                this.options.monitor.recordWaiting(this.nextOffset, this.options.readerRank);
                 await sleepFor(scheduler, Math.min(readerCheckIntervalMs - nowMs % readerCheckIntervalMs, remainingWaitMs));
                 continue;
             }
@@ -95,10 +101,12 @@
     /** Applies records that another VM has read. After a gap in the offsets it applies none, and this VM reads the log without waiting. */
     receiveFromPeer(from: string, { fromOffset, records, nextOffset }: ForwardedRead): void {
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
+            this.options.monitor.recordGap(from, { fromOffset, nextOffset }, this.nextOffset);
             this.lastHeardMs = -Infinity;
             this.startupDelayEndMs = -Infinity;
             return;
         }
+        this.options.monitor.recordReceived(from, { fromOffset, nextOffset }, records.length, this.nextOffset);
         if (from !== this.currentReader) {
             log("receiving records from another VM", { stream: this.options.name, vm: from, nextOffset });
             this.currentReader = from;
@@ -125,6 +133,7 @@
             return false;
         }
         this.recordSuccess();
+        this.options.monitor.recordRead(read.value.records.length);
         this.nextOffset = read.value.nextOffset;
         this.lastHeardMs = this.options.scheduler.nowMs();
         if (!this.hasRead) {
@@ -136,6 +145,7 @@
     }
 
     private async readChanges(offset: number, signal: AbortSignal): Promise<boolean> {
+        this.options.monitor.recordReading(offset, this.options.readerRank);
         const read = await this.options.source.readChanges(offset, this.options.waitMs, signal);
         if (read.isErr()) {
             if (read.error.kind === "forgotten") {
@@ -144,6 +154,7 @@
                     offset,
                     firstOffset: read.error.firstOffset,
                 });
+                this.options.monitor.recordFailedRead(read.error.kind);
                 this.nextOffset = undefined;
                 return true;
             }
@@ -151,9 +162,14 @@
             return false;
         }
         this.recordSuccess();
+        this.options.monitor.recordRead(read.value.records.length);
+        const position = this.nextOffset;
         const forwarded = this.applyRecords(read.value.records, read.value.nextOffset);
         if (this.options.readerRank() < firstNonForwardingRank) {
-            this.options.onRead({ fromOffset: offset, nextOffset: read.value.nextOffset }, forwarded);
+            const range = { fromOffset: offset, nextOffset: read.value.nextOffset };
+            const vms = this.options.onRead(range, forwarded);
+            const counts = { records: read.value.records.length, forwarded: forwarded.length, vms };
+            this.options.monitor.recordForwarded(range, counts, position);
         }
         return true;
     }
@@ -169,6 +185,7 @@
 
     private recordFailure(error: LogError): void {
         this.consecutiveFailures++;
+        this.options.monitor.recordFailedRead(error.kind);
         if (this.isReachable !== false) {
             log("platform log is unreachable; retrying", { stream: this.options.name, kind: error.kind, reason: error.message });
         }
--- /dev/null
+++ b/src/node/relay/KeyedLogMonitor.test.ts
@@ -0,0 +1,173 @@
+import { expect } from "earl";
+import { okAsync } from "neverthrow";
+import { afterEach, beforeEach, test } from "node:test";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import { configureLogging } from "../logs/configureLogging.js";
+import { logOutput } from "../logs/logOutput.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
+import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
+
+const originalWrite = logOutput.write;
+let lines: Record<string, unknown>[] = [];
+
+beforeEach(() => {
+    lines = [];
+    logOutput.write = line => lines.push(JSON.parse(line) as Record<string, unknown>);
+    configureLogging({ format: "json", parts: "orioleshelf:follow" });
+});
+
+afterEach(() => {
+    logOutput.write = originalWrite;
+    configureLogging({ format: "plain", parts: "" });
+});
+
+const linesThatStart = (text: string) => lines.filter(line => String(line["message"]).startsWith(text));
+
+function createMonitor(logsRangesWithoutRecords = true) {
+    const scheduler = new VirtualScheduler();
+    const results: string[] = [];
+    const monitor = new KeyedLogMonitor({
+        name: "test",
+        nowMs: () => scheduler.nowMs(),
+        logsRangesWithoutRecords,
+        onRead: result => results.push(`read ${result}`),
+        onReceived: result => results.push(result),
+    });
+    return { monitor, scheduler, results };
+}
+
+/** A follower at the end of a log of three records. */
+async function startFollower(rank: number) {
+    const { monitor, scheduler, results } = createMonitor();
+    const records: KeyedRecord[] = [0, 1, 2].map(offset => ({ offset, key: `k${offset}`, value: undefined }));
+    const controller = new AbortController();
+    const follower = new KeyedLogFollower({
+        name: "test",
+        source: {
+            readNewest: () => okAsync({ records: [...records], nextOffset: records.length }),
+            readChanges: offset => okAsync({ records: records.slice(offset), nextOffset: records.length }),
+        },
+        scheduler,
+        waitMs: 0,
+        readPauseMs: 600,
+        startupDelayMs: 0,
+        onRecords: applied => applied.slice(1),
+        readerRank: () => rank,
+        onRead: () => 86,
+        onReachabilityChange: () => undefined,
+        monitor,
+    });
+    void follower.run(controller.signal);
+    await scheduler.advanceAsync(10);
+    const append = () => {
+        records.push({ offset: records.length, key: `k${records.length}`, value: undefined });
+    };
+    return { follower, scheduler, results, append, stop: () => controller.abort() };
+}
+
+test("a read with records is logged with its range, the records read and forwarded, and the number of VMs; empty reads are not", async () => {
+    const { scheduler, append, results, stop } = await startFollower(0);
+    await scheduler.advanceAsync(6_000);
+    expect(linesThatStart("read forwarded")).toEqual([]);
+    append();
+    append();
+    await scheduler.advanceAsync(600);
+    stop();
+    const [line, ...others] = linesThatStart("read forwarded");
+    expect(others).toEqual([]);
+    const { time, part, message, ...fields } = line ?? {};
+    expect([typeof time, part, message]).toEqual(["string", "orioleshelf:follow", "read forwarded"]);
+    expect(fields).toEqual({ stream: "test", fromOffset: 3, nextOffset: 5, position: 3, records: 2, forwarded: 1, vms: 86 });
+    expect([results.filter(result => result === "read records").length, results.includes("read empty")]).toEqual([2, true]);
+});
+
+test("a received read is logged only when it moves the position, with its sender and records", async () => {
+    const { follower, results, stop } = await startFollower(9);
+    follower.receiveFromPeer("vm-1", { fromOffset: 3, records: [], nextOffset: 3 });
+    follower.receiveFromPeer("vm-1", { fromOffset: 1, records: [], nextOffset: 2 });
+    follower.receiveFromPeer("vm-1", { fromOffset: 3, records: [], nextOffset: 4 });
+    stop();
+    expect(
+        linesThatStart("read received").map(({ vm, fromOffset, nextOffset, position, records }) => ({
+            vm,
+            fromOffset,
+            nextOffset,
+            position,
+            records,
+        })),
+    ).toEqual([{ vm: "vm-1", fromOffset: 3, nextOffset: 4, position: 3, records: 0 }]);
+    expect(results.slice(1)).toEqual(["unchanged", "behind", "moved"]);
+});
+
+test("a gap is logged once for each position, and the read after it names the gap as its reason", async () => {
+    const { follower, scheduler, append, results, stop } = await startFollower(9);
+    follower.receiveFromPeer("vm-1", { fromOffset: 3, records: [], nextOffset: 3 });
+    append();
+    append();
+    for (let count = 0; count < 3; count++) {
+        follower.receiveFromPeer("vm-1", { fromOffset: 4, records: [], nextOffset: 5 });
+    }
+    await scheduler.advanceAsync(800);
+    stop();
+    expect(linesThatStart("gap").map(({ vm, fromOffset, position }) => [vm, fromOffset, position])).toEqual([["vm-1", 4, 3]]);
+    expect(results.filter(result => result === "gap").length).toEqual(3);
+    expect(linesThatStart("started reading").map(({ reason, rank, nextOffset }) => [reason, rank, nextOffset])).toEqual([["gap", 9, 3]]);
+});
+
+test("a VM logs once that it started to read, with the reason, and once that it stopped", async () => {
+    const { follower, scheduler, stop } = await startFollower(2);
+    follower.receiveFromPeer("vm-1", { fromOffset: 3, records: [], nextOffset: 3 });
+    await scheduler.advanceAsync(6_000);
+    const started = linesThatStart("started reading");
+    expect(started.map(({ reason, rank, nextOffset }) => [reason, rank, nextOffset])).toEqual([["no reader heard", 2, 3]]);
+    expect(started[0]?.["heardMsAgo"]).toEqual(1_300);
+    expect(linesThatStart("stopped reading")).toEqual([]);
+    follower.receiveFromPeer("vm-1", { fromOffset: 3, records: [], nextOffset: 3 });
+    await scheduler.advanceAsync(1_000);
+    stop();
+    expect(linesThatStart("stopped reading").map(({ vm, rank, nextOffset }) => [vm, rank, nextOffset])).toEqual([["vm-1", 2, 3]]);
+    expect(linesThatStart("started reading").length).toEqual(1);
+
+    const reader = await startFollower(0);
+    await reader.scheduler.advanceAsync(3_000);
+    reader.stop();
+    expect(linesThatStart("started reading").map(line => line["reason"])).toEqual(["no reader heard", "first in rank"]);
+});
+
+test("in a stream whose entries are rewritten all the time, ranges without records are not logged", () => {
+    const { monitor } = createMonitor(false);
+    for (let offset = 0; offset < 100; offset++) {
+        const range = { fromOffset: offset, nextOffset: offset + 1 };
+        monitor.recordForwarded(range, { records: 1, forwarded: 0, vms: 86 }, offset);
+        monitor.recordReceived("vm-1", range, 0, offset);
+    }
+    expect(lines).toEqual([]);
+    monitor.recordForwarded({ fromOffset: 100, nextOffset: 101 }, { records: 1, forwarded: 1, vms: 86 }, 100);
+    monitor.recordReceived("vm-1", { fromOffset: 101, nextOffset: 102 }, 1, 101);
+    expect(lines.map(line => line["message"])).toEqual(["read forwarded", "read received"]);
+});
+
+test("lines beyond a number a second are left out, and the next line tells how many", () => {
+    const { monitor, scheduler, results } = createMonitor();
+    for (let offset = 0; offset < 1_000; offset++) {
+        monitor.recordReceived("vm-1", { fromOffset: offset, nextOffset: offset + 1 }, 1, offset);
+    }
+    const writtenCount = lines.length;
+    expect([writtenCount < 100, results.length]).toEqual([true, 1_000]);
+    scheduler.advance(1_000);
+    monitor.recordReceived("vm-1", { fromOffset: 1_000, nextOffset: 1_001 }, 1, 1_000);
+    expect(lines.map(line => line["suppressedLines"]).filter(count => count !== undefined)).toEqual([1_000 - writtenCount]);
+});
+
+test("the time since a reader or the store was heard is known for each, and does not count reads that are behind", () => {
+    const { monitor, scheduler } = createMonitor();
+    expect([monitor.heardMsAgo("reader"), monitor.heardMsAgo("store")]).toEqual([undefined, undefined]);
+    monitor.recordReceived("vm-1", { fromOffset: 4, nextOffset: 5 }, 1, 4);
+    scheduler.advance(300);
+    monitor.recordReceived("vm-2", { fromOffset: 3, nextOffset: 4 }, 1, 5);
+    monitor.recordGap("vm-2", { fromOffset: 8, nextOffset: 9 }, 5);
+    monitor.recordRead(0);
+    scheduler.advance(200);
+    expect([monitor.heardMsAgo("reader"), monitor.heardMsAgo("store")]).toEqual([500, 200]);
+});
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -20,6 +20,7 @@
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 import { LoadExchange } from "./LoadExchange.js";
 import { PlacementExchange } from "./PlacementExchange.js";
 import { RelayServer } from "./RelayServer.js";
@@ -224,10 +225,19 @@
         readPauseMs: number,
         onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[],
     ): KeyedLogFollower {
+        const { scheduler } = this.dependencies;
+        const monitor = new KeyedLogMonitor({
+            name,
+            nowMs: () => scheduler.nowMs(),
+            logsRangesWithoutRecords: name === "config",
+            onRead: () => undefined,
+            onReceived: () => undefined,
+        });
         return new KeyedLogFollower({
             name,
             source,
-            scheduler: this.dependencies.scheduler,
+            scheduler,
+            monitor,
             waitMs,
             readPauseMs,
             startupDelayMs: followerStartupDelayMs,
@@ -237,9 +247,7 @@
                 this.announceReadiness();
                 return forwarded;
             },
-            onRead: (read, forwarded) => {
-                this.broadcast({ type: "keyedRecords", stream: name, ...read, records: [...forwarded] });
-            },
+            onRead: (read, forwarded) => this.broadcast({ type: "keyedRecords", stream: name, ...read, records: [...forwarded] }),
             onReachabilityChange: isReachable => {
                 if (!isReachable && name === "upstreams") {
                     this.state.recordListOutage();
@@ -254,12 +262,15 @@
         return computeRendezvousRank(logReaderDuty, this.dependencies.vm, ready);
     }
 
-    private broadcast(message: PeerMessage): void {
+    /** Returns the number of VMs that the message was sent to; there is no link to the others. */
+    private broadcast(message: PeerMessage): number {
+        let sentCount = 0;
         for (const { vm } of this.membership.members) {
-            if (vm !== this.dependencies.vm) {
-                this.dependencies.links.send(vm, message);
+            if (vm !== this.dependencies.vm && this.dependencies.links.send(vm, message)) {
+                sentCount++;
             }
         }
+        return sentCount;
     }
 
     /** Announces this VM's address in the platform's registry, and looks there for other VMs while none is known. */
