Tell the callback of a periodic timer how late it fires

Nothing showed that a VM is short of processor time. The lateness of timers that run anyway shows it without a further wake-up; monitorEventLoopDelay would wake the process up at its own interval.

Measured: tests of src/node/timers and src/core/util passed, one of them new.

--- a/proof/fakes/FakeProcess.ts
+++ b/proof/fakes/FakeProcess.ts
@@ -85,9 +85,10 @@
         }, signal);
     }
 
-    private every(periodMs: number, callback: () => void, signal: AbortSignal): void {
+    private every(periodMs: number, callback: (latenessMs: number) => void, signal: AbortSignal): void {
+        const dueMs = this.base.nowMs() + periodMs;
         this.after(periodMs, () => {
-            callback();
+            callback(Math.max(0, this.base.nowMs() - dueMs));
             this.every(periodMs, callback, signal);
         }, signal);
     }
--- a/src/core/util/Scheduler.ts
+++ b/src/core/util/Scheduler.ts
@@ -6,6 +6,6 @@
     wallMs(): number;
     /** Calls `callback` once after `delayMs`, unless `signal` aborts first. */
     after(delayMs: number, callback: () => void, signal: AbortSignal): void;
-    /** Calls `callback` every `periodMs` until `signal` aborts. */
-    every(periodMs: number, callback: () => void, signal: AbortSignal): void;
+    /** Calls `callback` every `periodMs` until `signal` aborts, with the time that has passed since the call was due. */
+    every(periodMs: number, callback: (latenessMs: number) => void, signal: AbortSignal): void;
 }
--- a/src/core/util/VirtualScheduler.ts
+++ b/src/core/util/VirtualScheduler.ts
@@ -30,9 +30,9 @@
         this.siftUp(this.timers.length - 1);
     }
 
-    every(periodMs: number, callback: () => void, signal: AbortSignal): void {
+    every(periodMs: number, callback: (latenessMs: number) => void, signal: AbortSignal): void {
         const repeat = () => {
-            callback();
+            callback(0);
             this.after(periodMs, repeat, signal);
         };
         this.after(periodMs, repeat, signal);
--- a/src/node/timers/SystemScheduler.test.ts
+++ b/src/node/timers/SystemScheduler.test.ts
@@ -27,3 +27,27 @@
     });
     expect(firedMs.length).toEqual(5);
 });
+
+test("a periodic timer is told how late it fires", async () => {
+    const scheduler = new SystemScheduler();
+    const controller = new AbortController();
+    const periodMs = 20;
+    const blockedMs = 70;
+    const latenessesMs: number[] = [];
+    await new Promise<void>(resolve => {
+        scheduler.every(periodMs, latenessMs => {
+            latenessesMs.push(latenessMs);
+            if (latenessesMs.length === 2) {
+                controller.abort();
+                resolve();
+                return;
+            }
+            const startedMs = scheduler.nowMs();
+            while (scheduler.nowMs() - startedMs < blockedMs) {
+                // Keeps the event loop busy beyond the next time at which the timer is due.
+            }
+        }, controller.signal);
+    });
+    expect(latenessesMs.every(latenessMs => latenessMs >= 0)).toEqual(true);
+    expect(latenessesMs[1]! >= blockedMs - periodMs - timerGranularityMs).toEqual(true);
+});
--- a/src/node/timers/SystemScheduler.ts
+++ b/src/node/timers/SystemScheduler.ts
@@ -25,21 +25,22 @@
     }
 
     /** Fires at multiples of the period, so that timers of different tasks coincide and wake the process less often. */
-    every(periodMs: number, callback: () => void, signal: AbortSignal): void {
+    every(periodMs: number, callback: (latenessMs: number) => void, signal: AbortSignal): void {
         if (signal.aborted) {
             return;
         }
         let dueMs = 0;
         let timer: NodeJS.Timeout;
-        const scheduleNext = () => {
-            const nowMs = this.nowMs();
+        const scheduleNext = (nowMs: number) => {
             dueMs = Math.max(dueMs + periodMs, Math.floor(nowMs / periodMs + 1) * periodMs);
             timer = setTimeout(() => {
-                scheduleNext();
-                callback();
+                const nowMs = this.nowMs();
+                const latenessMs = Math.max(0, nowMs - dueMs);
+                scheduleNext(nowMs);
+                callback(latenessMs);
             }, Math.ceil(dueMs - nowMs));
         };
-        scheduleNext();
+        scheduleNext(this.nowMs());
         signal.addEventListener("abort", () => {
             clearTimeout(timer);
         }, { once: true });
