Metrics of configuration version, log streams, refusals and late timers on VMs that relay calls

A wave of 404 or 401 did not show in the metrics of a VM, since calls refused before an upstream was chosen were not counted, nor did the version in force, the position in each log stream, what was read, forwarded and received, or a lack of processor time. The check that the metrics page names every metric now includes these.

--- a/proof/operatorDocs.test.ts
+++ b/proof/operatorDocs.test.ts
@@ -10,6 +10,7 @@
 import { ExitCode } from "../src/cli/ExitCode.js";
 import { LoadPlan } from "../src/load/LoadPlan.js";
 import { Metrics } from "../src/node/metrics/Metrics.js";
+import { RelayMetrics } from "../src/node/relay/RelayMetrics.js";
 import { parseSettings } from "../src/node/settings/parseSettings.js";
 import { Settings } from "../src/schema/settings/Settings.js";
 
@@ -70,7 +71,9 @@
 });
 
 test("the metrics page names every metric", async () => {
-    const names = [...(await new Metrics().render()).matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
+    const metrics = new Metrics();
+    new RelayMetrics(metrics, () => undefined);
+    const names = [...(await metrics.render()).matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
     expect(names.length > 10).toEqual(true);
     expect(names.filter(name => !readPage("metrics").includes(`\`${name}\``))).toEqual([]);
 });
--- a/proof/platform/platformVm.test.ts
+++ b/proof/platform/platformVm.test.ts
@@ -104,6 +104,12 @@
     const { text } = await send(metrics, "/metrics");
     expect(text).toMatchRegex(/orioleshelf_request_failures_total\{[^}]*code="upstream_broken"[^}]*\} 1/);
     expect(text).toMatchRegex(/orioleshelf_request_seconds_bucket/);
+    expect((await send(front, "/unknown", { host: "h.example", "x-attempt-id": "id-3", "x-api-key": "key-1" })).status).toEqual(404);
+    const later = await send(metrics, "/metrics");
+    expect(later.text).toMatchRegex(/orioleshelf_refusals_total\{status="404",reason="no-route"\} 1/);
+    expect(later.text).toMatchRegex(/orioleshelf_config_version 3\n/);
+    expect(later.text).toMatchRegex(/orioleshelf_log_next_offset\{stream="config"\} \d/);
+    expect(later.text).toMatchRegex(/orioleshelf_log_silence_seconds\{stream="config",source="store"\} \d/);
 
     child.kill("SIGHUP");
     await log.waitForLine(line => String(line["message"]).startsWith("SIGHUP received"));
--- a/src/node/metrics/Metrics.ts
+++ b/src/node/metrics/Metrics.ts
@@ -89,6 +89,27 @@
         });
     }
 
+    /** Like `registerGauge`, for a gauge with labels: `read` returns all its samples. The caller bounds the label values. */
+    registerLabelledGauge(
+        name: string,
+        help: string,
+        labelNames: string[],
+        read: () => readonly { readonly labels: Readonly<Record<string, string>>; readonly value: number; }[],
+    ): void {
+        new Gauge({
+            name: `orioleshelf_${name}`,
+            help,
+            labelNames,
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                for (const { labels, value } of read()) {
+                    this.set(labels, value);
+                }
+            },
+        });
+    }
+
     get contentType(): string {
         return this.registry.contentType;
     }
@@ -98,12 +119,14 @@
         return this.registry.metrics();
     }
 
-    private createCounter(name: string, help: string, labelNames: string[]): Counter {
+    /** Creates a counter. The caller bounds the values of its labels. */
+    createCounter(name: string, help: string, labelNames: string[]): Counter {
         return new Counter({ name: `orioleshelf_${name}`, help, labelNames, registers: [this.registry] });
     }
 
-    private createHistogram(name: string, help: string, buckets: number[]): Histogram {
-        return new Histogram({ name: `orioleshelf_${name}`, help, buckets, labelNames: ["class", "path"], registers: [this.registry] });
+    /** Creates a histogram. The caller bounds the values of its labels. */
+    createHistogram(name: string, help: string, buckets: number[], labelNames = ["class", "path"]): Histogram {
+        return new Histogram({ name: `orioleshelf_${name}`, help, buckets, labelNames, registers: [this.registry] });
     }
 }
 
--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -76,6 +76,7 @@
     const directory = new UpstreamDirectory();
     const loadTracker = new UpstreamLoadTracker();
     const summaries: RequestSummary[] = [];
+    const refusals: string[] = [];
     for (const [index, handler] of handlers.entries()) {
         directory.set(
             exampleUpstream(`u${index}`, { address: handler === "down" ? "127.0.0.1:1" : await listen(handler), slots: 6 - index }),
@@ -100,12 +101,13 @@
         health: new UpstreamHealth(),
         connections,
         observer: { requestEnded: summary => summaries.push(summary) },
+        onRefusal: ({ status, reason }) => refusals.push(`${status} ${reason}`),
         routeTable: () => routeTable,
         retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: 10 }),
         placeCall: request => placer.place(request),
     });
     (await server.start(controller.signal))._unsafeUnwrap();
-    return { port, server, summaries, loadTracker };
+    return { port, server, summaries, refusals, loadTracker };
 }
 
 function call(port: number, headers: Record<string, string> = {}, body = "hello"): Promise<ReceivedResponse> {
@@ -299,7 +301,7 @@
         const answer = await call(relay.port, headers);
         expect([answer.status, JSON.parse(answer.body).error.outcome]).toEqual([status, "not-run"]);
     }
-    expect(relay.summaries.length).toEqual(0);
+    expect([relay.summaries.length, relay.refusals]).toEqual([0, ["404 no-route", "400 malformed"]]);
 });
 
 test("a server with keep-alive disabled still answers, and a drained one accepts no connection", async () => {
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -22,6 +22,8 @@
 interface RelayServerOptions extends RelayDependencies {
     readonly host: string;
     readonly port: number;
+    /** Called for each call that is refused before an upstream is chosen. */
+    readonly onRefusal: (refusal: { readonly status: number; readonly reason: string; }) => void;
 }
 
 /** HTTP server that accepts calls on one port and relays them to upstreams. */
@@ -192,6 +194,7 @@
             configVersion: this.options.routeTable()?.version,
             phase: this.phase,
         });
+        this.options.onRefusal(refusal);
         sendRefusal(outgoing, refusal, call?.requestId, this.options.dialect);
     }
 
@@ -206,6 +209,7 @@
             : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
             ? "408 Request Timeout"
             : "400 Bad Request";
+        this.options.onRefusal({ status: Number.parseInt(status, 10), reason: "malformed-http" });
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -23,6 +23,7 @@
 import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 import { LoadExchange } from "./LoadExchange.js";
 import { PlacementExchange } from "./PlacementExchange.js";
+import { RelayMetrics } from "./RelayMetrics.js";
 import { RelayServer } from "./RelayServer.js";
 import { RelayState } from "./RelayState.js";
 import type { RelayVmOptions } from "./RelayVmOptions.js";
@@ -80,6 +81,7 @@
 /** A VM that relays calls: its servers, membership and background tasks. */
 export class RelayVm {
     private readonly metrics = new Metrics();
+    private readonly relayMetrics = new RelayMetrics(this.metrics, () => this.state.routeTable?.version);
     private readonly loadTracker = new UpstreamLoadTracker();
     private readonly health = new UpstreamHealth();
     private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs });
@@ -135,6 +137,9 @@
             health: this.health,
             connections: this.connections,
             observer: this.metrics,
+            onRefusal: refusal => {
+                this.relayMetrics.recordRefusal(refusal);
+            },
             routeTable: () => this.state.routeTable,
             retryBudget: service => this.getRetryBudget(service),
             placeCall: request => this.placementExchange.place(request),
@@ -209,7 +214,8 @@
         }, signal);
         void config.run(signal);
         void upstreams.run(signal);
-        scheduler.every(expiryCheckIntervalMs, () => {
+        scheduler.every(expiryCheckIntervalMs, latenessMs => {
+            this.relayMetrics.recordTimerLateness(latenessMs);
             state.removeExpiredUpstreams();
         }, signal);
         this.startRegistryTasks(signal);
@@ -225,15 +231,20 @@
         readPauseMs: number,
         onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[],
     ): KeyedLogFollower {
+        const { relayMetrics } = this;
         const { scheduler } = this.dependencies;
         const monitor = new KeyedLogMonitor({
             name,
             nowMs: () => scheduler.nowMs(),
             logsRangesWithoutRecords: name === "config",
-            onRead: () => undefined,
-            onReceived: () => undefined,
+            onRead: result => {
+                relayMetrics.recordRead(name, result);
+            },
+            onReceived: result => {
+                relayMetrics.recordReceived(name, result);
+            },
         });
-        return new KeyedLogFollower({
+        const follower = new KeyedLogFollower({
             name,
             source,
             scheduler,
@@ -247,13 +258,19 @@
                 this.announceReadiness();
                 return forwarded;
             },
-            onRead: (read, forwarded) => this.broadcast({ type: "keyedRecords", stream: name, ...read, records: [...forwarded] }),
+            onRead: (read, forwarded) => {
+                const counts = this.broadcast({ type: "keyedRecords", stream: name, ...read, records: [...forwarded] });
+                relayMetrics.recordForwarded(name, counts);
+                return counts.sent;
+            },
             onReachabilityChange: isReachable => {
                 if (!isReachable && name === "upstreams") {
                     this.state.recordListOutage();
                 }
             },
         });
+        relayMetrics.addStream({ name, nextOffset: () => follower.nextOffset, heardMsAgo: source => monitor.heardMsAgo(source) });
+        return follower;
     }
 
     /** One VM reads the platform's log for the fleet, and the next in rank when it does not; the ranks follow from the membership view. */
@@ -262,15 +279,11 @@
         return computeRendezvousRank(logReaderDuty, this.dependencies.vm, ready);
     }
 
-    /** Returns the number of VMs that the message was sent to; there is no link to the others. */
-    private broadcast(message: PeerMessage): number {
-        let sentCount = 0;
-        for (const { vm } of this.membership.members) {
-            if (vm !== this.dependencies.vm && this.dependencies.links.send(vm, message)) {
-                sentCount++;
-            }
-        }
-        return sentCount;
+    /** Returns the number of VMs that the message was sent to, and of those without a link. */
+    private broadcast(message: PeerMessage): { readonly sent: number; readonly unsent: number; } {
+        const others = this.membership.members.filter(({ vm }) => vm !== this.dependencies.vm);
+        const sent = others.filter(({ vm }) => this.dependencies.links.send(vm, message)).length;
+        return { sent, unsent: others.length - sent };
     }
 
     /** Announces this VM's address in the platform's registry, and looks there for other VMs while none is known. */
