Log a configuration record that is ignored because it is not newer

A record that arrived but did not count as newer left no line, so that it looked like one that never arrived. Nothing else of RelayState changes.

Measured: tests of src/node/relay passed, one of them new.

--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -4,6 +4,8 @@
 import { exampleConfig } from "../../core/relay/testing/exampleConfig.js";
 import { exampleUpstream } from "../../core/relay/testing/exampleUpstream.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import { configureLogging } from "../logs/configureLogging.js";
+import { logOutput } from "../logs/logOutput.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import { RelayState } from "./RelayState.js";
 
@@ -54,6 +56,24 @@
     expect(state.routeTable?.version).toEqual(9);
 });
 
+test("a configuration that is not newer or cannot be decoded is logged with its offset", () => {
+    const lines: Record<string, unknown>[] = [];
+    const { write } = logOutput;
+    logOutput.write = line => lines.push(JSON.parse(line) as Record<string, unknown>);
+    configureLogging({ format: "json", parts: "orioleshelf:state" });
+    const { state } = createState();
+    state.applyConfigRecords(["9", "7", "x", "9"].map((value, offset) => ({ ...record("config", value), offset })));
+    logOutput.write = write;
+    configureLogging({ format: "plain", parts: "" });
+    expect(lines.map(({ offset, version, inForce }) => [offset, version, inForce])).toEqual([
+        [0, 9, undefined],
+        [1, 7, 9],
+        [2, 9, undefined],
+        [3, 9, 9],
+    ]);
+    expect(new Set(lines.map(line => line["message"])).size).toEqual(3);
+});
+
 test("an upstream entry that cannot be decoded leaves the previous one in force", () => {
     const { state } = createState();
     state.applyUpstreamRecords([record("a", "ready"), record("b", "broken")], true);
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -72,6 +72,7 @@
             return;
         }
         if (this.routeTable !== undefined && config.value.version <= this.routeTable.version) {
+            log("configuration is not newer; ignoring it", { offset, version: config.value.version, inForce: this.routeTable.version });
             return;
         }
         const before = this.routeTable?.version;
