--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -33,8 +33,9 @@
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
     readonly readerRank: () => number;
     /**
-     * Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. Returns the number of VMs that it
-     * was sent to.
+     * Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. `fromOffset` is the position from
+     * which the records were applied: a VM at an earlier position must not skip to `nextOffset`. Returns the number of VMs that it was
+     * sent to.
      */
     readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => number;
     /** Called when the log becomes reachable, and after each read that fails. */
@@ -60,6 +61,8 @@
 export class KeyedLogFollower {
     /** Offset of the next record to read; undefined until the newest records are known. */
     nextOffset: number | undefined;
+    /** End of the newest records that were read; they may include records after `nextOffset`, which other VMs may lack. */
+    private snapshotEndOffset = 0;
     private isReachable: boolean | undefined;
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
@@ -106,7 +109,7 @@
             this.startupDelayEndMs = -Infinity;
             return;
         }
-        this.options.monitor.recordReceived(from, { fromOffset, nextOffset }, records.length, this.nextOffset);
+        this.options.monitor.recordReceived(from, { fromOffset, nextOffset, records }, this.nextOffset);
         if (from !== this.currentReader) {
             log("receiving records from another VM", { stream: this.options.name, vm: from, nextOffset });
             this.currentReader = from;
@@ -135,6 +138,7 @@
         this.recordSuccess();
         this.options.monitor.recordRead(read.value.records.length);
         this.nextOffset = read.value.nextOffset;
+        this.snapshotEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
         if (!this.hasRead) {
             this.hasRead = true;
@@ -163,13 +167,14 @@
         }
         this.recordSuccess();
         this.options.monitor.recordRead(read.value.records.length);
-        const position = this.nextOffset;
-        const forwarded = this.applyRecords(read.value.records, read.value.nextOffset);
-        if (this.options.readerRank() < firstNonForwardingRank) {
-            const range = { fromOffset: offset, nextOffset: read.value.nextOffset };
-            const vms = this.options.onRead(range, forwarded);
-            const counts = { records: read.value.records.length, forwarded: forwarded.length, vms };
-            this.options.monitor.recordForwarded(range, counts, position);
+        // Messages of other VMs may have advanced the position during the read.
+        const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.snapshotEndOffset);
+        const { nextOffset, records } = read.value;
+        const forwarded = this.applyRecords(records, nextOffset);
+        const isOvertaken = fromOffset > offset && nextOffset <= fromOffset;
+        if (!isOvertaken && this.options.readerRank() < firstNonForwardingRank) {
+            const vms = this.options.onRead({ fromOffset, nextOffset }, forwarded);
+            this.options.monitor.recordForwarded({ fromOffset, nextOffset }, { readOffset: offset, records, forwarded, vms });
         }
         return true;
     }
--- a/src/node/relay/KeyedLogMonitor.ts
+++ b/src/node/relay/KeyedLogMonitor.ts
@@ -1,4 +1,5 @@
 import { createLogger } from "../logs/createLogger.js";
+import type { KeyedRecord } from "../services/KeyedRecord.js";
 
 const log = createLogger("follow");
 /** More lines than this in a second are not written; the next line tells how many. */
@@ -9,6 +10,14 @@
     readonly nextOffset: number;
 }
 
+interface ForwardedRead {
+    readonly readOffset: number;
+    readonly records: readonly KeyedRecord[];
+    readonly forwarded: readonly KeyedRecord[];
+    /** Number of VMs that it was sent to. */
+    readonly vms: number;
+}
+
 /** What a forwarded read was to the VM that received it; `behind`: it ends before the VM's own position. */
 type ReceivedResult = "moved" | "unchanged" | "behind" | "gap" | "not-started";
 
@@ -80,30 +89,27 @@
         this.options.onRead(kind);
     }
 
-    /**
-     * This VM forwarded a read to `vms` VMs. `position` is its own before it applied the read: beyond `fromOffset` if another VM's read
-     * arrived meanwhile.
-     */
-    recordForwarded(
-        { fromOffset, nextOffset }: OffsetRange,
-        counts: { readonly records: number; readonly forwarded: number; readonly vms: number; },
-        position: number | undefined,
-    ): void {
-        if (counts.forwarded > 0 || this.options.logsRangesWithoutRecords && (counts.records > 0 || nextOffset > fromOffset)) {
-            this.write("read forwarded", { fromOffset, nextOffset, position, ...counts });
+    /** This VM forwarded the range of a read that it had requested from `readOffset` on. */
+    recordForwarded({ fromOffset, nextOffset }: OffsetRange, read: ForwardedRead): void {
+        const records = countFrom(fromOffset, read.records);
+        if (read.forwarded.length > 0 || this.options.logsRangesWithoutRecords && (records > 0 || nextOffset > fromOffset)) {
+            const forwarded = countFrom(fromOffset, read.forwarded);
+            this.write("read forwarded", { fromOffset, nextOffset, readOffset: read.readOffset, records, forwarded, vms: read.vms });
         }
     }
 
-    /** A forwarded read arrived while this VM was at `position`. */
-    recordReceived(from: string, { fromOffset, nextOffset }: OffsetRange, recordCount: number, position: number): void {
+    /** A forwarded read arrived while this VM was at `position`. Records before the position do not count. */
+    recordReceived(from: string, read: OffsetRange & { readonly records: readonly KeyedRecord[]; }, position: number): void {
+        const { fromOffset, nextOffset } = read;
         this.lastSender = from;
         if (nextOffset >= position) {
             this.heardMs.reader = this.options.nowMs();
             this.hasGap = false;
         }
         this.options.onReceived(nextOffset > position ? "moved" : nextOffset === position ? "unchanged" : "behind");
-        if (nextOffset > position && (recordCount > 0 || this.options.logsRangesWithoutRecords)) {
-            this.write("read received", { vm: from, fromOffset, nextOffset, position, records: recordCount });
+        const records = countFrom(position, read.records);
+        if (nextOffset > position && (records > 0 || this.options.logsRangesWithoutRecords)) {
+            this.write("read received", { vm: from, fromOffset, nextOffset, position, records });
         }
     }
 
@@ -138,6 +144,10 @@
     }
 }
 
+function countFrom(offset: number, records: readonly KeyedRecord[]): number {
+    return records.filter(record => record.offset >= offset).length;
+}
+
 function roundMs(durationMs: number | undefined): number | undefined {
     return durationMs === undefined ? undefined : Math.round(durationMs);
 }
