--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -10,6 +10,7 @@
 import type { LogError } from "../services/LogError.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
 import { RelayState } from "./RelayState.js";
+import { createTestMonitor } from "./testing/createTestMonitor.js";
 
 const readPauseMs = 600;
 
@@ -57,8 +58,10 @@
         onRead: ({ fromOffset, nextOffset }, records) => {
             forwardedOffsets.push(nextOffset);
             forwardedReads.push(`${fromOffset}-${nextOffset}: ${records.map(record => record.key).join()}`);
+            return 1;
         },
         onReachabilityChange: isReachable => reachability.push(isReachable),
+        monitor: createTestMonitor(() => scheduler.nowMs()),
     });
     const start = () => void follower.run(controller.signal);
     const append = (key: string) => {
@@ -104,8 +107,10 @@
         },
         onRead: (read, records) => {
             onForward({ ...read, records });
+            return 1;
         },
         onReachabilityChange: () => undefined,
+        monitor: createTestMonitor(() => scheduler.nowMs()),
     });
     void follower.run(new AbortController().signal);
     const valueOf = (key: string) => key === "config" ? state.routeTable?.version : state.directory.get(key)?.startedWallMs;
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -4,6 +4,7 @@
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
+import type { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 
 const log = createLogger("follow");
 
@@ -33,11 +34,13 @@
     readonly readerRank: () => number;
     /**
      * Forwards a read of changes to the other VMs, with those of its records that `onRecords` returned. `fromOffset` is the position from
-     * which the records were applied: a VM at an earlier position must not skip to `nextOffset`.
+     * which the records were applied: a VM at an earlier position must not skip to `nextOffset`. Returns the number of VMs that it was
+     * sent to.
      */
-    readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => void;
+    readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => number;
     /** Called when the log becomes reachable, and after each read that fails. */
     readonly onReachabilityChange: (isReachable: boolean) => void;
+    readonly monitor: KeyedLogMonitor;
 }
 
 /** Delay of the next read after a failed one, doubled with each further failure up to the maximum. */
@@ -76,6 +79,7 @@
             const nowMs = scheduler.nowMs();
             const remainingWaitMs = Math.max(this.lastHeardMs, this.startupDelayEndMs) + this.silenceTimeoutMs - nowMs;
             if (this.nextOffset !== undefined && remainingWaitMs > 0) {
+                this.options.monitor.recordWaiting(this.nextOffset, this.options.readerRank);
                 await sleepFor(scheduler, Math.min(readerCheckIntervalMs - nowMs % readerCheckIntervalMs, remainingWaitMs));
                 continue;
             }
@@ -100,10 +104,12 @@
     /** Applies records that another VM has read. After a gap in the offsets it applies none, and this VM reads the log without waiting. */
     receiveFromPeer(from: string, { fromOffset, records, nextOffset }: ForwardedRead): void {
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
+            this.options.monitor.recordGap(from, { fromOffset, nextOffset }, this.nextOffset);
             this.lastHeardMs = -Infinity;
             this.startupDelayEndMs = -Infinity;
             return;
         }
+        this.options.monitor.recordReceived(from, { fromOffset, nextOffset, records }, this.nextOffset);
         if (from !== this.currentReader) {
             log("receiving records from another VM", { stream: this.options.name, vm: from, nextOffset });
             this.currentReader = from;
@@ -130,6 +136,7 @@
             return false;
         }
         this.recordSuccess();
+        this.options.monitor.recordRead(read.value.records.length);
         this.nextOffset = read.value.nextOffset;
         this.snapshotEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
@@ -142,6 +149,7 @@
     }
 
     private async readChanges(offset: number, signal: AbortSignal): Promise<boolean> {
+        this.options.monitor.recordReading(offset, this.options.readerRank);
         const read = await this.options.source.readChanges(offset, this.options.waitMs, signal);
         if (read.isErr()) {
             if (read.error.kind === "forgotten") {
@@ -150,6 +158,7 @@
                     offset,
                     firstOffset: read.error.firstOffset,
                 });
+                this.options.monitor.recordFailedRead(read.error.kind);
                 this.nextOffset = undefined;
                 return true;
             }
@@ -157,13 +166,15 @@
             return false;
         }
         this.recordSuccess();
+        this.options.monitor.recordRead(read.value.records.length);
         // Messages of other VMs may have advanced the position during the read.
         const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.snapshotEndOffset);
         const { nextOffset, records } = read.value;
         const forwarded = this.applyRecords(records, nextOffset);
         const isOvertaken = fromOffset > offset && nextOffset <= fromOffset;
         if (!isOvertaken && this.options.readerRank() < firstNonForwardingRank) {
-            this.options.onRead({ fromOffset, nextOffset }, forwarded);
+            const vms = this.options.onRead({ fromOffset, nextOffset }, forwarded);
+            this.options.monitor.recordForwarded({ fromOffset, nextOffset }, { readOffset: offset, records, forwarded, vms });
         }
         return true;
     }
@@ -179,6 +190,7 @@
 
     private recordFailure(error: LogError): void {
         this.consecutiveFailures++;
+        this.options.monitor.recordFailedRead(error.kind);
         if (this.isReachable !== false) {
             log("platform log is unreachable; retrying", { stream: this.options.name, kind: error.kind, reason: error.message });
         }
--- a/src/node/relay/testing/SimulatedProcessor.ts
+++ b/src/node/relay/testing/SimulatedProcessor.ts
@@ -21,9 +21,12 @@
         }, signal);
     }
 
-    every(periodMs: number, callback: () => void, signal: AbortSignal): void {
+    every(periodMs: number, callback: (latenessMs: number) => void, signal: AbortSignal): void {
         this.scheduler.every(periodMs, () => {
-            this.handle(callback);
+            const dueMs = this.nowMs();
+            this.handle(() => {
+                callback(this.nowMs() - dueMs);
+            });
         }, signal);
     }
 
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -8,6 +8,7 @@
 import type { KeyedRecord } from "../../services/KeyedRecord.js";
 import { KeyedLogFollower } from "../KeyedLogFollower.js";
 import { RelayState } from "../RelayState.js";
+import { createTestMonitor } from "./createTestMonitor.js";
 import { SimulatedKeyedLog } from "./SimulatedKeyedLog.js";
 import { SimulatedProcessor } from "./SimulatedProcessor.js";
 
@@ -199,8 +200,10 @@
             },
             onRead: (read, forwarded) => {
                 this.forward(getVm(), stream, { ...read, records: forwarded });
+                return this.vms.length - 1;
             },
             onReachabilityChange: () => undefined,
+            monitor: createTestMonitor(() => processor.nowMs()),
         });
     }
 
