Do not forward configurations that the same read supersedes

Cause: a read that holds several versions, as after an outage of the store, was forwarded with all of them. A version is about 13 kB; to 86 VMs one is 1.1 MB, 0.9 s of a 10 Mbit/s link, and four are 3.6 s. The calls on these VMs wait behind them.

Only the newest configuration that was applied is forwarded, and what follows it. The new test failed before: versions 1, 2 and 4 were forwarded instead of 4.

--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -56,6 +56,15 @@
     expect(state.routeTable?.version).toEqual(9);
 });
 
+test("configurations that a later one in the same read supersedes do not fill the reader's link", () => {
+    const { state } = createState();
+    const forward = (...values: string[]) =>
+        state.applyConfigRecords(values.map(value => record("config", value))).map(({ value }) => String(value));
+    expect(forward("1", "2", "4")).toEqual(["4"]);
+    expect(forward("5", "6", "x")).toEqual(["6", "x"]);
+    expect(forward("3", "x")).toEqual(["3", "x"]);
+});
+
 test("a configuration that is not newer or cannot be decoded is logged with its offset", () => {
     const lines: Record<string, unknown>[] = [];
     const { write } = logOutput;
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -29,14 +29,15 @@
         return this.routeTable !== undefined && this.isUpstreamListKnown;
     }
 
-    /** Applies records of the configuration stream; returns those to forward to other VMs. */
+    /** Applies records of the configuration stream; returns those to forward to other VMs: none that a later one supersedes. */
     applyConfigRecords(records: readonly KeyedRecord[]): readonly KeyedRecord[] {
-        for (const { key, value, offset } of records) {
-            if (key === this.options.config.key && value !== undefined) {
-                this.applyConfigRecord(value, offset);
+        let firstForwardedIndex = 0;
+        for (const [index, { key, value, offset }] of records.entries()) {
+            if (key === this.options.config.key && value !== undefined && this.applyConfigRecord(value, offset)) {
+                firstForwardedIndex = index;
             }
         }
-        return records;
+        return records.slice(firstForwardedIndex);
     }
 
     /**
@@ -65,20 +66,22 @@
         }
     }
 
-    private applyConfigRecord(value: Uint8Array, offset: number): void {
+    /** Applies a configuration record. Returns whether it is in force now. */
+    private applyConfigRecord(value: Uint8Array, offset: number): boolean {
         const config = this.options.config.decode(value);
         if (config.isErr()) {
             log("configuration cannot be decoded; ignoring it", { offset, reason: config.error, version: this.routeTable?.version });
-            return;
+            return false;
         }
         if (this.routeTable !== undefined && config.value.version <= this.routeTable.version) {
             log("configuration is not newer; ignoring it", { offset, version: config.value.version, inForce: this.routeTable.version });
-            return;
+            return false;
         }
         const before = this.routeTable?.version;
         this.routeTable = new RouteTable(config.value);
         log("configuration applied", { offset, version: config.value.version, before, routes: config.value.routes.length });
         this.options.onConfig(this.routeTable);
+        return true;
     }
 
     /** Applies a record. Returns whether to forward it; other VMs may lack an entry that has not changed here. */
