Announce reads that are too large to forward to the whole fleet

A configuration of many routes, or an ordinary one in a fleet of 300 VMs, would fill the link of the VM that reads the log for seconds (130 kB to 86 VMs: 11 MB), with its calls and the messages that show that it lives behind it. Such a read is now announced without its records: receivers see a gap and read the log, whose link is 400 times as fast. The price is one call of the store for each VM; a VM that reaches other VMs but not the store gets such a change later.

--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -2,6 +2,7 @@
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
 import { EnginePlacer } from "../../core/relay/EnginePlacer.js";
 import { LeastLoadedPlacer } from "../../core/relay/LeastLoadedPlacer.js";
+import { limitForwardedRead } from "../../core/relay/limitForwardedRead.js";
 import type { Placement } from "../../core/relay/Placement.js";
 import type { PlacementRequest } from "../../core/relay/PlacementRequest.js";
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
@@ -259,7 +260,11 @@
                 return forwarded;
             },
             onRead: (read, forwarded) => {
-                const counts = this.broadcast({ type: "keyedRecords", stream: name, ...read, records: [...forwarded] });
+                const limited = limitForwardedRead({ ...read, records: forwarded }, this.membership.members.length - 1);
+                if (limited.records.length < forwarded.length) {
+                    log("read is too large to forward; other VMs read the log themselves", { stream: name, ...read });
+                }
+                const counts = this.broadcast({ type: "keyedRecords", stream: name, ...limited, records: [...limited.records] });
                 relayMetrics.recordForwarded(name, counts);
                 return counts.sent;
             },
