--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -1,66 +1,18 @@
 import { expect } from "earl";
-import { err, ok } from "neverthrow";
 import { createServer, type IncomingMessage, request as httpRequest, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, test } from "node:test";
-import { LeastLoadedPlacer } from "../../core/relay/LeastLoadedPlacer.js";
-import { RouteTable } from "../../core/relay/RouteTable.js";
-import { exampleConfig } from "../../core/relay/testing/exampleConfig.js";
-import { exampleRoute } from "../../core/relay/testing/exampleRoute.js";
-import { exampleUpstream } from "../../core/relay/testing/exampleUpstream.js";
-import { UpstreamDirectory } from "../../core/relay/UpstreamDirectory.js";
-import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
-import { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
-import { RetryBudget } from "../../core/retry/RetryBudget.js";
 import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
-import type { RequestSummary } from "../services/RequestSummary.js";
-import { SystemScheduler } from "../timers/SystemScheduler.js";
-import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
-import type { RelayDialect } from "./RelayDialect.js";
-import { RelayServer } from "./RelayServer.js";
+import { callRelay as call } from "./testing/callRelay.js";
+import { startTestRelay } from "./testing/startTestRelay.js";
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
-interface ReceivedResponse {
-    readonly status: number;
-    readonly headers: IncomingMessage["headers"];
-    readonly body: string;
-    readonly isComplete: boolean;
-}
-
 const controller = new AbortController();
 after(() => {
     controller.abort();
 });
 
-/** Dialect with header names that belong to no real platform. */
-const dialect: RelayDialect = {
-    decodeCall: ({ headers, url = "/", method = "GET" }) => {
-        const requestId = headers["call-id"];
-        return typeof requestId === "string" && requestId !== ""
-            ? ok({
-                requestId,
-                method,
-                host: headers.host ?? "",
-                path: url.split("?")[0] ?? "",
-                target: url,
-                key: "key-1",
-                patienceMs: Number(headers["patience"] ?? 5_000),
-                lastEventId: undefined,
-                prompt: undefined,
-            })
-            : err("call-id is missing");
-    },
-    buildUpstreamHeaders: (call, received, context) => ({
-        host: received.host ?? "",
-        "call-id": call.requestId,
-        ...(context.lastEventId === undefined ? {} : { "last-event-id": context.lastEventId }),
-    }),
-    buildRetryAfterHeaders: delayMs => ({ "retry-after": String(delayMs / 1_000) }),
-    classifyResponse: (status, headers, call) =>
-        headers["not-run"] !== undefined && status >= 400 ? "not-run" : headers["call-id"] === call.requestId ? "answer" : "foreign",
-};
-
 async function listen(handler: Handler): Promise<string> {
     const server: Server = createServer(handler);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -73,69 +25,8 @@
 
 /** Starts a relay in front of one upstream for each of `handlers`; they are chosen in that order. */
 async function startRelay(route: Partial<RelayRoute>, handlers: readonly (Handler | "down")[]) {
-    const directory = new UpstreamDirectory();
-    const loadTracker = new UpstreamLoadTracker();
-    const summaries: RequestSummary[] = [];
-    for (const [index, handler] of handlers.entries()) {
-        directory.set(
-            exampleUpstream(`u${index}`, { address: handler === "down" ? "127.0.0.1:1" : await listen(handler), slots: 6 - index }),
-        );
-    }
-    const scheduler = new SystemScheduler();
-    const connections = new UpstreamConnections();
-    controller.signal.addEventListener("abort", () => void connections.close());
-    const placer = new LeastLoadedPlacer(loadTracker, "z1", () => 0.5);
-    const temporaryServer = createServer();
-    await new Promise<void>(resolve => temporaryServer.listen(0, "127.0.0.1", resolve));
-    const { port } = temporaryServer.address() as AddressInfo;
-    await new Promise(resolve => temporaryServer.close(resolve));
-    const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
-    const server = new RelayServer({
-        host: "127.0.0.1",
-        port,
-        dialect,
-        scheduler,
-        directory,
-        loadTracker,
-        health: new UpstreamHealth(),
-        connections,
-        observer: { requestEnded: summary => summaries.push(summary) },
-        routeTable: () => routeTable,
-        retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: 10 }),
-        placeCall: request => placer.place(request),
-    });
-    (await server.start(controller.signal))._unsafeUnwrap();
-    return { port, server, summaries, loadTracker };
-}
-
-function call(port: number, headers: Record<string, string> = {}, body = "hello"): Promise<ReceivedResponse> {
-    return new Promise((resolve, reject) => {
-        const request = httpRequest(
-            {
-                host: "127.0.0.1",
-                port,
-                path: "/a/b?c=d",
-                method: "POST",
-                agent: false,
-                headers: { host: "shop.example", "call-id": "r-1", ...headers },
-            },
-            response => {
-                const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
-                response.on("error", () => undefined);
-                response.on("close", () => {
-                    resolve({
-                        status: response.statusCode ?? 0,
-                        headers: response.headers,
-                        body: Buffer.concat(chunks).toString(),
-                        isComplete: response.complete,
-                    });
-                });
-            },
-        );
-        request.on("error", reject);
-        request.end(body);
-    });
+    const addresses = await Promise.all(handlers.map(handler => handler === "down" ? "127.0.0.1:1" : listen(handler)));
+    return startTestRelay(route, addresses, controller.signal);
 }
 
 /** Responds after the complete body has arrived. */
--- /dev/null
+++ b/src/node/relay/testing/exampleDialect.ts
@@ -0,0 +1,30 @@
+import { err, ok } from "neverthrow";
+import type { RelayDialect } from "../RelayDialect.js";
+
+/** Dialect for tests with header names that belong to no real platform. */
+export const exampleDialect: RelayDialect = {
+    decodeCall: ({ headers, url = "/", method = "GET" }) => {
+        const requestId = headers["call-id"];
+        return typeof requestId === "string" && requestId !== ""
+            ? ok({
+                requestId,
+                method,
+                host: headers.host ?? "",
+                path: url.split("?")[0] ?? "",
+                target: url,
+                key: "key-1",
+                patienceMs: Number(headers["patience"] ?? 5_000),
+                lastEventId: undefined,
+                prompt: undefined,
+            })
+            : err("call-id is missing");
+    },
+    buildUpstreamHeaders: (call, received, context) => ({
+        host: received.host ?? "",
+        "call-id": call.requestId,
+        ...(context.lastEventId === undefined ? {} : { "last-event-id": context.lastEventId }),
+    }),
+    buildRetryAfterHeaders: delayMs => ({ "retry-after": String(delayMs / 1_000) }),
+    classifyResponse: (status, headers, call) =>
+        headers["not-run"] !== undefined && status >= 400 ? "not-run" : headers["call-id"] === call.requestId ? "answer" : "foreign",
+};
--- /dev/null
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -0,0 +1,58 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { LeastLoadedPlacer } from "../../../core/relay/LeastLoadedPlacer.js";
+import { RouteTable } from "../../../core/relay/RouteTable.js";
+import { exampleConfig } from "../../../core/relay/testing/exampleConfig.js";
+import { exampleRoute } from "../../../core/relay/testing/exampleRoute.js";
+import { exampleUpstream } from "../../../core/relay/testing/exampleUpstream.js";
+import { UpstreamDirectory } from "../../../core/relay/UpstreamDirectory.js";
+import { UpstreamHealth } from "../../../core/relay/UpstreamHealth.js";
+import { UpstreamLoadTracker } from "../../../core/relay/UpstreamLoadTracker.js";
+import { RetryBudget } from "../../../core/retry/RetryBudget.js";
+import type { RelayRoute } from "../../../schema/relay/RelayRoute.js";
+import type { RequestSummary } from "../../services/RequestSummary.js";
+import { SystemScheduler } from "../../timers/SystemScheduler.js";
+import { UpstreamConnections } from "../../upstream/UpstreamConnections.js";
+import { RelayServer } from "../RelayServer.js";
+import { exampleDialect } from "./exampleDialect.js";
+
+/** Starts a relay in front of the upstreams with these addresses, `u0`, `u1` and so on; they are chosen in that order. */
+export async function startTestRelay(
+    route: Partial<RelayRoute>,
+    addresses: readonly string[],
+    signal: AbortSignal,
+    dialect = exampleDialect,
+) {
+    const directory = new UpstreamDirectory();
+    const loadTracker = new UpstreamLoadTracker();
+    const health = new UpstreamHealth();
+    const summaries: RequestSummary[] = [];
+    for (const [index, address] of addresses.entries()) {
+        directory.set(exampleUpstream(`u${index}`, { address, slots: 6 - index }));
+    }
+    const scheduler = new SystemScheduler();
+    const connections = new UpstreamConnections();
+    signal.addEventListener("abort", () => void connections.close());
+    const placer = new LeastLoadedPlacer(loadTracker, "z1", () => 0.5);
+    const temporaryServer = createServer();
+    await new Promise<void>(resolve => temporaryServer.listen(0, "127.0.0.1", resolve));
+    const { port } = temporaryServer.address() as AddressInfo;
+    await new Promise(resolve => temporaryServer.close(resolve));
+    const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
+    const server = new RelayServer({
+        host: "127.0.0.1",
+        port,
+        dialect,
+        scheduler,
+        directory,
+        loadTracker,
+        health,
+        connections,
+        observer: { requestEnded: summary => summaries.push(summary) },
+        routeTable: () => routeTable,
+        retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: 10 }),
+        placeCall: request => placer.place(request),
+    });
+    (await server.start(signal))._unsafeUnwrap();
+    return { port, server, summaries, loadTracker, health };
+}
