Close an upstream's connection when it sends framing without end

What callers saw: a call whose upstream sent an endless status line, endless spaces before a header's value, interim responses or empty lines without end, or an endless chunk size or chunk extension was answered only at its deadline, and a repeatable call with another upstream free was retried late; until then the VM parsed what arrived at full speed. Empty lines sent after a complete response were read on the idle connection as long as the upstream sent them.

Cause: undici counts only names and values of headers towards its limit, resets the count with each interim response, and has no limit for the other parts of a message's framing.

Each connection now counts the bytes that were parsed since a request started or data of a body arrived, and is closed beyond 64 KiB, which is four times what undici allows for a head. Body data resets the count, so responses of any length in chunks of any size pass; a test sends 180 KB of 1-byte chunks and 20 large heads without a body over one connection. Bytes that wait in a paused socket do not count. The exchange fails as broken, so the call is retried or answered with 502, and the upstream is avoided.

The tests of the same endless parts sent one byte at a time passed before: they end at the call's deadline.

--- /dev/null
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -0,0 +1,125 @@
+import { expect } from "earl";
+import { after, test } from "node:test";
+import { SystemScheduler } from "../timers/SystemScheduler.js";
+import { startEndlessUpstream } from "../upstream/testing/startEndlessUpstream.js";
+import { callRelay } from "./testing/callRelay.js";
+import { startTestRelay } from "./testing/startTestRelay.js";
+
+const controller = new AbortController();
+after(() => {
+    controller.abort();
+});
+
+/** So late that a connection that is closed at the deadline counts as still open. */
+const farDeadline = { timeoutMs: 60_000 };
+const patience = { patience: "60000" };
+const head = "HTTP/1.1 200 OK\r\ncall-id: r-1\r\n";
+const chunkedHead = `${head}transfer-encoding: chunked\r\n\r\n`;
+const completeResponse = { start: `${head}content-length: 4\r\n\r\ngood`, filler: "" };
+
+const endlessFraming = [
+    { name: "status line", start: "HTTP/1.1 200 ", filler: "OK " },
+    { name: "header name", start: `${head}x-`, filler: "a" },
+    { name: "header value", start: `${head}x-a: `, filler: "a" },
+    { name: "header value of spaces", start: `${head}x-a: `, filler: " " },
+    { name: "list of headers", start: head, filler: "x-a: b\r\n" },
+    { name: "list of interim responses", start: "", filler: "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n" },
+    { name: "list of empty lines", start: "", filler: "\r\n" },
+    { name: "message that is not HTTP", start: "", filler: "not HTTP at all\n" },
+    { name: "binary message", start: "\u0000\u0001", filler: "\u0000" },
+    { name: "chunk size", start: chunkedHead, filler: "0" },
+    { name: "chunk extension", start: `${chunkedHead}5;a=`, filler: "b" },
+    { name: "list of chunk extensions", start: `${chunkedHead}5`, filler: ";a=b" },
+    { name: "trailer value", start: `${chunkedHead}4\r\nevil\r\n0\r\nx-a: `, filler: "a" },
+    { name: "list of trailers", start: `${chunkedHead}4\r\nevil\r\n0\r\n`, filler: "x-a: b\r\n" },
+    { name: "list of trailers without values", start: `${chunkedHead}4\r\nevil\r\n0\r\n`, filler: "x-a:   \r\n" },
+];
+
+for (const { name, ...response } of endlessFraming) {
+    test(`an endless ${name} fails the upstream's connection, and the call that may have run is not repeated`, async () => {
+        const upstream = await startEndlessUpstream([response], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address], controller.signal);
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        const { status, body, isComplete } = await answer;
+        expect([status, JSON.parse(body).error.outcome, isComplete]).toEqual([502, "unknown", true]);
+        expect(relay.health.isAvoided("u0", new SystemScheduler().nowMs())).toEqual(true);
+    });
+
+    test(`a repeatable call whose upstream sends an endless ${name} is answered by another upstream`, async () => {
+        const upstream = await startEndlessUpstream([response], controller.signal);
+        const healthy = await startEndlessUpstream([completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline }, [upstream.address, healthy.address], controller.signal);
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await answer).body, (await callRelay(relay.port, patience)).body]).toEqual(["good", "good"]);
+    });
+}
+
+const unasked = [
+    { name: "empty lines", filler: "\r\n" },
+    { name: "bytes that are not HTTP", filler: "not HTTP at all\n" },
+    { name: "responses to no call", filler: "HTTP/1.1 200 OK\r\ncall-id: r-9\r\ncontent-length: 4\r\n\r\nevil" },
+    { name: "responses to the same call", filler: `${head}content-length: 4\r\n\r\nevil` },
+];
+
+for (const { name, filler } of unasked) {
+    test(`endless ${name} after a complete response close the connection, and the next call is answered`, async () => {
+        const upstream = await startEndlessUpstream([{ ...completeResponse, filler }, completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address], controller.signal);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await callRelay(relay.port, patience)).body, upstream.connectionCount()]).toEqual(["good", 2]);
+    });
+}
+
+for (const { name, filler } of unasked.filter(entry => entry.name !== "responses to the same call")) {
+    test(`endless ${name} on a reused connection fail the call that may have run, and the next call is answered`, async () => {
+        const upstream = await startEndlessUpstream([completeResponse, { start: "", filler }, completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address], controller.signal);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await answer).status, JSON.parse((await answer).body).error.outcome]).toEqual([502, "unknown"]);
+        expect([(await callRelay(relay.port, patience)).body, upstream.requestCount()]).toEqual(["good", 3]);
+    });
+}
+
+test("a connection is kept however many responses without a body or with small chunks it carries", async () => {
+    const longHeader = `x-a: ${"a".repeat(8_000)}\r\n`;
+    const responses = [
+        ...Array<{ start: string; filler: string; }>(20).fill({
+            start: `HTTP/1.1 204 No Content\r\ncall-id: r-1\r\n${longHeader}\r\n`,
+            filler: "",
+        }),
+        { start: `${chunkedHead}${"1\r\na\r\n".repeat(30_000)}0\r\n\r\n`, filler: "" },
+        completeResponse,
+    ];
+    const upstream = await startEndlessUpstream(responses, controller.signal);
+    const relay = await startTestRelay({ ...farDeadline }, [upstream.address], controller.signal);
+    const lengths: number[] = [];
+    while (lengths.length < responses.length) {
+        lengths.push((await callRelay(relay.port, patience)).body.length);
+    }
+    expect([lengths, upstream.connectionCount()]).toEqual([[...Array<number>(20).fill(0), 30_000, 4], 1]);
+});
+
+const slowResponses = [
+    { name: "status line", start: "HTTP/1.1 200 ", filler: "OK " },
+    { name: "header", start: `${head}x-a: `, filler: "a" },
+    { name: "list of interim responses", start: "", filler: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    { name: "body without a length", start: `${head}\r\n`, filler: "a" },
+    { name: "chunked body", start: chunkedHead, filler: "1\r\na\r\n" },
+    { name: "chunk extension", start: `${chunkedHead}5;a=`, filler: "b" },
+    { name: "list of trailers", start: `${chunkedHead}0\r\n`, filler: "x-a: b\r\n" },
+];
+
+for (const { name, ...response } of slowResponses) {
+    test(`an endless ${name}, sent one byte at a time, ends at the call's deadline`, async () => {
+        const upstream = await startEndlessUpstream([{ ...response, isSlow: true }, completeResponse], controller.signal);
+        const relay = await startTestRelay({ timeoutMs: 200, kind: "once" }, [upstream.address], controller.signal);
+        const { status, body } = await callRelay(relay.port, patience);
+        expect([status, JSON.parse(body).error.outcome, await upstream.end]).toEqual([504, "unknown", "closed by the router"]);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+    });
+}
--- a/src/node/upstream/ConnectionState.ts
+++ b/src/node/upstream/ConnectionState.ts
@@ -1,5 +1,9 @@
+import type { FramingLimiter } from "./FramingLimiter.js";
+
 /** State of one connection to an upstream. */
 export interface ConnectionState {
     /** The connection was reset or failed, so a response that is delimited by the end of its connection may be truncated. */
     hasFailed: boolean;
+    /** Limits what the upstream sends outside bodies; undefined until the connection is open. */
+    framingLimiter: FramingLimiter | undefined;
 }
--- a/src/node/upstream/TrackedClient.ts
+++ b/src/node/upstream/TrackedClient.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { ConnectionState } from "./ConnectionState.js";
+import { FramingLimiter } from "./FramingLimiter.js";
 import type { TrackedDispatchOptions } from "./TrackedDispatchOptions.js";
 
 interface TrackedClientOptions {
@@ -9,19 +10,20 @@
 
 /**
  * One connection to an upstream that records for its exchanges whether it has failed. When a response has no length, undici treats
- * the data that arrived before a connection reset as a complete response.
+ * the data that arrived before a connection reset as a complete response. It also closes a connection whose upstream sends framing without end.
  */
 export class TrackedClient extends Client {
     private readonly state: ConnectionState;
 
     constructor(origin: string | URL, { connectTimeoutMs, keepAliveMs }: TrackedClientOptions) {
-        const state: ConnectionState = { hasFailed: false };
+        const state: ConnectionState = { hasFailed: false, framingLimiter: undefined };
         const connect = buildConnector({ timeout: connectTimeoutMs, keepAlive: true });
         super(origin, {
             connect: (options, callback) => {
                 connect(options, (...result) => {
                     const socket = result[1];
                     state.hasFailed = false;
+                    state.framingLimiter = socket ? new FramingLimiter(socket) : undefined;
                     socket?.once("error", () => {
                         state.hasFailed = true;
                     });
@@ -35,6 +37,9 @@
             pipelining: 1,
         });
         this.state = state;
+        this.on("connect", () => {
+            state.framingLimiter?.start();
+        });
     }
 
     override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -61,6 +61,7 @@
             return;
         }
         this.isSent = true;
+        this.connection?.framingLimiter?.reset();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
@@ -73,6 +74,7 @@
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.connection?.framingLimiter?.reset();
         if (!controller.aborted) {
             this.sink?.onData(chunk);
         }
