Forward the bytes of a large response that is no event stream unchanged

What callers saw: a complete response of more than 256 KiB that is no event stream was cut off before its first byte, on every kind of route, unless its bytes happened to end with an empty line; the upstream had run the call. An endless one was held in memory, and each chunk copied all of it.

Cause: a held response over 256 KiB was forwarded through EventFramer like a stream, which holds bytes back until an empty line; what was left at the end counted as an incomplete event. Repeated ids in it would have been dropped.

Only streams of events (status 200 on a stream route) are framed now; other responses are forwarded as they arrive, paused by a slow caller. Such a response can't be resumed, so once it has begun no other attempt is made when it breaks off; an attempt that was to resume a stream but brings a large response of another kind fails, so that it isn't appended to the stream. An endless body ends in a cut connection at the deadline.

--- a/src/node/relay/CallerResponse.ts
+++ b/src/node/relay/CallerResponse.ts
@@ -4,7 +4,6 @@
 import { createLogger } from "../logs/createLogger.js";
 import { selectForwardedHeaders } from "../upstream/selectForwardedHeaders.js";
 import type { BufferedResponse } from "./BufferedResponse.js";
-import { isEventStream } from "./isEventStream.js";
 import type { RelayDependencies } from "./RelayDependencies.js";
 import type { RelayRefusal } from "./RelayRefusal.js";
 import type { RelayRequest } from "./RelayRequest.js";
@@ -21,6 +20,8 @@
     readonly framer: EventFramer;
     /** Time between the last two writes of events to the caller. */
     lastEventGapMs = 0;
+    /** Whether the forwarded response is a stream of events, which another upstream can resume; otherwise its bytes are forwarded unchanged. */
+    isStreamed = false;
     private lastEventMs = 0;
 
     constructor(
@@ -36,24 +37,41 @@
         return this.request.outgoing.headersSent;
     }
 
-    /** Sends the head of the first attempt whose response is forwarded; the heads of later attempts are ignored. */
-    sendHead(status: number, headers: IncomingHttpHeaders): void {
-        if (this.hasSentHead || this.request.outgoing.destroyed) {
-            return;
+    /** Whether the caller can receive the response of another attempt: it has received nothing, or a stream that can be resumed. */
+    get canContinue(): boolean {
+        return !this.hasSentHead || this.isStreamed;
+    }
+
+    /**
+     * Sends the head of the first attempt whose response is forwarded. The heads of later attempts are not sent; returns false when their
+     * response is no continuation of the first one.
+     */
+    sendHead(status: number, headers: IncomingHttpHeaders, isStreamed: boolean): boolean {
+        if (this.hasSentHead) {
+            return this.isStreamed && isStreamed;
+        }
+        this.isStreamed = isStreamed;
+        if (this.request.outgoing.destroyed) {
+            return true;
         }
         this.summary.status = status;
         const forwardedHeaders = selectForwardedHeaders(headers);
-        if (isEventStream(headers)) {
+        if (isStreamed) {
             delete forwardedHeaders["content-length"];
         }
         this.request.outgoing.writeHead(status, forwardedHeaders);
+        return true;
     }
 
-    /** Forwards the events that these bytes complete. Returns false on backpressure from the caller, undefined when nothing was forwarded. */
+    /** Forwards these bytes, or the events of a stream that they complete. Returns false on backpressure from the caller, undefined when nothing was forwarded. */
     forward(bytes: Buffer): boolean | undefined {
         if (this.request.outgoing.destroyed) {
             return undefined;
         }
+        if (!this.isStreamed) {
+            this.summary.firstTokenMs ??= this.dependencies.scheduler.nowMs() - this.request.arrivedMs;
+            return this.request.outgoing.write(bytes);
+        }
         const events = this.framer.push(bytes);
         if (events.length === 0) {
             return undefined;
--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -123,3 +123,62 @@
         expect((await callRelay(relay.port, patience)).body).toEqual("good");
     });
 }
+
+const largeBody = "not an event\n".repeat(50_000);
+
+for (const kind of ["once", "repeatable", "stream"] as const) {
+    test(`a response of more than 256 KiB that is no event stream reaches the caller of a ${kind} route whole, though no event ends in it`, async () => {
+        const sized = { start: `${head}content-length: ${largeBody.length}\r\n\r\n${largeBody}`, filler: "" };
+        const chunked = { start: `${chunkedHead}${largeBody.length.toString(16)}\r\n${largeBody}\r\n0\r\n\r\n`, filler: "" };
+        const upstream = await startEndlessUpstream([sized, chunked], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind }, [upstream.address], controller.signal);
+        for (let count = 0; count < 2; count++) {
+            const { status, body, isComplete } = await callRelay(relay.port, patience);
+            expect([status, body === largeBody, isComplete]).toEqual([200, true, true]);
+        }
+        expect(relay.health.isAvoided("u0", new SystemScheduler().nowMs())).toEqual(false);
+    });
+}
+
+test("a large response that breaks off is cut and not continued with the response of another upstream", async () => {
+    const brokenChunk = `${chunkedHead}${largeBody.length.toString(16)}\r\n${largeBody}\r\nno chunk size\r\n`;
+    const broken = await startEndlessUpstream([{ start: brokenChunk, filler: "" }], controller.signal);
+    const healthy = await startEndlessUpstream(
+        [{ start: `${head}content-length: ${largeBody.length}\r\n\r\n${largeBody}`, filler: "" }],
+        controller.signal,
+    );
+    const relay = await startTestRelay({ ...farDeadline }, [broken.address, healthy.address], controller.signal);
+    const answer = await callRelay(relay.port, patience);
+    expect([answer.isComplete, largeBody.startsWith(answer.body), healthy.requestCount()]).toEqual([false, true, 0]);
+    expect((await callRelay(relay.port, patience)).body === largeBody).toEqual(true);
+});
+
+test("a resumed stream is not continued with a large response that is no event stream", async () => {
+    const streamHead = `${chunkedHead.slice(0, -2)}content-type: text/event-stream\r\n\r\n`;
+    const broken = await startEndlessUpstream(
+        [{ start: `${streamHead}f\r\nid: 4\ndata: a\n\n\r\nno chunk size\r\n`, filler: "" }],
+        controller.signal,
+    );
+    const other = await startEndlessUpstream(
+        [{ start: `${head}content-length: ${largeBody.length}\r\n\r\n${largeBody}`, filler: "" }],
+        controller.signal,
+    );
+    const relay = await startTestRelay(
+        { ...farDeadline, kind: "stream", isResumable: true },
+        [broken.address, other.address],
+        controller.signal,
+    );
+    const answer = await callRelay(relay.port, patience);
+    expect([answer.body, answer.isComplete, other.requestCount()]).toEqual(["id: 4\ndata: a\n\n", false, 1]);
+});
+
+for (const [name, start] of [["without a length", `${head}\r\n`], ["of chunks", chunkedHead]] as const) {
+    test(`an endless body ${name} leaves the caller's response incomplete at the deadline`, async () => {
+        const filler = start === chunkedHead ? "5\r\nhello\r\n" : "hello";
+        const upstream = await startEndlessUpstream([{ start, filler }, completeResponse], controller.signal);
+        const relay = await startTestRelay({ timeoutMs: 500 }, [upstream.address], controller.signal);
+        const answer = await callRelay(relay.port, patience);
+        expect([answer.status, answer.isComplete, answer.body.startsWith("hellohello")]).toEqual([200, false, true]);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+    });
+}
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -20,10 +20,10 @@
     readonly body: Buffer | undefined;
     readonly dialect: RelayDialect;
     readonly connections: UpstreamConnections;
-    /** Whether a response with this head is forwarded while it arrives. */
+    /** Whether a response with this head is a stream of events, which is forwarded from its first event on. */
     readonly isStreamed: (status: number, headers: IncomingHttpHeaders) => boolean;
-    /** Receives the head of a forwarded response. */
-    readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
+    /** Receives the head of a forwarded response; returns false when the response cannot follow what the caller has already received. */
+    readonly onHead: (status: number, headers: IncomingHttpHeaders, isStreamed: boolean) => boolean;
     /** Receives bytes of a forwarded response; returns false to pause the upstream. */
     readonly onBytes: (bytes: Buffer) => boolean;
 }
@@ -86,7 +86,7 @@
         this.bufferedChunks.push(bytes);
         this.bufferedBytes += bytes.length;
         if (this.mode === "held" && this.bufferedBytes > maxBufferedBytes) {
-            this.startForwarding();
+            this.startForwarding(false);
         }
     }
 
@@ -119,8 +119,7 @@
         this.headers = headers;
         const responseKind = this.options.dialect.classifyResponse(status, headers, this.options.call);
         if (responseKind === "foreign") {
-            this.completion.resolve({ kind: "broken", reason: "the upstream sent a response that does not belong to this call" });
-            this.exchange.abort(new ThrownUpstreamError("broken", status, "response does not belong to this call"));
+            this.fail("the upstream sent a response that does not belong to this call");
             return;
         }
         if (responseKind !== "answer") {
@@ -129,18 +128,27 @@
             return;
         }
         if (this.options.isStreamed(status, headers)) {
-            this.startForwarding();
+            this.startForwarding(true);
         }
     }
 
-    private startForwarding(): void {
+    private startForwarding(isStreamed: boolean): void {
         this.mode = "forwarded";
-        this.options.onHead(this.status, this.headers);
+        if (!this.options.onHead(this.status, this.headers, isStreamed)) {
+            this.fail("the upstream did not resume the stream but sent a separate response");
+            return;
+        }
         for (const bytes of this.bufferedChunks.splice(0)) {
             this.forward(bytes);
         }
     }
 
+    /** Ends the attempt because of what its upstream sent, and closes its connection. */
+    private fail(reason: string): void {
+        this.completion.resolve({ kind: "broken", reason });
+        this.exchange.abort(new ThrownUpstreamError("broken", this.status, reason));
+    }
+
     private forward(bytes: Buffer): void {
         if (!this.options.onBytes(bytes)) {
             this.exchange.pause();
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -129,9 +129,9 @@
             dialect: dependencies.dialect,
             connections: dependencies.connections,
             isStreamed: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
-            onHead: (status, headers) => {
+            onHead: (status, headers, isStreamed) => {
                 this.lastReceivedMs = dependencies.scheduler.nowMs();
-                this.callerResponse.sendHead(status, headers);
+                return this.callerResponse.sendHead(status, headers, isStreamed);
             },
             onBytes: bytes => this.forward(bytes),
         });
@@ -318,7 +318,7 @@
     private canRepeat(): boolean {
         const { route } = this.request;
         const isRepeatable = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
-        return isRepeatable && this.summary.attempts < route.maxAttempts;
+        return isRepeatable && this.callerResponse.canContinue && this.summary.attempts < route.maxAttempts;
     }
 
     private retryOr(reason: string, endCall: () => void): boolean {
@@ -354,7 +354,7 @@
         const nowMs = this.dependencies.scheduler.nowMs();
         this.lastReceivedMs = nowMs;
         const isWritable = this.callerResponse.forward(bytes);
-        if (isWritable !== undefined) {
+        if (isWritable !== undefined && this.callerResponse.isStreamed) {
             this.recordEvent(nowMs);
         }
         return isWritable ?? true;
