Fail a stream whose event has no end, and collect its bytes in linear time

What callers saw: a stream whose upstream sent an event without its empty line stayed open until the deadline, and a resumable one was not resumed on another upstream. The VM kept all bytes of the event in memory, and copied them again with each chunk, so that other calls on it had to wait too.

Cause: EventFramer reported that an event was too long, but nothing looked at it; it joined the incomplete event and each chunk to a new buffer and searched all of it for an empty line.

An event of more than 1 MiB now ends the attempt as broken: the upstream's connection is closed, the upstream is avoided, and the stream is resumed elsewhere or cut after the last complete event. The framer appends to a buffer whose capacity doubles, and searches only new bytes and the two before them for the end of the event.

--- a/src/core/relay/EventFramer.test.ts
+++ b/src/core/relay/EventFramer.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { test } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { EventFramer } from "./EventFramer.js";
 
 const events = ["id: 4\ndata: a\n\n", "id: 8\ndata: b\n\n", "id: 12\r\ndata: c\r\n\r\n"];
@@ -35,3 +36,37 @@
     const framer = new EventFramer("8");
     expect(framer.push(Buffer.from(events.join(""))).toString()).toEqual("id: 12\r\ndata: c\r\n\r\n");
 });
+
+test("an event without end is reported as too long, and dropping it makes room for the next upstream's events", () => {
+    const framer = new EventFramer(undefined);
+    const kibibyte = Buffer.from("data: a\n".repeat(128));
+    while (!framer.isTooLong) {
+        expect(framer.push(kibibyte).length).toEqual(0);
+        expect(framer.pendingBytes <= 1025 * 1024).toEqual(true);
+    }
+    framer.dropPending();
+    expect(framer.isTooLong as boolean).toEqual(false);
+    expect(framer.push(Buffer.from("id: 8\ndata: b\n\n")).toString()).toEqual("id: 8\ndata: b\n\n");
+});
+
+test("an event of 1 MiB that arrives byte by byte does not keep the VM busy", { timeout: 20_000 }, async () => {
+    const framer = new EventFramer(undefined);
+    const line = Buffer.from("data: a\n");
+    const event = Buffer.concat([...Array<Buffer>(1024 * 128 - 1).fill(line), Buffer.from("\n")]);
+    const received: Buffer[] = [];
+    for (let offset = 0; offset < event.length; offset++) {
+        received.push(framer.push(event.subarray(offset, offset + 1)));
+        if (offset % 1024 === 0) {
+            await setImmediate();
+        }
+    }
+    expect([Buffer.concat(received).equals(event), framer.isTooLong, framer.pendingBytes]).toEqual([true, false, 0]);
+});
+
+test("events that were returned are not overwritten by later bytes", () => {
+    const framer = new EventFramer(undefined);
+    framer.push(Buffer.from("data: fir"));
+    const first = framer.push(Buffer.from("st\n\ndata: sec"));
+    framer.push(Buffer.from("ond\n\ndata: third"));
+    expect(first.toString()).toEqual("data: first\n\n");
+});
--- a/src/core/relay/EventFramer.ts
+++ b/src/core/relay/EventFramer.ts
@@ -1,8 +1,11 @@
+import { GrowingBuffer } from "../util/GrowingBuffer.js";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idFieldPrefix = Buffer.from("id:");
 const maxEventBytes = 1024 * 1024;
-const emptyBuffer = Buffer.alloc(0);
+/** All bytes of an event end except the last one, as in `\n\r\n`. */
+const maxPartialEndBytes = 2;
 
 /**
  * Splits a stream of server-sent events into complete events and tracks their ids, so that an interrupted stream can be resumed with each
@@ -13,9 +16,7 @@
     lastEventId: string | undefined;
     /** Number of complete events so far, without duplicates. */
     eventCount = 0;
-    /** Whether the incomplete event exceeds 1 MiB. */
-    isTooLong = false;
-    private pendingData: Buffer = emptyBuffer;
+    private readonly pending = new GrowingBuffer();
 
     constructor(lastEventId: string | undefined) {
         this.lastEventId = lastEventId;
@@ -23,28 +24,42 @@
 
     /** Size of the incomplete event, in bytes. */
     get pendingBytes(): number {
-        return this.pendingData.length;
+        return this.pending.length;
+    }
+
+    /** Whether the incomplete event exceeds 1 MiB. */
+    get isTooLong(): boolean {
+        return this.pending.length > maxEventBytes;
     }
 
     /** Discards the incomplete event before the stream is resumed. */
     dropPending(): void {
-        this.pendingData = emptyBuffer;
+        this.pending.clear();
     }
 
     /** Appends received bytes and returns the events that they complete, without those that a resumed stream repeats. */
     push(bytes: Buffer): Buffer {
-        const data = this.pendingData.length === 0 ? bytes : Buffer.concat([this.pendingData, bytes]);
+        const searchStart = Math.max(0, this.pending.length - maxPartialEndBytes);
+        let data = bytes;
+        if (this.pending.length > 0) {
+            this.pending.append(bytes);
+            data = this.pending.bytes;
+        }
         const newEvents: Buffer[] = [];
         let start = 0;
-        for (let end = findEventEnd(data, start); end !== -1; end = findEventEnd(data, start)) {
+        for (let end = findEventEnd(data, searchStart); end !== -1; end = findEventEnd(data, start)) {
             const event = data.subarray(start, end);
             if (this.accept(event)) {
                 newEvents.push(event);
             }
             start = end;
         }
-        this.pendingData = start === data.length ? emptyBuffer : Buffer.from(data.subarray(start));
-        this.isTooLong = this.pendingData.length > maxEventBytes;
+        if (start > 0 || this.pending.length === 0) {
+            this.pending.clear();
+            if (start < data.length) {
+                this.pending.append(data.subarray(start));
+            }
+        }
         return newEvents.length === 1 ? newEvents[0] as Buffer : Buffer.concat(newEvents);
     }
 
@@ -62,7 +77,7 @@
     }
 }
 
-/** Offset just after the event that starts at `start`, including its empty line; -1 when the event is incomplete. */
+/** Offset just after the first event end at or after `start`; -1 when the event is incomplete. */
 function findEventEnd(data: Buffer, start: number): number {
     for (let index = data.indexOf(lineFeed, start); index !== -1; index = data.indexOf(lineFeed, index + 1)) {
         const next = data[index + 1] === carriageReturn ? index + 2 : index + 1;
--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -182,3 +182,39 @@
         expect((await callRelay(relay.port, patience)).body).toEqual("good");
     });
 }
+
+const streamHead = `${head}content-type: text/event-stream\r\n`;
+const firstEvent = "id: 4\ndata: a\n\n";
+const endlessEvents = [
+    { name: "line", start: `${streamHead}\r\n${firstEvent}data: `, filler: "a" },
+    { name: "list of lines", start: `${streamHead}\r\n${firstEvent}`, filler: "data: a\n" },
+    { name: "line in chunks", start: `${streamHead}transfer-encoding: chunked\r\n\r\nf\r\n${firstEvent}\r\n`, filler: "5\r\nhello\r\n" },
+];
+
+for (const { name, ...response } of endlessEvents) {
+    test(`a stream whose event is an endless ${name} is closed, and the caller's response is cut after its last complete event`, async () => {
+        const upstream = await startEndlessUpstream([response], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "stream" }, [upstream.address], controller.signal);
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        const { body, isComplete } = await answer;
+        expect([body, isComplete, relay.health.isAvoided("u0", new SystemScheduler().nowMs())]).toEqual([firstEvent, false, true]);
+    });
+
+    test(`a resumable stream whose event is an endless ${name} is resumed on another upstream, without the incomplete event`, async () => {
+        const upstream = await startEndlessUpstream([response], controller.signal);
+        const rest = "id: 8\ndata: b\n\n";
+        const healthy = await startEndlessUpstream(
+            [{ start: `${streamHead}content-length: ${rest.length}\r\n\r\n${rest}`, filler: "" }],
+            controller.signal,
+        );
+        const relay = await startTestRelay(
+            { ...farDeadline, kind: "stream", isResumable: true },
+            [upstream.address, healthy.address],
+            controller.signal,
+        );
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await answer).body, (await answer).isComplete]).toEqual([`${firstEvent}${rest}`, true]);
+    });
+}
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -1,3 +1,4 @@
+import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
@@ -24,8 +25,8 @@
     readonly isStreamed: (status: number, headers: IncomingHttpHeaders) => boolean;
     /** Receives the head of a forwarded response; returns false when the response cannot follow what the caller has already received. */
     readonly onHead: (status: number, headers: IncomingHttpHeaders, isStreamed: boolean) => boolean;
-    /** Receives bytes of a forwarded response; returns false to pause the upstream. */
-    readonly onBytes: (bytes: Buffer) => boolean;
+    /** Receives bytes of a forwarded response; returns false to pause the upstream, or why the response is broken. */
+    readonly onBytes: (bytes: Buffer) => Result<boolean, string>;
 }
 
 /** One attempt to run a call on one upstream. */
@@ -150,7 +151,11 @@
     }
 
     private forward(bytes: Buffer): void {
-        if (!this.options.onBytes(bytes)) {
+        const isWritable = this.options.onBytes(bytes);
+        if (isWritable.isErr()) {
+            this.fail(isWritable.error);
+        }
+        else if (!isWritable.value) {
             this.exchange.pause();
         }
     }
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -1,3 +1,4 @@
+import { err, ok, type Result } from "neverthrow";
 import { computeEnginePriority } from "../../core/relay/computeEnginePriority.js";
 import { computeTierRank } from "../../core/relay/computeTierRank.js";
 import { pickService } from "../../core/relay/pickService.js";
@@ -350,14 +351,17 @@
         return reason !== deadlineExceeded || this.dependencies.scheduler.nowMs() - this.lastReceivedMs >= relayLimits.minFailureSilenceMs;
     }
 
-    private forward(bytes: Buffer): boolean {
+    /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
+    private forward(bytes: Buffer): Result<boolean, string> {
         const nowMs = this.dependencies.scheduler.nowMs();
         this.lastReceivedMs = nowMs;
         const isWritable = this.callerResponse.forward(bytes);
         if (isWritable !== undefined && this.callerResponse.isStreamed) {
             this.recordEvent(nowMs);
         }
-        return isWritable ?? true;
+        return this.callerResponse.framer.isTooLong
+            ? err("the upstream sent an event larger than 1 MiB; check that it ends events with an empty line")
+            : ok(isWritable ?? true);
     }
 
     /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
