--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -1,3 +1,4 @@
+import { err, ok, type Result } from "neverthrow";
 import { computeEnginePriority } from "../../core/relay/computeEnginePriority.js";
 import { computeTierRank } from "../../core/relay/computeTierRank.js";
 import { pickService } from "../../core/relay/pickService.js";
@@ -129,9 +130,9 @@
             dialect: dependencies.dialect,
             connections: dependencies.connections,
             isStreamed: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
-            onHead: (status, headers) => {
+            onHead: (status, headers, isStreamed) => {
                 this.lastReceivedMs = dependencies.scheduler.nowMs();
-                this.callerResponse.sendHead(status, headers);
+                return this.callerResponse.sendHead(status, headers, isStreamed);
             },
             onBytes: bytes => this.forward(bytes),
         });
@@ -318,7 +319,7 @@
     private canRepeat(): boolean {
         const { route } = this.request;
         const isRepeatable = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
-        return isRepeatable && this.summary.attempts < route.maxAttempts;
+        return isRepeatable && this.callerResponse.canContinue && this.summary.attempts < route.maxAttempts;
     }
 
     private retryOr(reason: string, endCall: () => void): boolean {
@@ -350,14 +351,17 @@
         return reason !== deadlineExceeded || this.dependencies.scheduler.nowMs() - this.lastReceivedMs >= relayLimits.minFailureSilenceMs;
     }
 
-    private forward(bytes: Buffer): boolean {
+    /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
+    private forward(bytes: Buffer): Result<boolean, string> {
         const nowMs = this.dependencies.scheduler.nowMs();
         this.lastReceivedMs = nowMs;
         const isWritable = this.callerResponse.forward(bytes);
-        if (isWritable !== undefined) {
+        if (isWritable !== undefined && this.callerResponse.isStreamed) {
             this.recordEvent(nowMs);
         }
-        return isWritable ?? true;
+        return this.callerResponse.framer.isTooLong
+            ? err("the upstream sent an event larger than 1 MiB; check that it ends events with an empty line")
+            : ok(isWritable ?? true);
     }
 
     /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
