Measure the handshake time-out of a peer dial by the scheduler only

Cause: a dial also passed the time-out to the WebSocket library, which measures it by the wall clock. So a VM on a busy machine gave a dial up after 600 ms of wall time, and a test on virtual time could not dial reliably. PeerConnection already ends every handshake after the same time by the scheduler.

The new test fails on the code before (the dial through a proxy that delays bytes by 20 ms of wall time ends at a time-out of 1 ms) and passes now; its second half shows that a dial without an answer still ends when the scheduler's time has passed.

--- a/src/node/peer/WebSocketPeerLinks.test.ts
+++ b/src/node/peer/WebSocketPeerLinks.test.ts
@@ -1,12 +1,16 @@
 import { expect } from "earl";
 import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { afterEach, test } from "node:test";
 import { WebSocket } from "ws";
 import { until } from "../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { SystemScheduler } from "../timers/SystemScheduler.js";
 import { defaultPeerLinkLimits } from "./defaultPeerLinkLimits.js";
+import type { PeerLinkLimits } from "./PeerLinkLimits.js";
 import { WebSocketPeerLinks } from "./WebSocketPeerLinks.js";
 
 const limits = { ...defaultPeerLinkLimits, pingAfterMs: 30, silentAfterMs: 120, redialAfterMs: 40, maxFrameBytes: 64 * 1024 };
@@ -22,7 +26,12 @@
     readonly port: number;
 }
 
-async function startLinks(vm: string, sharedKey = "shared", incarnation = "1"): Promise<StartedLinks> {
+async function startLinks(
+    vm: string,
+    sharedKey = "shared",
+    incarnation = "1",
+    options: { readonly scheduler?: Scheduler; readonly limits?: PeerLinkLimits; } = {},
+): Promise<StartedLinks> {
     const links = new WebSocketPeerLinks({
         self: { vm, incarnation },
         listenHost: "127.0.0.1",
@@ -30,6 +39,7 @@
         sharedKey,
         scheduler: new SystemScheduler(),
         limits,
+        ...options,
     });
     const port = (await links.start(stopController.signal))._unsafeUnwrap();
     return { links, port };
@@ -139,6 +149,23 @@
     });
 }
 
+test("the handshake time-out is measured by the scheduler and not by the wall clock", { timeout: 10_000 }, async () => {
+    const options = { scheduler: new VirtualScheduler(), limits: { ...limits, handshakeTimeoutMs: 1 } };
+    const [left, right] = [await startLinks("vm-1", "shared", "1", options), await startLinks("vm-2", "shared", "1", options)];
+    answerWithRequestId(right.links);
+    const proxy = new SwallowingProxy(right.port);
+    proxy.delayMs = 20;
+    left.links.setAddress("vm-2", buildUrl(await proxy.start(stopController.signal)));
+    expect(await requestExplanation(left.links, "vm-2", "a")).toEqual(["vm-1", "a"]);
+    const silentServer = createServer().listen(0, "127.0.0.1");
+    await once(silentServer, "listening");
+    left.links.setAddress("vm-3", buildUrl((silentServer.address() as AddressInfo).port));
+    const unanswered = left.links.request("vm-3", createQuery("b"), 60_000, stopController.signal);
+    options.scheduler.advance(options.limits.handshakeTimeoutMs);
+    expect((await unanswered)._unsafeUnwrapErr().kind).toEqual("no-link");
+    silentServer.close();
+});
+
 test("a newer incarnation with the same VM id takes over the link", { timeout: 10_000 }, async () => {
     const server = await startLinks("vm-1");
     const old = await startLinks("vm-2", "shared", "1");
--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -171,7 +171,6 @@
         const socket = new WebSocket(url, {
             maxPayload: this.limits.maxFrameBytes,
             perMessageDeflate: peerCompression,
-            handshakeTimeout: this.limits.handshakeTimeoutMs,
             followRedirects: false,
             ...(this.options.tls === undefined ? {} : { ca: this.options.tls.certificateAuthority }),
         });
