Run the tests of gossip over real connections on virtual time

"connections that swallow bytes are replaced before a VM is given up" failed once beside load: each VM saw only itself. Cause, in the test: three VMs shared one event loop and declared each other gone after 1000 ms of wall time, of which 250 ms pass before a silent connection is redialled; the handshake takes tens of turns of the event loop. A pause of the process is compensated only from four ticks (80 ms) on, so many short delays are not.

Now the clock is a VirtualScheduler that moves only when the sockets are idle, counted in turns of the event loop. The time-outs are the ones that are shipped, no longer shortened ones, the redial is required before a VM could be given up, and no wait has a limit of wall time.

Two other faults are noticed neither by the old test nor by the new one: a VM that ignores its peer's report of silence, and silence not ranking connections.

--- a/src/node/membership/GossipMembership.test.ts
+++ b/src/node/membership/GossipMembership.test.ts
@@ -1,32 +1,33 @@
 import { expect } from "earl";
 import { afterEach, test } from "node:test";
-import { until } from "../../../proof/fakes/until.js";
 import { SwallowingProxy } from "../../../standins/proxy/SwallowingProxy.js";
-import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
+import { defaultMembershipSettings as settings } from "../../core/membership/defaultMembershipSettings.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import { defaultPeerLinkLimits } from "../peer/defaultPeerLinkLimits.js";
 import { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
-import { SystemScheduler } from "../timers/SystemScheduler.js";
 import { GossipMembership } from "./GossipMembership.js";
 
-const settings = {
-    ...defaultMembershipSettings,
-    tickMs: 20,
-    heartbeatIntervalMs: 60,
-    suspectAfterMs: 400,
-    goneAfterMs: 1000,
-    probeIntervalMs: 100,
-};
-const limits = { ...defaultPeerLinkLimits, pingAfterMs: 80, silentAfterMs: 150, redialAfterMs: 50 };
+/** Compression runs in threads of the pool, whose end `settle` could not see. */
+const limits = { ...defaultPeerLinkLimits, compressFromBytes: Infinity };
+const stepMs = 10;
+/** Far longer in virtual time than anything awaited here takes. */
+const maxWaitMs = 60_000;
+/** Turns of the event loop without traffic after which all sent bytes have been handled. */
+const quietTurns = 100;
 let stop = new AbortController();
+let scheduler = new VirtualScheduler();
+let startedVms: StartedVm[] = [];
 
 afterEach(() => {
     stop.abort();
     stop = new AbortController();
+    scheduler = new VirtualScheduler();
+    startedVms = [];
 });
 
 interface StartedVm {
     readonly membership: GossipMembership;
+    readonly links: WebSocketPeerLinks;
     readonly stop: AbortController;
     readonly proxy: SwallowingProxy;
     readonly url: string;
@@ -38,7 +39,6 @@
     stop.signal.addEventListener("abort", () => {
         controller.abort();
     });
-    const scheduler = new SystemScheduler();
     const links = new WebSocketPeerLinks({
         self: { vm, incarnation },
         listenHost: "127.0.0.1",
@@ -50,10 +50,46 @@
     const proxy = new SwallowingProxy((await links.start(controller.signal))._unsafeUnwrap());
     const url = `ws://127.0.0.1:${await proxy.start(controller.signal)}/peer`;
     const self = { vm, incarnation, availabilityZone: "nadi", region: "fiji", peerUrl: url };
-    const membership = new GossipMembership({ self, seeds, links, scheduler, settings });
+    const membership = new GossipMembership({ self, seeds, links, scheduler });
     membership.start(controller.signal);
     membership.updateLocalMember({ state: "ready" });
-    return { membership, stop: controller, proxy, url };
+    const started = { membership, links, stop: controller, proxy, url };
+    startedVms.push(started);
+    return started;
+}
+
+/** Lets the sockets work until nothing has been sent, received or accepted for `quietTurns` turns of the event loop. */
+async function settle(): Promise<void> {
+    let activity = -1;
+    for (let turns = 0; turns < quietTurns; turns++) {
+        await new Promise(resolve => setImmediate(resolve));
+        const newActivity = startedVms.reduce(
+            (sum, { links, proxy }) => sum + links.sentBytes + links.receivedBytes + proxy.acceptedCount,
+            0,
+        );
+        if (newActivity !== activity) {
+            activity = newActivity;
+            turns = 0;
+        }
+    }
+}
+
+/** Moves virtual time forward; the sockets are idle before each step, however slow the machine is. */
+async function advance(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+        await settle();
+        scheduler.advance(stepMs);
+    }
+    await settle();
+}
+
+async function advanceUntil(condition: () => boolean): Promise<void> {
+    for (let passedMs = 0; !condition(); passedMs += stepMs) {
+        if (passedMs > maxWaitMs) {
+            throw new Error("condition was not met within 60 s of virtual time");
+        }
+        await advance(stepMs);
+    }
 }
 
 function formatMembers(vm: StartedVm): string {
@@ -66,35 +102,39 @@
     const first = await startVm("vm-1", []);
     const second = await startVm("vm-2", [first.url]);
     const third = await startVm("vm-3", [first.url]);
-    await until(() => [first, second, third].every(vm => formatMembers(vm) === allReady));
+    await advanceUntil(() => [first, second, third].every(vm => formatMembers(vm) === allReady));
     return [first, second, third];
 }
 
-test("VMs with one seed in common discover each other, and observe a drain, a crash and a replacement", { timeout: 20_000 }, async () => {
+function countAccepted(vms: readonly StartedVm[]): number {
+    return vms.reduce((sum, vm) => sum + vm.proxy.acceptedCount, 0);
+}
+
+test("VMs with one seed in common discover each other, and observe a drain, a crash and a replacement", async () => {
     const [first, second, third] = await startThreeVms();
     third.membership.updateLocalMember({ state: "draining" });
-    await until(() => [first, second].every(vm => formatMembers(vm).includes("vm-3:1:draining")));
+    await advanceUntil(() => [first, second].every(vm => formatMembers(vm).includes("vm-3:1:draining")));
     third.stop.abort();
-    await until(() => [first, second].every(vm => formatMembers(vm) === "vm-1:1:ready vm-2:1:ready"));
+    await advanceUntil(() => [first, second].every(vm => formatMembers(vm) === "vm-1:1:ready vm-2:1:ready"));
     const replacement = await startVm("vm-3", [second.url], "2");
-    await until(() => [first, second, replacement].every(vm => formatMembers(vm) === "vm-1:1:ready vm-2:1:ready vm-3:2:ready"));
+    await advanceUntil(() => [first, second, replacement].every(vm => formatMembers(vm) === "vm-1:1:ready vm-2:1:ready vm-3:2:ready"));
 });
 
-test("connections that swallow bytes are replaced before a VM is given up", { timeout: 20_000 }, async () => {
+test("connections that swallow bytes are replaced before a VM is given up", async () => {
     const vms = await startThreeVms();
+    await advance(settings.goneAfterMs);
     const observedMembers = new Set<string>();
     for (const vm of vms) {
         vm.membership.onChange(() => observedMembers.add(formatMembers(vm)), stop.signal);
     }
     for (const direction of ["up", "down", "both"] as const) {
-        const acceptedCounts = vms.map(vm => vm.proxy.acceptedCount);
+        const acceptedCount = countAccepted(vms);
         for (const vm of vms) {
             vm.proxy.swallow(direction);
         }
-        await until(() =>
-            vms.reduce((sum, vm) => sum + vm.proxy.acceptedCount, 0) >= acceptedCounts.reduce((sum, count) => sum + count, 0) + 3
-        );
-        await new Promise(resolve => setTimeout(resolve, 1.3 * settings.goneAfterMs));
+        await advance(settings.goneAfterMs);
+        expect(countAccepted(vms) - acceptedCount).toBeGreaterThanOrEqual(3);
+        await advance(1.3 * settings.goneAfterMs);
         expect(vms.map(formatMembers)).toEqual([allReady, allReady, allReady]);
     }
     expect([...observedMembers].filter(members => members !== allReady)).toEqual([]);
