Test backpressure by the amount that an engine can send, not by a time limit

"a caller that reads slowly holds the engine back" timed out once at its 15 s beside load. Cause, in the test: the engine sent 70,000 to 86,000 small events, one per turn of the event loop, until all sockets on the way were full. That took 4 to 10 s at a load of 19, without any wait in it, and how much the sockets take is up to the system. A fault was noticed only by that limit, too, and a short pause of the engine while a socket was being read counted as held back.

Now the events are 64 KiB long, and the answer (512 MiB) is larger than what the sockets can hold. The engine has to stop before the end of the answer, for 1000 turns of the event loop without a token, and to go on once the caller reads.

--- a/proof/edge/callers.test.ts
+++ b/proof/edge/callers.test.ts
@@ -13,6 +13,11 @@
 const messages = [{ role: "user" as const, content: prompt }];
 const testOptions = { timeout: 15_000 };
 const endless = { naturalAnswerTokens: 1_000_000 };
+const eventPaddingBytes = 64 * 1024;
+/** An answer of 512 MiB, far more than the sockets on the way to the caller can hold. */
+const bulkyAnswerTokens = 8 * 1024;
+/** Turns of the event loop without a new token after which the engine is held back and not only waiting for a socket to be read. */
+const stoppedTurns = 1_000;
 
 test("aborting a stream cancels the engine's call and is reported to the observer", testOptions, async context => {
     const { client, edge, first } = await setUpEngines(context, [endless]);
@@ -42,8 +47,9 @@
     expect(edge.dispatch.open.size).toEqual(0);
 });
 
-test("a caller that reads slowly holds the engine back, and nothing piles up in between", testOptions, async context => {
-    const { edge, url, first } = await setUpEngines(context, [{ ...endless, stepMs: 0 }]);
+test("a caller that reads slowly holds the engine back, and nothing piles up in between", async context => {
+    const engineOptions = { naturalAnswerTokens: bulkyAnswerTokens, eventPaddingBytes, stepMs: 0 };
+    const { edge, url, first } = await setUpEngines(context, [engineOptions]);
     const abort = new AbortController();
     const answer = await fetch(`${url}/v1/chat/completions`, {
         method: "POST",
@@ -51,11 +57,19 @@
         body: JSON.stringify({ model, messages, stream: true }),
         signal: abort.signal,
     });
-    await until(() => first.blockedRuns === 1);
+    const call = first.calls[0]!;
+    let producedTokens = call.tokens;
+    for (let turns = 0; turns < stoppedTurns && call.state === "running"; turns++) {
+        await new Promise(resolve => setImmediate(resolve));
+        if (call.tokens !== producedTokens) {
+            producedTokens = call.tokens;
+            turns = 0;
+        }
+    }
+    expect([call.state, first.blockedRuns]).toEqual(["running", 1]);
     const reader = answer.body!.getReader();
-    const producedWhileBlocked = first.calls[0]!.tokens;
-    while (first.calls[0]!.tokens === producedWhileBlocked) {
-        await reader.read();
+    while (call.tokens === producedTokens) {
+        expect((await reader.read()).done).toEqual(false);
     }
     abort.abort();
     await edge.waitForEnded(1);
--- a/standins/engine/CompletionRun.ts
+++ b/standins/engine/CompletionRun.ts
@@ -14,6 +14,7 @@
     readonly cachedTokens: number;
     /** Length of the complete answer, including the part before the resume offset. */
     readonly answerTokens: number;
+    readonly eventPaddingBytes: number;
     readonly finishReason: "stop" | "length";
     readonly faults: FaultSwitch;
     readonly record: CallRecord;
@@ -40,7 +41,8 @@
         this.sentTokens = options.body.resume_from_token;
         const choice = options.isChat ? '"delta":{"content":' : '"text":';
         this.eventPrefix = `${JSON.stringify(this.commonFields()).slice(0, -1)},"choices":[{"index":0,${choice}`;
-        this.eventSuffix = options.isChat ? '},"finish_reason":null}]}\n\n' : ',"finish_reason":null}]}\n\n';
+        const padding = options.eventPaddingBytes === 0 ? "" : `,"padding":"${"x".repeat(options.eventPaddingBytes)}"`;
+        this.eventSuffix = `${options.isChat ? "}" : ""},"finish_reason":null}]${padding}}\n\n`;
         response.on("drain", () => {
             this.isBlocked = false;
         });
--- a/standins/engine/EngineStandin.ts
+++ b/standins/engine/EngineStandin.ts
@@ -157,6 +157,7 @@
             promptTokens: Math.ceil(prompt.length / charactersPerToken),
             cachedTokens: this.cache.use(prompt),
             answerTokens: Math.min(limit, this.options.naturalAnswerTokens),
+            eventPaddingBytes: this.options.eventPaddingBytes,
             finishReason: limit < this.options.naturalAnswerTokens ? "length" : "stop",
             faults: this.faults,
             record,
--- a/standins/engine/EngineStandinOptions.ts
+++ b/standins/engine/EngineStandinOptions.ts
@@ -14,6 +14,8 @@
     readonly canResume: boolean;
     /** Length of an answer unless the caller sets a lower limit. */
     readonly naturalAnswerTokens: number;
+    /** Bytes added to each streamed event, so that few events fill the buffers on the way to a caller. */
+    readonly eventPaddingBytes: number;
     /** Age of the state that load reports describe. */
     readonly loadReportDelayMs: number;
     /** Delay before a cache event becomes visible. */
--- a/standins/engine/defaultEngineOptions.ts
+++ b/standins/engine/defaultEngineOptions.ts
@@ -10,6 +10,7 @@
     prefillMsPerToken: 0.01,
     canResume: true,
     naturalAnswerTokens: 32,
+    eventPaddingBytes: 0,
     loadReportDelayMs: 500,
     cacheEventDelayMs: 200,
     cacheEventLossPeriod: 0,
