Keep a stream on a slow engine when its ticket excludes all others

Symptom: in a run of proof/processes beside load (VMs start from a bundle, trial), two streams of "all nine VMs" stood still for more than 200 s, and "the platform's list marks as leaving" ran into its limit of 120 s. The decisions of the VM, read while they stood still: each stream was preempted as "slow-upstream" on one engine after another, and its ticket then excluded all three engines of its pool and waited in the queue, where nothing could be granted to it until the 600 s of a continuation. Cause: a migration needs a free slot on another engine, but an engine that the ticket excludes counted too. Now it does not count.

Not covered: an engine that fails is excluded as well, so a ticket can still come to exclude all engines after a failure.

--- a/src/core/dispatch/MigrationPolicy.ts
+++ b/src/core/dispatch/MigrationPolicy.ts
@@ -38,12 +38,14 @@
         return otherEngineMs < maxMigrationTimeShare * currentEngineMs && this.hasSlotElsewhere(engine, grant, engines, nowMs);
     }
 
+    /** Excluded engines do not count: the stream could not be granted to them, and would wait in the queue instead. */
     private hasSlotElsewhere(slowEngine: Engine, grant: ActiveGrant, engines: readonly Engine[], nowMs: number): boolean {
         for (const engine of engines) {
             const { id, leaving, maxInFlight } = engine.upstream;
             const hasSlot = !leaving && engine.countInFlightUpTo(grant.ticket.tier) < maxInFlight &&
                 engine.inFlight < maxInFlight + this.options.maxOversubscribedRequests;
-            if (engine !== slowEngine && hasSlot && !this.outlierDetector.isSlow(id, nowMs)) {
+            const isEligible = engine !== slowEngine && !grant.ticket.excludedUpstreams.includes(id);
+            if (isEligible && hasSlot && !this.outlierDetector.isSlow(id, nowMs)) {
                 return true;
             }
         }
--- a/src/core/dispatch/ShardDispatcher.test.ts
+++ b/src/core/dispatch/ShardDispatcher.test.ts
@@ -193,6 +193,24 @@
     expect(next?.upstreamId === slowGrant?.upstreamId).toEqual(false);
 });
 
+test("a stream stays on a slow engine when its ticket excludes all others, as no engine could continue it", () => {
+    const dispatcher = createDispatcher(3, 4);
+    const excludedUpstreams = ["engine-1", "engine-2"];
+    const grants = [
+        createTicket("twice-migrated", { excludedUpstreams, isResumed: true }),
+        createTicket("r-1", { excludedUpstreams: ["engine-0", "engine-2"] }),
+        createTicket("r-2", { excludedUpstreams: ["engine-0", "engine-1"] }),
+    ].flatMap(ticket => selectGrants(dispatcher.offer(ticket, 0)));
+    expect(grants.map(grant => grant.upstreamId)).toEqual(["engine-0", "engine-1", "engine-2"]);
+    for (const { grantId } of grants) {
+        dispatcher.recordProgress(grantId, 1, 40, 40);
+    }
+    const slowGrantId = grants[0]?.grantId ?? "";
+    for (const [tokens, atMs] of [[3, 200], [4, 320], [5, 440], [6, 560]] as const) {
+        expect(dispatcher.recordProgress(slowGrantId, tokens, 40, atMs, 120)).toEqual([]);
+    }
+});
+
 test("a short request with a late first token is hedged only once, and ending the first grant frees its slot and keeps the hedge", () => {
     const dispatcher = createDispatcher(2, 4, { hedgeShare: 0.5, isMigrationEnabled: false });
     const [grant] = selectGrants(dispatcher.offer(createTicket("a"), 0));
