Start the VMs of the process tests from one bundle, and show why a booking was refused

A booking that did not run now shows its response in the failure of "all nine VMs". What is tested is the same.

--- a/proof/processes/VmProcess.ts
+++ b/proof/processes/VmProcess.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { createInterface } from "node:readline";
 import { request } from "undici";
+import { bundleProgram } from "./bundleProgram.js";
 
 interface ServeOutput {
     readonly callerUrl: string;
@@ -28,7 +29,7 @@
 
     /** Starts a VM with a settings file; resolves when its listeners are open. */
     static async start(id: string, settingsFile: string, environment: Record<string, string>): Promise<VmProcess> {
-        const child = spawn(process.execPath, ["--import", "tsx", "src/cli/main.ts", "serve", "--settings", settingsFile], {
+        const child = spawn(process.execPath, [await bundleProgram(), "serve", "--settings", settingsFile], {
             env: { ...process.env, ...environment },
             stdio: ["ignore", "pipe", "pipe"],
         });
--- a/proof/processes/rollingReplacement.test.ts
+++ b/proof/processes/rollingReplacement.test.ts
@@ -22,7 +22,7 @@
             const key = `rolling-${worker}-${round}`;
             const [answer, booking] = await Promise.all([chat(vm.callerUrl, key, 150, "urgent"), book(vm.callerUrl, key)]);
             results.push(answer);
-            outcomes.set(key, booking.outcome);
+            outcomes.set(key, booking.outcome === "ran" ? "ran" : `${booking.outcome}: ${booking.status} ${booking.body}`);
         }
     };
     const load = Promise.all([0, 1, 2, 3, 4, 5].map(work));
