Let tests of endless responses move time to the deadline themselves

The tests of slow and of endless bodies waited for deadlines of 0.2 and 0.5 s of real time. On a busy machine (load 48) two of them failed once each in six runs, and one of the two in a run before: one by its timeout, one since its second call was not answered in time. The timeout is most likely a call that ended before its request reached the upstream, whose end the test then awaited for ever; this was not traced. They now run the relay on a VirtualScheduler and advance it once the upstream has sent bytes. What they expect is unchanged, and the tests of endless bodies now also expect that the upstream can write all of its 64 MiB.

--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { after, test } from "node:test";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import { SystemScheduler } from "../timers/SystemScheduler.js";
 import { startEndlessUpstream } from "../upstream/testing/startEndlessUpstream.js";
 import { callRelay } from "./testing/callRelay.js";
@@ -117,8 +118,12 @@
 for (const { name, ...response } of slowResponses) {
     test(`an endless ${name}, sent one byte at a time, ends at the call's deadline`, async () => {
         const upstream = await startEndlessUpstream([{ ...response, isSlow: true }, completeResponse], controller.signal);
-        const relay = await startTestRelay({ timeoutMs: 200, kind: "once" }, [upstream.address], controller.signal);
-        const { status, body } = await callRelay(relay.port, patience);
+        const scheduler = new VirtualScheduler();
+        const relay = await startTestRelay({ timeoutMs: 200, kind: "once" }, [upstream.address], controller.signal, scheduler);
+        const answer = callRelay(relay.port, patience);
+        await upstream.start;
+        scheduler.advance(200);
+        const { status, body } = await answer;
         expect([status, JSON.parse(body).error.outcome, await upstream.end]).toEqual([504, "unknown", "closed by the router"]);
         expect((await callRelay(relay.port, patience)).body).toEqual("good");
     });
@@ -176,8 +181,13 @@
     test(`an endless body ${name} leaves the caller's response incomplete at the deadline`, async () => {
         const filler = start === chunkedHead ? "5\r\nhello\r\n" : "hello";
         const upstream = await startEndlessUpstream([{ start, filler }, completeResponse], controller.signal);
-        const relay = await startTestRelay({ timeoutMs: 500 }, [upstream.address], controller.signal);
-        const answer = await callRelay(relay.port, patience);
+        const scheduler = new VirtualScheduler();
+        const relay = await startTestRelay({ timeoutMs: 500 }, [upstream.address], controller.signal, scheduler);
+        const pendingAnswer = callRelay(relay.port, patience);
+        // The body has no limit of its own, so the upstream sends all that it has.
+        expect(await upstream.end).toEqual("still open after 64 MiB");
+        scheduler.advance(500);
+        const answer = await pendingAnswer;
         expect([answer.status, answer.isComplete, answer.body.startsWith("hellohello")]).toEqual([200, false, true]);
         expect((await callRelay(relay.port, patience)).body).toEqual("good");
     });
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -9,6 +9,7 @@
 import { UpstreamHealth } from "../../../core/relay/UpstreamHealth.js";
 import { UpstreamLoadTracker } from "../../../core/relay/UpstreamLoadTracker.js";
 import { RetryBudget } from "../../../core/retry/RetryBudget.js";
+import type { Scheduler } from "../../../core/util/Scheduler.js";
 import type { RelayRoute } from "../../../schema/relay/RelayRoute.js";
 import type { RequestSummary } from "../../services/RequestSummary.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
@@ -21,7 +22,7 @@
     route: Partial<RelayRoute>,
     addresses: readonly string[],
     signal: AbortSignal,
-    dialect = exampleDialect,
+    scheduler: Scheduler = new SystemScheduler(),
 ) {
     const directory = new UpstreamDirectory();
     const loadTracker = new UpstreamLoadTracker();
@@ -30,7 +31,6 @@
     for (const [index, address] of addresses.entries()) {
         directory.set(exampleUpstream(`u${index}`, { address, slots: 6 - index }));
     }
-    const scheduler = new SystemScheduler();
     const connections = new UpstreamConnections();
     signal.addEventListener("abort", () => void connections.close());
     const placer = new LeastLoadedPlacer(loadTracker, "z1", () => 0.5);
@@ -42,7 +42,7 @@
     const server = new RelayServer({
         host: "127.0.0.1",
         port,
-        dialect,
+        dialect: exampleDialect,
         scheduler,
         directory,
         loadTracker,
--- a/src/node/upstream/testing/startEndlessUpstream.ts
+++ b/src/node/upstream/testing/startEndlessUpstream.ts
@@ -14,6 +14,8 @@
 const maxSentBytes = 64 * 1024 * 1024;
 const writeBytes = 16 * 1024;
 const slowIntervalMs = 1;
+/** Number of bytes after which a slow response counts as started. */
+const startedBytes = 20;
 
 /**
  * Starts an upstream that sends raw bytes without end. `responses` holds what it sends for each request, over all its connections; the
@@ -21,6 +23,7 @@
  */
 export async function startEndlessUpstream(responses: readonly EndlessResponse[], signal: AbortSignal) {
     const end = Promise.withResolvers<"closed by the router" | "still open after 64 MiB">();
+    const start = Promise.withResolvers<void>();
     let requestCount = 0;
     let connectionCount = 0;
     const server = createServer(socket => {
@@ -37,7 +40,7 @@
                 socket.once("close", () => {
                     end.resolve("closed by the router");
                 });
-                void sendEndlessly(socket, response).then(() => {
+                void sendEndlessly(socket, response, start.resolve).then(() => {
                     end.resolve("still open after 64 MiB");
                 });
             }
@@ -50,13 +53,15 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         /** How the first endless response ended. */
         end: end.promise,
+        /** Resolves when some bytes of a slow response have been sent. */
+        start: start.promise,
         connectionCount: () => connectionCount,
         requestCount: () => requestCount,
     };
 }
 
 /** Resolves when `maxSentBytes` have been written; never when the connection closes earlier. */
-async function sendEndlessly(socket: Socket, { filler, isSlow = false }: EndlessResponse): Promise<void> {
+async function sendEndlessly(socket: Socket, { filler, isSlow = false }: EndlessResponse, onStart: () => void): Promise<void> {
     const bytes = Buffer.from(isSlow ? filler : filler.repeat(Math.ceil(writeBytes / filler.length)));
     for (let index = 0; socket.bytesWritten < maxSentBytes; index++) {
         const isWritable = socket.write(isSlow ? bytes.subarray(index % bytes.length, index % bytes.length + 1) : bytes);
@@ -71,6 +76,9 @@
                 socket.once("drain", resolve);
             }
         });
+        if (index === startedBytes) {
+            onStart();
+        }
         if (socket.destroyed) {
             return new Promise(() => undefined);
         }
