Read the body of a refusal only up to a limit

What callers saw: a call that an upstream refused with a head and a body without end was neither retried nor answered before its deadline, and was then reported as possibly run (504) although the upstream had stated that it did not run it.

Cause: a refusal was complete only at the end of its body, which was kept although nothing uses it.

The body is now discarded and read for at most 250 ms and 64 KiB, so that a connection with an ordinary refusal is still reused. Beyond that the connection is closed and the upstream counts as failed; the head of the refusal stands, so the call is retried elsewhere, or answered 503 as not run, also when the deadline comes first.

--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -228,3 +228,54 @@
         expect([(await answer).body, (await answer).isComplete]).toEqual([`${firstEvent}${rest}`, true]);
     });
 }
+
+const refusalHead = "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n";
+const endlessRefusals = [
+    { name: "body without a length", start: `${refusalHead}\r\n`, filler: "a" },
+    { name: "chunked body", start: `${refusalHead}transfer-encoding: chunked\r\n\r\n`, filler: "5\r\nhello\r\n" },
+    { name: "chunk extension", start: `${refusalHead}transfer-encoding: chunked\r\n\r\n5;a=`, filler: "b" },
+    { name: "slow body", start: `${refusalHead}\r\n`, filler: "a", isSlow: true },
+];
+
+for (const { name, ...response } of endlessRefusals) {
+    test(`a call refused with an endless ${name} is sent to another upstream, even if it may run only once`, async () => {
+        const upstream = await startEndlessUpstream([response], controller.signal);
+        const healthy = await startEndlessUpstream([completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address, healthy.address], controller.signal);
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await answer).body, relay.health.isAvoided("u0", new SystemScheduler().nowMs())]).toEqual(["good", true]);
+    });
+
+    test(`a call refused with an endless ${name} is reported as not run when no other upstream is left`, async () => {
+        const upstream = await startEndlessUpstream([response, completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once", maxAttempts: 1 }, [upstream.address], controller.signal);
+        const answer = callRelay(relay.port, patience);
+        expect(await upstream.end).toEqual("closed by the router");
+        expect([(await answer).status, JSON.parse((await answer).body).error.outcome]).toEqual([503, "not-run"]);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+    });
+}
+
+test("a call whose upstream refused it is reported as not run at a deadline before the end of the refusal", async () => {
+    const upstream = await startEndlessUpstream([{ start: `${refusalHead}\r\n`, filler: "a", isSlow: true }], controller.signal);
+    const scheduler = new VirtualScheduler();
+    const relay = await startTestRelay({ timeoutMs: 60, kind: "once" }, [upstream.address], controller.signal, scheduler);
+    const answer = callRelay(relay.port, patience);
+    await upstream.start;
+    scheduler.advance(60);
+    const { status, body } = await answer;
+    expect([status, JSON.parse(body).error.outcome, await upstream.end]).toEqual([503, "not-run", "closed by the router"]);
+});
+
+test("an endless body of a response that belongs to another call is not read", async () => {
+    const upstream = await startEndlessUpstream(
+        [{ start: "HTTP/1.1 200 OK\r\ncall-id: r-9\r\n\r\n", filler: "a" }, completeResponse],
+        controller.signal,
+    );
+    const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address], controller.signal);
+    const answer = callRelay(relay.port, patience);
+    expect(await upstream.end).toEqual("closed by the router");
+    expect([(await answer).status, relay.health.isAvoided("u0", new SystemScheduler().nowMs())]).toEqual([502, true]);
+    expect((await callRelay(relay.port, patience)).body).toEqual("good");
+});
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -1,6 +1,8 @@
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import { timerAbortReason } from "../../core/util/timerAbortReason.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import type { RelayUpstream } from "../../schema/relay/RelayUpstream.js";
 import type { ResponseSink } from "../upstream/ResponseSink.js";
@@ -9,6 +11,7 @@
 import { UpstreamExchange } from "../upstream/UpstreamExchange.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { RelayDialect } from "./RelayDialect.js";
+import { relayLimits } from "./relayLimits.js";
 
 /** A larger response is forwarded while it arrives; when its upstream then fails, a retry can no longer replace it. */
 const maxBufferedBytes = 256 * 1024;
@@ -21,6 +24,7 @@
     readonly body: Buffer | undefined;
     readonly dialect: RelayDialect;
     readonly connections: UpstreamConnections;
+    readonly scheduler: Scheduler;
     /** Whether a response with this head is a stream of events, which is forwarded from its first event on. */
     readonly isStreamed: (status: number, headers: IncomingHttpHeaders) => boolean;
     /** Receives the head of a forwarded response; returns false when the response cannot follow what the caller has already received. */
@@ -34,7 +38,8 @@
     private readonly exchange: UpstreamExchange;
     private readonly completion: PromiseWithResolvers<AttemptResult> = Promise.withResolvers();
     private readonly bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private receivedBytes = 0;
+    private readonly refusalEnd = new AbortController();
     private mode: "held" | "forwarded" | "not-run" = "held";
     private status = 0;
     private headers: IncomingHttpHeaders = {};
@@ -74,8 +79,10 @@
 
     /** Cancels the attempt and closes its connection, so that the upstream stops working on the call. */
     abort(reason: string): void {
-        const isSent = this.exchange.isSent;
-        this.completion.resolve({ kind: "cancelled", isSent, reason });
+        if (this.mode === "not-run") {
+            this.endRefusal(undefined);
+        }
+        this.completion.resolve({ kind: "cancelled", isSent: this.exchange.isSent, reason });
         this.exchange.abort(new ThrownUpstreamError("cancelled", undefined, reason));
     }
 
@@ -84,9 +91,15 @@
             this.forward(bytes);
             return;
         }
+        this.receivedBytes += bytes.length;
+        if (this.mode === "not-run") {
+            if (this.receivedBytes > relayLimits.refusalBodyBytes) {
+                this.stopReadingRefusal(`the upstream sent a refusal larger than ${relayLimits.refusalBodyBytes} bytes`);
+            }
+            return;
+        }
         this.bufferedChunks.push(bytes);
-        this.bufferedBytes += bytes.length;
-        if (this.mode === "held" && this.bufferedBytes > maxBufferedBytes) {
+        if (this.receivedBytes > maxBufferedBytes) {
             this.startForwarding(false);
         }
     }
@@ -97,8 +110,7 @@
             return;
         }
         if (this.mode === "not-run") {
-            const { status, isWrongUpstream } = this;
-            this.completion.resolve({ kind: "not-run", status, isWrongUpstream, retryAfterMs: parseRetryAfterMs(this.headers) });
+            this.endRefusal(undefined);
             return;
         }
         this.completion.resolve({
@@ -109,7 +121,7 @@
 
     onError(failure: ThrownUpstreamError): void {
         if (this.mode === "not-run") {
-            this.onEnd();
+            this.endRefusal(failure.message);
             return;
         }
         this.completion.resolve({ kind: failure.kind === "not-sent" ? "not-sent" : "broken", reason: failure.message });
@@ -126,6 +138,9 @@
         if (responseKind !== "answer") {
             this.mode = "not-run";
             this.isWrongUpstream = responseKind === "wrong-upstream";
+            this.options.scheduler.after(relayLimits.refusalBodyTimeoutMs, () => {
+                this.stopReadingRefusal(`the upstream did not end its refusal within ${relayLimits.refusalBodyTimeoutMs} ms`);
+            }, this.refusalEnd.signal);
             return;
         }
         if (this.options.isStreamed(status, headers)) {
@@ -144,6 +159,17 @@
         }
     }
 
+    private endRefusal(bodyFailure: string | undefined): void {
+        this.refusalEnd.abort(timerAbortReason);
+        const { status, isWrongUpstream } = this;
+        this.completion.resolve({ kind: "not-run", status, isWrongUpstream, retryAfterMs: parseRetryAfterMs(this.headers), bodyFailure });
+    }
+
+    private stopReadingRefusal(reason: string): void {
+        this.endRefusal(reason);
+        this.exchange.abort(new ThrownUpstreamError("broken", this.status, reason));
+    }
+
     /** Ends the attempt because of what its upstream sent, and closes its connection. */
     private fail(reason: string): void {
         this.completion.resolve({ kind: "broken", reason });
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -129,6 +129,7 @@
             }),
             dialect: dependencies.dialect,
             connections: dependencies.connections,
+            scheduler: dependencies.scheduler,
             isStreamed: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
             onHead: (status, headers, isStreamed) => {
                 this.lastReceivedMs = dependencies.scheduler.nowMs();
@@ -220,7 +221,7 @@
         if (result.kind === "broken") {
             this.outcome = "unknown";
         }
-        if (result.kind === "not-run" && !result.isWrongUpstream) {
+        if (result.kind === "not-run" && !result.isWrongUpstream && result.bodyFailure === undefined) {
             return;
         }
         const avoidMs = health.recordFailure(upstream.id, scheduler.nowMs());
@@ -228,7 +229,7 @@
             upstream: upstream.id,
             requestId: this.request.call.requestId,
             end: result.kind,
-            reason: "reason" in result ? result.reason : "its address now belongs to another upstream",
+            reason: describeFailure(result),
             avoidMs,
         });
     }
@@ -479,3 +480,7 @@
         });
     }
 }
+
+function describeFailure(result: Extract<AttemptResult, { kind: "not-sent" | "not-run" | "broken" | "cancelled"; }>): string {
+    return result.kind === "not-run" ? result.bodyFailure ?? "its address now belongs to another upstream" : result.reason;
+}
--- a/src/node/relay/relayLimits.ts
+++ b/src/node/relay/relayLimits.ts
@@ -8,6 +8,9 @@
     streamIdleTimeoutMs: 1_000,
     /** An upstream that sent nothing for at least this long before a call's deadline counts as failed; a shorter silence is no sign of a fault. */
     minFailureSilenceMs: 1_000,
+    /** Longest time and largest size for which the body of a refusal is read, so that its connection can be reused. */
+    refusalBodyTimeoutMs: 250,
+    refusalBodyBytes: 64 * 1024,
     /** Maximum number of attempts of one call that do not reach the intended upstream; each may cost a connect timeout. */
     maxUndeliveredAttempts: 4,
     /** Retry delay in refusals for which no better value is known. */
