Report the end of a VM's last calls when a full report comes first

Callers were steered away from idle upstreams: other VMs counted calls there that had ended, for up to the timeout of loads (2.5 s) and the tick that applies it.

Cause: the end of a call waits up to 150 ms for the next report. If the full report of each second came first, it cleared the pending changes but listed only upstreams with calls. If this left nothing to send, at all or to the VM that places the calls of that service, the end was never reported. The same holds for the pending end of calls on an upstream that was removed.

Evidence: in the new tests a call ends at 950 ms, before the full report at 1,000 ms. Before, 5 of the 6 cases with 3 and 40 VMs still counted it 2,500 ms later, where the test stops (the sixth passed, as another service had a call in the same report). Now all end after 50 ms.

A full report now includes the upstreams whose change is pending, also without calls. The exchange keeps the upstreams on which each VM counts calls after the last report to it, and sends an empty full report if some are left. The set is then empty: idle VMs still send nothing, which the tests check for 5 s. A report that is lost on a broken link is not repeated.

--- a/src/core/relay/UpstreamLoadTracker.test.ts
+++ b/src/core/relay/UpstreamLoadTracker.test.ts
@@ -74,6 +74,16 @@
     expect([tracker.takeChanges(), tracker.hasUrgentChanges]).toEqual([undefined, false]);
 });
 
+test("a full report does not drop the end of a call that was not reported yet", () => {
+    const tracker = new UpstreamLoadTracker();
+    const call = createCall(5);
+    tracker.recordCallStart("e1", call);
+    tracker.takeChanges();
+    tracker.recordCallEnd("e1", call, false);
+    expect(tracker.takeFullReport()).toEqual([["e1", 0, 0, []]]);
+    expect([tracker.takeFullReport(), tracker.takeChanges()]).toEqual([[], undefined]);
+});
+
 test("pending prefill is summed up to a priority offset, over local calls and those of other VMs", () => {
     const tracker = new UpstreamLoadTracker();
     tracker.recordCallStart("e1", { readMs: 30, delay: 0, dueMs: undefined });
--- a/src/core/relay/UpstreamLoadTracker.ts
+++ b/src/core/relay/UpstreamLoadTracker.ts
@@ -118,11 +118,17 @@
         return report;
     }
 
-    /** Returns all loads of this VM, for VMs that may have missed reports, and clears the changes. */
+    /**
+     * Returns all loads of this VM, for VMs that may have missed reports, and clears the changes. Loads whose calls have all ended are
+     * included if the end has not been reported.
+     */
     takeFullReport(): UpstreamLoad[] {
+        const report = [...this.localLoads].filter(([id, load]) => load.calls > 0 || this.changedIds.has(id)).map(([id]) =>
+            this.toReportEntry(id)
+        );
         this.changedIds.clear();
         this.isUrgent = false;
-        return [...this.localLoads].filter(([, load]) => load.calls > 0).map(([id]) => this.toReportEntry(id));
+        return report;
     }
 
     /** Applies a report of another VM. A full report replaces all its loads; any other replaces those that it lists. */
--- a/src/node/relay/LoadExchange.test.ts
+++ b/src/node/relay/LoadExchange.test.ts
@@ -15,6 +15,8 @@
     const scheduler = new VirtualScheduler();
     const controller = new AbortController();
     const loadTracker = new UpstreamLoadTracker();
+    const peerTrackers = new Map<string, UpstreamLoadTracker>();
+    const removedUpstreams = new Set<string>();
     const sent: { readonly to: string; readonly atMs: number; readonly isWhole: boolean; readonly calls: number; }[] = [];
     const members = [...Array(vms).keys()].map((index): Member => ({
         vm: `vm-${index}`,
@@ -34,6 +36,7 @@
                 if (message.type === "loadReport") {
                     const calls = message.loads.reduce((sum, load) => sum + load[1], 0);
                     sent.push({ to, atMs: scheduler.nowMs(), isWhole: message.isWhole, calls });
+                    peerTrackers.get(to)?.applyReport("vm-0", message.loads, message.isWhole, scheduler.nowMs());
                 }
                 return true;
             },
@@ -44,9 +47,26 @@
         },
         membership: { members, onChange: () => undefined },
         services: () => ["model", "jobs"],
-        serviceOf: id => id.startsWith("engine") ? "model" : "jobs",
+        serviceOf: id => removedUpstreams.has(id) ? undefined : id.startsWith("engine") ? "model" : "jobs",
     }).start(controller.signal);
-    return { scheduler, loadTracker, sent, members };
+    for (const { vm } of members) {
+        peerTrackers.set(vm, new UpstreamLoadTracker());
+    }
+    /** How long the peers still count calls on an upstream after this one ends `call` there, at most 2,500 ms. */
+    const endCall = async (id: string, call: InFlightCall, isUpstreamRemoved = false) => {
+        loadTracker.recordCallEnd(id, call, false);
+        if (isUpstreamRemoved) {
+            removedUpstreams.add(id);
+            loadTracker.removeUpstream(id);
+        }
+        const endMs = scheduler.nowMs();
+        const isCounted = () => [...peerTrackers.values()].some(tracker => tracker.callsInFlight(id) > 0);
+        while (isCounted() && scheduler.nowMs() - endMs < 2_500) {
+            await scheduler.advanceAsync(10);
+        }
+        return scheduler.nowMs() - endMs;
+    };
+    return { scheduler, loadTracker, sent, members, endCall };
 }
 
 test("a VM that never had a call sends no report, and one whose calls have ended reports their end once", async () => {
@@ -96,3 +116,40 @@
     expectedCalls.delete("vm-0");
     expect(new Map(sent.map(({ to, calls }) => [to, calls]))).toEqual(expectedCalls as Map<string, number>);
 });
+
+for (const vms of [3, 40]) {
+    /** Leaves the report of a call that ends at 950 ms pending until after the full report at 1,000 ms. */
+    const startCalls = async () => {
+        const created = create(vms);
+        const { scheduler, loadTracker, members } = created;
+        // With 40 VMs this is not the VM itself, which gets no reports.
+        const engine = choosePlacementVm("model", members) === "vm-0" ? "job-1" : "engine-1";
+        const other = engine === "job-1" ? "engine-1" : "job-1";
+        await scheduler.advanceAsync(910);
+        loadTracker.recordCallStart(engine, shortCall);
+        await scheduler.advanceAsync(40);
+        return { ...created, engine, other };
+    };
+
+    test(`peers do not count the last call of a VM after its end is due at a full report (${vms} VMs)`, async () => {
+        const { scheduler, sent, engine, endCall } = await startCalls();
+        expect(await endCall(engine, shortCall)).toEqual(50);
+        const count = sent.length;
+        await scheduler.advanceAsync(5_000);
+        expect(sent.length).toEqual(count);
+    });
+
+    test(`peers do not count the last call of a service after its end is due at a full report (${vms} VMs)`, async () => {
+        const { loadTracker, engine, other, endCall } = await startCalls();
+        loadTracker.recordCallStart(other, shortCall);
+        expect(await endCall(engine, shortCall)).toEqual(50);
+    });
+
+    test(`peers do not count calls on an upstream that was removed before their end was reported (${vms} VMs)`, async () => {
+        const { scheduler, sent, engine, endCall } = await startCalls();
+        expect(await endCall(engine, shortCall, true)).toEqual(50);
+        const count = sent.length;
+        await scheduler.advanceAsync(5_000);
+        expect(sent.length).toEqual(count);
+    });
+}
--- a/src/node/relay/LoadExchange.ts
+++ b/src/node/relay/LoadExchange.ts
@@ -33,6 +33,8 @@
     private lastReportMs = -Infinity;
     /** Time of the scheduled report; undefined when none is scheduled. */
     private scheduledReportMs: number | undefined;
+    /** Upstreams on which a VM counts calls of this one after the last report to it; VMs that count none are not contained. */
+    private countedIdsByVm = new Map<string, Set<string>>();
 
     constructor(private readonly options: LoadExchangeOptions) {}
 
@@ -85,18 +87,37 @@
 
     private sendReport(loads: UpstreamLoad[], isWhole: boolean): void {
         const { links, membership, scheduler, serviceOf, vm: self } = this.options;
-        if (loads.length === 0) {
+        if (loads.length === 0 && this.countedIdsByVm.size === 0) {
             return;
         }
         this.lastReportMs = scheduler.nowMs();
         const servicesByPlacementVm = this.groupServicesByPlacementVm();
+        const countedIdsByVm = isWhole ? new Map<string, Set<string>>() : this.countedIdsByVm;
         for (const vm of servicesByPlacementVm?.keys() ?? membership.members.map(member => member.vm)) {
             const services = servicesByPlacementVm?.get(vm);
             const relevantLoads = services === undefined ? loads : loads.filter(([id]) => services.has(serviceOf(id) ?? ""));
-            if (vm !== self && relevantLoads.length > 0) {
-                links.send(vm, { type: "loadReport", isWhole, loads: relevantLoads });
+            // Calls on an upstream that was removed are on no list; an empty full report ends them.
+            if (vm === self || relevantLoads.length === 0 && !(isWhole && this.countedIdsByVm.has(vm))) {
+                continue;
+            }
+            links.send(vm, { type: "loadReport", isWhole, loads: relevantLoads });
+            const countedIds = countedIdsByVm.get(vm) ?? new Set();
+            for (const [id, calls] of relevantLoads) {
+                if (calls > 0) {
+                    countedIds.add(id);
+                }
+                else {
+                    countedIds.delete(id);
+                }
+            }
+            if (countedIds.size > 0) {
+                countedIdsByVm.set(vm, countedIds);
+            }
+            else {
+                countedIdsByVm.delete(vm);
             }
         }
+        this.countedIdsByVm = countedIdsByVm;
     }
 
     /** Placement VMs with the services whose calls they place; undefined when each VM places its own calls. */
