Compensate for a pause before the first message after it

No caller was seen to be harmed; found by review. A VM that had been paused for longer than `goneAfterMs` could declare live VMs of its zone gone. They are missing from its view, and so from its choice of VMs, until they refute the tombstones.

Cause: a pause was measured from the last activity, and only by a tick. After a pause the event loop may handle a message or an opened link first; it advanced the time, so that the next tick saw no pause, did not shift the contact times, and declared the neighbours not yet heard from gone without a probe. The same happened when messages were handled for a long time without a tick.

FakeFleet hands over every held message before the tick, so that each neighbour was heard in time and proof/membership could not find it.

The pause is now measured from the last tick, and whichever comes first, a message, a link or a tick, compensates for it before it records anything.

--- a/src/core/membership/FailureDetector.ts
+++ b/src/core/membership/FailureDetector.ts
@@ -170,16 +170,20 @@
         }
     }
 
-    /** Shifts all contact times by a pause of this process, as silence during the pause says nothing about other VMs. */
-    compensateForPause(pausedMs: number): void {
+    /**
+     * Shifts all contact times by a pause of this process, as silence during the pause says nothing about other VMs. None is shifted beyond
+     * `nowMs`: a contact may have been recorded since the last tick.
+     */
+    compensateForPause(pausedMs: number, nowMs: number): void {
+        const shift = (timeMs: number) => Math.min(nowMs, timeMs + pausedMs);
         for (const entry of this.store.listEntries()) {
-            entry.bidirectionalContactAtMs += pausedMs;
-            entry.heardAtMs += pausedMs;
-            entry.indirectContactAtMs += pausedMs;
-            entry.watchedSinceMs += pausedMs;
+            entry.bidirectionalContactAtMs = shift(entry.bidirectionalContactAtMs);
+            entry.heardAtMs = shift(entry.heardAtMs);
+            entry.indirectContactAtMs = shift(entry.indirectContactAtMs);
+            entry.watchedSinceMs = shift(entry.watchedSinceMs);
         }
         for (const [vm, sinceMs] of this.verificationStartMs) {
-            this.verificationStartMs.set(vm, sinceMs + pausedMs);
+            this.verificationStartMs.set(vm, shift(sinceMs));
         }
     }
 }
--- a/src/core/membership/MembershipTable.ts
+++ b/src/core/membership/MembershipTable.ts
@@ -19,7 +19,7 @@
 type Heartbeat = Extract<PeerMessage, { type: "heartbeat"; }>;
 type MemberSync = Extract<PeerMessage, { type: "memberSync"; }>;
 
-/** A tick that comes more than this many tick intervals after the last activity means that this process was paused. */
+/** More than this many tick intervals without a tick mean that this process was paused. */
 const pauseThresholdTicks = 4;
 /** Heartbeat intervals for which a temporary target is sent heartbeats. */
 const temporaryTargetHeartbeats = 3;
@@ -70,6 +70,8 @@
     private version = 0;
     private state: MemberRecord["state"] = "starting";
     private nowMs: number;
+    /** Time of the last tick, or of a later message or link that ended a pause. */
+    private lastTickMs: number;
     private nextHeartbeatMs: number;
     private hasLeft = false;
     private isSuperseded = false;
@@ -78,6 +80,7 @@
     constructor(private readonly options: MembershipTableOptions, nowMs: number) {
         this.settings = options.settings ?? defaultMembershipSettings;
         this.nowMs = nowMs;
+        this.lastTickMs = nowMs;
         this.nextHeartbeatMs = nowMs;
         this.neighboursSelectedAtMs = nowMs;
         const sendHeartbeatRequest = (vm: string) => {
@@ -176,7 +179,7 @@
      * unknown or not visible.
      */
     handleLinkOpened(vm: string, nowMs: number): void {
-        this.nowMs = Math.max(this.nowMs, nowMs);
+        this.advanceTo(nowMs);
         const entry = this.store.get(vm);
         const peerState = this.getOrCreatePeerState(vm);
         peerState.sentOffsetChangeNumber = 0;
@@ -191,15 +194,11 @@
 
     /** Runs all work that is due by `nowMs`; to be called every `tickMs`. */
     tick(nowMs: number): void {
-        const pausedMs = nowMs - this.nowMs;
-        this.nowMs = nowMs;
+        this.advanceTo(nowMs);
+        this.lastTickMs = nowMs;
         if (this.hasLeft) {
             return;
         }
-        if (pausedMs > pauseThresholdTicks * this.settings.tickMs) {
-            this.failureDetector.compensateForPause(pausedMs);
-            this.zoneMonitor.compensateForPause(pausedMs);
-        }
         this.selectNeighbours();
         this.failureDetector.update(nowMs);
         this.updateUnreachableZones();
@@ -219,7 +218,7 @@
         if (this.hasLeft) {
             return;
         }
-        this.nowMs = Math.max(this.nowMs, nowMs);
+        this.advanceTo(nowMs);
         switch (message.type) {
             case "heartbeat":
                 this.receiveHeartbeat(from, message);
@@ -236,6 +235,17 @@
         }
     }
 
+    /** Advances the time. After a pause, compensates for it before anything else is recorded, as messages may be handled before a tick. */
+    private advanceTo(nowMs: number): void {
+        this.nowMs = Math.max(this.nowMs, nowMs);
+        const pausedMs = this.nowMs - this.lastTickMs;
+        if (pausedMs > pauseThresholdTicks * this.settings.tickMs) {
+            this.lastTickMs = this.nowMs;
+            this.failureDetector.compensateForPause(pausedMs, this.nowMs);
+            this.zoneMonitor.compensateForPause(pausedMs);
+        }
+    }
+
     private receiveHeartbeat(from: string, heartbeat: Heartbeat): void {
         for (const record of heartbeat.records ?? []) {
             this.receiveRecord(from, record);
