Ignore the loan of a former quota owner that arrives after the change

With a limit of 100 requests per minute, one VM with traffic and the owner replaced while a report was in flight, the new test of the service printed 200 admitted within 45 s; it is bounded by 110.

Cause: the answer to the last report was taken to be that of the present owner. An answer that the former owner had already sent cleared `isHistoryDue`, so that the new owner got a first report without the usage of the last minute, and never got it later, as it takes the history only from the first report.

A report now carries the number of owner changes before it, and an answer to a report from before a change lends nothing and leaves the history due. The fleet usage in a late answer is still taken, as the new owner derives from it the usage of VMs that have left.

--- a/src/core/limits/QuotaAccount.ts
+++ b/src/core/limits/QuotaAccount.ts
@@ -41,6 +41,8 @@
     /** The owner lent less than the last report asked for, so requests beyond the loan are refused. */
     private isLoanReduced = false;
     private owner = "";
+    /** Tells reports to different owners apart, including an owner that was replaced and returned: it has dropped this VM's usage. */
+    private ownerChanges = 0;
     private isOwnerUnreachable = false;
     private isHistoryDue = true;
     private lastLoanAtMs = -Infinity;
@@ -56,7 +58,7 @@
     private lastDemandAtMs = -Infinity;
     private hasUnreportedChange = false;
     /** Contents of the last report. */
-    private lastReport = { requests: 0, tokens: 0, atMs: 0, wantedRequests: 0, wantedTokens: 0 };
+    private lastReport = { requests: 0, tokens: 0, atMs: 0, wantedRequests: 0, wantedTokens: 0, ownerChanges: 0 };
 
     constructor(nowMs: number) {
         this.requests = new SlidingWindow(nowMs);
@@ -72,6 +74,7 @@
     setOwner(owner: string): void {
         if (owner !== this.owner) {
             this.owner = owner;
+            this.ownerChanges++;
             this.isHistoryDue = true;
             this.isOwnerUnreachable = false;
             this.hasUnreportedChange ||= this.requests.total > 0;
@@ -148,6 +151,7 @@
                 Math.floor(Math.min(wantedRequests, limits.requests * maxWantedLimitShare)),
             ),
             wantedTokens: Math.max(Math.min(wantedTokens, tokensPerRequest), Math.min(wantedTokens, limits.tokens * maxWantedLimitShare)),
+            ownerChanges: this.ownerChanges,
         };
         return {
             wantedRequests: this.lastReport.wantedRequests,
@@ -160,9 +164,18 @@
         };
     }
 
-    /** Applies the loan that answers the last report; usage since that report is deducted from it. */
+    /**
+     * Applies the loan that answers the last report; usage since that report is deducted from it. If the owner has changed since the
+     * report, only the fleet usage in the answer counts, which the new owner is sent with the history.
+     */
     acceptLoan(loan: QuotaLoan, nowMs: number): void {
         this.isReportInFlight = false;
+        this.fleetUsedRequestShare = loan.fleetUsedRequests;
+        this.fleetUsedTokenShare = loan.fleetUsedTokens;
+        this.fleetUsedAtMs = nowMs;
+        if (this.lastReport.ownerChanges !== this.ownerChanges) {
+            return;
+        }
         this.lastLoanAtMs = nowMs;
         this.isHistoryDue = false;
         this.isOwnerUnreachable = false;
@@ -174,9 +187,6 @@
         this.isLoanReduced = loan.requests < this.lastReport.wantedRequests
             || loan.tokens < this.lastReport.wantedTokens
             || loan.concurrent <= this.inFlight;
-        this.fleetUsedRequestShare = loan.fleetUsedRequests;
-        this.fleetUsedTokenShare = loan.fleetUsedTokens;
-        this.fleetUsedAtMs = nowMs;
     }
 
     /** Records that the last report got no answer; the even share applies until the owner answers again. */
--- a/src/node/limits/QuotaLimitService.test.ts
+++ b/src/node/limits/QuotaLimitService.test.ts
@@ -225,6 +225,26 @@
     }
 });
 
+test("when the quota owner changes while a report is in flight, the customer gets at most 1.1 times its limit", async () => {
+    const limitPerMinute = 100;
+    const survivors = vms.filter(vm => vm !== ownerVm);
+    const borrowerVm = survivors.find(vm => vm !== selectByRendezvousHash(`quota ${customer.name}`, survivors)) as string;
+    const load = new Map([[borrowerVm, 10]]);
+    for (const changedAfterMs of [0, 1, 2, 3]) {
+        const fleet = new Fleet({ ...customer, requestsPerMinute: limitPerMinute, tokensPerMinute: undefined });
+        await fleet.applyLoad(load, 20_000);
+        await fleet.scheduler.advanceAsync(100);
+        fleet.sendRequest(borrowerVm);
+        await fleet.scheduler.advanceAsync(changedAfterMs);
+        for (const membership of fleet.memberships.values()) {
+            membership.setMembers(survivors);
+        }
+        await fleet.scheduler.advanceAsync(10);
+        await fleet.applyLoad(load, 25_000);
+        expect(fleet.admittedAtMs.length).toBeBetween(limitPerMinute * 0.9, limitPerMinute * 1.1);
+    }
+});
+
 test("while an availability zone is partitioned, both sides together get at most 1.1 times the limit, and at least 0.9 times with load at every VM", async () => {
     const fleet = new Fleet();
     await fleet.applyLoad(createEvenRates(18), 90_000);
