--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -301,7 +301,7 @@
     last.stop();
 });
 
-test("a read that other VMs' messages overtake is not forwarded as a range without its records", async () => {
+test("a forwarded range starts after the records that other VMs' messages brought during the read", async () => {
     const { follower, start, append, log, state, scheduler, appliedKeys, forwardedReads, stop } = create(0);
     start();
     await scheduler.advanceAsync(1);
@@ -321,7 +321,7 @@
     stop();
 });
 
-test("records that the newest records already included are not forwarded as unchanged", async () => {
+test("a forwarded range starts after everything that the newest records included", async () => {
     const { start, append, state, scheduler, forwardedReads, stop } = create(0);
     ["a", "b", "c"].forEach(append);
     state.newestOffset = 1;
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -62,7 +62,7 @@
     /** Offset of the next record to read; undefined until the newest records are known. */
     nextOffset: number | undefined;
     /** End of the newest records that were read; they may include records after `nextOffset`, which other VMs may lack. */
-    private snapshotEndOffset = 0;
+    private newestEndOffset = 0;
     private isReachable: boolean | undefined;
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
@@ -138,7 +138,7 @@
         this.recordSuccess();
         this.options.monitor.recordRead(read.value.records.length);
         this.nextOffset = read.value.nextOffset;
-        this.snapshotEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
+        this.newestEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
         if (!this.hasRead) {
             this.hasRead = true;
@@ -167,12 +167,12 @@
         }
         this.recordSuccess();
         this.options.monitor.recordRead(read.value.records.length);
-        // Messages of other VMs may have advanced the position during the read.
-        const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.snapshotEndOffset);
+        // Messages of other VMs may have advanced the position during the read, and the newest records may have reached beyond it.
+        const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.newestEndOffset);
         const { nextOffset, records } = read.value;
         const forwarded = this.applyRecords(records, nextOffset);
-        const isOvertaken = fromOffset > offset && nextOffset <= fromOffset;
-        if (!isOvertaken && this.options.readerRank() < firstNonForwardingRank) {
+        const hasNothingNew = fromOffset > offset && nextOffset <= fromOffset;
+        if (!hasNothingNew && this.options.readerRank() < firstNonForwardingRank) {
             const vms = this.options.onRead({ fromOffset, nextOffset }, forwarded);
             this.options.monitor.recordForwarded({ fromOffset, nextOffset }, { readOffset: offset, records, forwarded, vms });
         }
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -34,7 +34,7 @@
     readonly history: Record<Stream, string[]>;
 }
 
-/** How often the simulation came across a case that has lost records, or could. */
+/** How often each case occurred in which a record can be lost. */
 interface CaseCounts {
     forwarderChanges: number;
     readsOvertakenWholly: number;
