Log the connections of callers that end without a response

Cause: a caller that left before its call was read, and a connection that was closed because its next bytes were no HTTP request in time, left no line. Change: a line for each, with the code and the limits in force; a reset by the caller itself writes none.

--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -120,6 +120,10 @@
         const decoded = dialect.decodeCall(incoming);
         const body = await bufferRequestBody(incoming, this.options.routeTable()?.config.limits.bodyBytes ?? initialLimits.bodyBytes);
         if (disconnectSignal.aborted) {
+            log("caller disconnected before its call was read; nothing was sent to an upstream", {
+                requestId: decoded.map(call => call.requestId).unwrapOr(undefined),
+                phase: this.phase,
+            });
             return;
         }
         if (decoded.isErr()) {
@@ -200,6 +204,13 @@
 
     private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
         if (!socket.writable || socket.bytesWritten > 0) {
+            if (error.code !== "ECONNRESET") {
+                log("connection that has carried a response closed: the caller's next bytes are no HTTP request in time", {
+                    code: error.code,
+                    idleTimeoutMs: this.server.keepAliveTimeout,
+                    headerTimeoutMs: this.server.headersTimeout,
+                });
+            }
             socket.destroy();
             return;
         }
