Keep a silent attempt until another upstream has taken its call

Cause: watchForSilence aborted the attempt of a silent upstream first and asked for the retry afterwards. With the retry budget exhausted, or when the other upstream refused the call, could not be reached or answered with an error, the response was cut (or 502 for a repeatable call) although the silent upstream was sound. One silent engine holds many streams, so that all VMs ask their budgets at the same moment. Class: gives up what it holds before the replacement is granted. Why this works: the retry is taken out of the budget first, then the call is sent to the other upstream as well, and the first attempt ends only when the other one begins to answer or has not refused for 250 ms. If it refuses, fails or cannot be reached, or the silent stream goes on first, the silent attempt stays. Two upstreams work on one stream for no longer than that. The result of a silent attempt that breaks meanwhile is replaced by the other attempt. The accounting of undelivered attempts moved to recordResult, since a replacement can be one too.

--- a/src/node/relay/CallerResponse.ts
+++ b/src/node/relay/CallerResponse.ts
@@ -42,13 +42,18 @@
         return !this.hasSentHead || this.isStreamed;
     }
 
+    /** Whether a response can follow what the caller has received; `isStreamed` is whether it is a stream of events. */
+    canFollow(isStreamed: boolean): boolean {
+        return !this.hasSentHead || this.isStreamed && isStreamed;
+    }
+
     /**
      * Sends the head of the first attempt whose response is forwarded. The heads of later attempts are not sent; returns false when their
      * response is no continuation of the first one.
      */
     sendHead(status: number, headers: IncomingHttpHeaders, isStreamed: boolean): boolean {
         if (this.hasSentHead) {
-            return this.isStreamed && isStreamed;
+            return this.canFollow(isStreamed);
         }
         this.isStreamed = isStreamed;
         if (this.request.outgoing.destroyed) {
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -73,6 +73,11 @@
         return this.status !== 0;
     }
 
+    /** Whether the call may have reached the upstream. */
+    get isSent(): boolean {
+        return this.exchange.isSent;
+    }
+
     resume(): void {
         this.exchange.resume();
     }
--- /dev/null
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -0,0 +1,138 @@
+import { expect } from "earl";
+import { after, test } from "node:test";
+import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
+import { callRelay } from "./testing/callRelay.js";
+import { startScriptedUpstream } from "./testing/startScriptedUpstream.js";
+import { startTestRelay } from "./testing/startTestRelay.js";
+
+const controller = new AbortController();
+after(() => {
+    controller.abort();
+});
+
+const patience = { patience: "60000" };
+const streamHeaders = { "call-id": "r-1", "content-type": "text/event-stream" };
+const events = ["id: 4\ndata: a\n\n", "id: 8\ndata: b\n\n", "id: 12\ndata: c\n\n"] as const;
+const wholeStream = events.join("");
+const silenceMs = 1_300;
+const resumableStream = { kind: "stream", isResumable: true } as const;
+
+/** Starts a relay in front of two upstreams, the first of which has received a call. */
+async function startCall(route: Partial<RelayRoute>, maxRetries = 10, secondAddress?: string) {
+    const scheduler = new VirtualScheduler();
+    const [first, second] = await Promise.all([startScriptedUpstream(controller.signal), startScriptedUpstream(controller.signal)]);
+    const relay = await startTestRelay(
+        { timeoutMs: 60_000, ...route },
+        [first.address, secondAddress ?? second.address],
+        controller.signal,
+        scheduler,
+        maxRetries,
+    );
+    const answer = callRelay(relay.port, patience);
+    return { scheduler, relay, answer, second, firstCall: await first.nextCall() };
+}
+
+/** Starts a resumable stream that falls silent after its first event. */
+async function startSilentStream(maxRetries?: number, secondAddress?: string) {
+    const started = await startCall(resumableStream, maxRetries, secondAddress);
+    started.firstCall.response.writeHead(200, streamHeaders);
+    started.firstCall.response.write(events[0]);
+    await waitFor(() => started.relay.loadTracker.streamsInFlight("u0") === 1);
+    await started.scheduler.advanceAsync(silenceMs);
+    return started;
+}
+
+/** Waits until the sockets of this process have brought about a condition. */
+async function waitFor(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+test("a stream is not cut when its upstream falls silent and the retry budget is exhausted", async () => {
+    const { answer, firstCall } = await startSilentStream(0);
+    firstCall.response.end(events[1] + events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+for (
+    const { name, status, headers } of [
+        { name: "refuses the call", status: 503, headers: { "not-run": "1" } },
+        { name: "answers with an error", status: 500, headers: {} },
+        { name: "answers with something else than a stream", status: 200, headers: {} },
+    ]
+) {
+    test(`a stream is not cut when its upstream falls silent and the other one ${name}`, async () => {
+        const { answer, firstCall, second, relay } = await startSilentStream();
+        const secondCall = await second.nextCall();
+        secondCall.response.writeHead(status, { "call-id": "r-1", ...headers }).end("no stream");
+        await waitFor(() => relay.loadTracker.callsInFlight("u1") === 0);
+        firstCall.response.end(events[1] + events[2]);
+        expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+    });
+}
+
+test("a stream is not cut when its upstream falls silent and the other one cannot be reached", async () => {
+    const { answer, firstCall, relay } = await startSilentStream(10, "127.0.0.1:1");
+    await waitFor(() => relay.loadTracker.callsInFlight("u1") === 0);
+    firstCall.response.end(events[1] + events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a silent stream that goes on before another upstream has begun to answer stays on its upstream", async () => {
+    const { answer, firstCall, second } = await startSilentStream();
+    const secondCall = await second.nextCall();
+    firstCall.response.write(events[1]);
+    await secondCall.closed;
+    firstCall.response.end(events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a silent stream is resumed on the upstream that begins to answer, and its first upstream stops", async () => {
+    const { answer, firstCall, second } = await startSilentStream();
+    const secondCall = await second.nextCall();
+    expect(secondCall.request.headers["last-event-id"]).toEqual("4");
+    secondCall.response.writeHead(200, streamHeaders);
+    secondCall.response.write(events[1]);
+    await firstCall.closed;
+    secondCall.response.end(events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a silent stream whose upstream breaks while another one has been asked is resumed there", async () => {
+    const { answer, firstCall, second } = await startSilentStream();
+    const secondCall = await second.nextCall();
+    firstCall.response.write("id: 8\nda", () => firstCall.request.socket.resetAndDestroy());
+    await firstCall.closed;
+    secondCall.response.writeHead(200, streamHeaders).end(events[1] + events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a silent stream stops on its upstream when another one has taken the call without an answer so far", async () => {
+    const { answer, firstCall, second, scheduler } = await startSilentStream();
+    const secondCall = await second.nextCall();
+    await scheduler.advanceAsync(300);
+    await firstCall.closed;
+    secondCall.response.writeHead(200, streamHeaders).end(events[1] + events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a repeatable call is not failed when its upstream is slow and the retry budget is exhausted", async () => {
+    const { answer, firstCall, scheduler } = await startCall({ kind: "repeatable", timeoutMs: 2_000 }, 0);
+    await scheduler.advanceAsync(1_000);
+    firstCall.response.writeHead(200, { "call-id": "r-1" }).end("late");
+    expect([(await answer).status, (await answer).body]).toEqual([200, "late"]);
+});
+
+test("a repeatable call whose upstream is slow is answered by the upstream that answers first", async () => {
+    for (const answersFirst of ["first", "second"] as const) {
+        const { answer, firstCall, second, scheduler } = await startCall({ kind: "repeatable", timeoutMs: 2_000 });
+        await scheduler.advanceAsync(1_000);
+        const secondCall = await second.nextCall();
+        const [fast, slow] = answersFirst === "first" ? [firstCall, secondCall] : [secondCall, firstCall];
+        fast.response.writeHead(200, { "call-id": "r-1" }).end(answersFirst);
+        await slow.closed;
+        expect([(await answer).status, (await answer).body]).toEqual([200, answersFirst]);
+    }
+});
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import type { IncomingHttpHeaders } from "node:http";
 import { computeEnginePriority } from "../../core/relay/computeEnginePriority.js";
 import { computeTierRank } from "../../core/relay/computeTierRank.js";
 import { pickService } from "../../core/relay/pickService.js";
@@ -14,11 +15,20 @@
 import type { RelayDependencies } from "./RelayDependencies.js";
 import { relayLimits } from "./relayLimits.js";
 import type { RelayRequest } from "./RelayRequest.js";
+import { RunningAttempt } from "./RunningAttempt.js";
 
 const log = createLogger("relay");
 /** Reasons for which this VM aborts an attempt. */
 const deadlineExceeded = "deadline exceeded";
 const callerDisconnected = "caller disconnected";
+const upstreamSilent = "upstream was silent for too long; another one has taken the call";
+const replacementNotNeeded = "the attempt that it was to replace went on";
+
+/** The result with which a call is left after an attempt and its replacements. */
+interface EndedAttempt {
+    readonly result: AttemptResult;
+    readonly placement: Placement;
+}
 
 /** Handles one call from its arrival to the end of its response: places it, sends it, and retries it where that is allowed. */
 export class RelayCallHandler {
@@ -31,11 +41,11 @@
     /** Whether an upstream has run the call, as far as this VM knows. */
     private outcome: Outcome = "not-run";
     private failedResponse: BufferedResponse | undefined;
-    private currentAttempt: RelayAttempt | undefined;
-    private lastReceivedMs = 0;
-    /** State of the current attempt: its placement, and whether its first event has arrived. */
-    private currentPlacement: Placement | undefined;
-    private hasFirstEvent = false;
+    private current: RunningAttempt | undefined;
+    /** Runs on another upstream while that of the current attempt is silent, and takes its place once that upstream has taken the call. */
+    private replacement: RunningAttempt | undefined;
+    private isPlacingReplacement = false;
+    private hasLoggedExhaustedBudget = false;
 
     constructor(private readonly dependencies: RelayDependencies, private readonly request: RelayRequest) {
         const { call, route, arrivedMs } = request;
@@ -55,10 +65,10 @@
         };
         this.request.disconnectSignal.addEventListener("abort", onDisconnect, { once: true });
         scheduler.after(Math.max(0, this.deadlineMs - scheduler.nowMs()), () => {
-            this.currentAttempt?.abort(deadlineExceeded);
+            this.current?.attempt.abort(deadlineExceeded);
         }, callEnd.signal);
         this.request.outgoing.on("drain", () => {
-            this.currentAttempt?.resume();
+            this.current?.attempt.resume();
         });
         this.dependencies.retryBudget(this.service).recordFirstAttempt();
         try {
@@ -85,8 +95,8 @@
                 this.endWithoutUpstream();
                 return;
             }
-            const result = await this.send(placement);
-            if (!this.handleResult(result, placement)) {
+            const ended = await this.send(placement);
+            if (!this.handleResult(ended.result, ended.placement)) {
                 return;
             }
         }
@@ -106,13 +116,56 @@
         return await placeCall({ service: this.service, call: this.request.call, route: this.request.route, available, candidates, nowMs });
     }
 
-    private async send(placement: Placement): Promise<AttemptResult> {
-        const { dependencies, request } = this;
-        const { call, customer, incoming, body, route } = request;
-        const { upstream } = placement;
+    /** Runs an attempt, and replacements of it while its upstream is silent, until one of them ends the call or all have failed. */
+    private async send(placement: Placement): Promise<EndedAttempt> {
+        this.current = this.startAttempt(placement);
+        for (;;) {
+            const running: RunningAttempt = this.current;
+            const result = await running.result;
+            if (this.current !== running) {
+                continue;
+            }
+            const { replacement } = this;
+            if (replacement === undefined || this.endsCall(result)) {
+                this.cancelReplacement();
+                this.current = undefined;
+                return { result, placement: running.placement };
+            }
+            if (result.kind === "held" && !this.callerResponse.hasSentHead) {
+                this.failedResponse = result.answer;
+            }
+            this.takeOver(replacement);
+        }
+    }
+
+    private startAttempt(placement: Placement): RunningAttempt {
+        const { dependencies, request, summary } = this;
         const patienceMs = Math.max(1, Math.floor(this.remainingMs()));
-        const isResuming = this.callerResponse.hasSentHead;
-        const attempt = new RelayAttempt({
+        this.triedUpstreamIds.add(placement.upstream.id);
+        summary.upstreamId = placement.upstream.id;
+        summary.attempts++;
+        summary.queueMs ??= dependencies.scheduler.nowMs() - request.arrivedMs;
+        this.logPlacement(placement, patienceMs);
+        const attempt = this.createAttempt(placement, patienceMs, {
+            onHead: (status, headers, isStreamed) => this.receiveHead(running, status, headers, isStreamed),
+            onBytes: bytes => this.forward(running, bytes),
+        });
+        const running = new RunningAttempt(attempt, placement, dependencies);
+        void running.result.then(result => {
+            this.recordResult(running, result);
+        });
+        this.watchForSilence(running);
+        return running;
+    }
+
+    private createAttempt(
+        { upstream, delay }: Placement,
+        patienceMs: number,
+        handlers: Pick<ConstructorParameters<typeof RelayAttempt>[0], "onHead" | "onBytes">,
+    ): RelayAttempt {
+        const { dependencies, request, callerResponse } = this;
+        const { call, customer, incoming, body, route } = request;
+        return new RelayAttempt({
             call,
             upstream,
             body,
@@ -120,40 +173,27 @@
                 upstreamId: upstream.id,
                 patienceMs,
                 customer: customer?.name,
-                priority: computeEnginePriority(
-                    computeTierRank(request.tier, route.tier),
-                    placement.delay,
-                    request.routeTable.streamTierRanks,
-                ),
-                lastEventId: isResuming ? this.callerResponse.framer.lastEventId : call.lastEventId,
+                priority: computeEnginePriority(computeTierRank(request.tier, route.tier), delay, request.routeTable.streamTierRanks),
+                lastEventId: callerResponse.hasSentHead ? callerResponse.framer.lastEventId : call.lastEventId,
             }),
             dialect: dependencies.dialect,
             connections: dependencies.connections,
             scheduler: dependencies.scheduler,
             isStreamed: (status, headers) => route.kind === "stream" && status === 200 && isEventStream(headers),
-            onHead: (status, headers, isStreamed) => {
-                this.lastReceivedMs = dependencies.scheduler.nowMs();
-                return this.callerResponse.sendHead(status, headers, isStreamed);
-            },
-            onBytes: bytes => this.forward(bytes),
+            ...handlers,
         });
-        this.currentAttempt = attempt;
-        this.triedUpstreamIds.add(upstream.id);
-        this.summary.upstreamId = upstream.id;
-        this.summary.attempts++;
-        this.summary.queueMs ??= dependencies.scheduler.nowMs() - request.arrivedMs;
-        this.logPlacement(placement, patienceMs);
-        const attemptEnd = new AbortController();
-        this.watchForSilence(attempt, attemptEnd.signal);
-        this.currentPlacement = placement;
-        this.hasFirstEvent = false;
-        dependencies.loadTracker.recordCallStart(upstream.id, placement);
-        const result = await attempt.run();
-        attemptEnd.abort();
-        dependencies.loadTracker.recordCallEnd(upstream.id, placement, this.hasFirstEvent);
-        this.currentAttempt = undefined;
-        this.recordResult(placement, result);
-        return result;
+    }
+
+    /** Receives the head of a response that is to be forwarded. Returns false when that response is not forwarded after all. */
+    private receiveHead(running: RunningAttempt, status: number, headers: IncomingHttpHeaders, isStreamed: boolean): boolean {
+        running.lastReceivedMs = this.dependencies.scheduler.nowMs();
+        if (running === this.replacement) {
+            if (status >= 500 || !this.callerResponse.canFollow(isStreamed)) {
+                return false;
+            }
+            this.takeOver(running);
+        }
+        return this.callerResponse.sendHead(status, headers, isStreamed);
     }
 
     private logPlacement(placement: Placement, patienceMs: number): void {
@@ -175,27 +215,105 @@
         });
     }
 
-    /** Aborts an attempt whose upstream has been silent for too long, if the call can be retried on another upstream. */
-    private watchForSilence(attempt: RelayAttempt, endSignal: AbortSignal): void {
+    /** Starts a replacement for an attempt whose upstream has been silent for too long, if the call may be repeated. */
+    private watchForSilence(running: RunningAttempt): void {
         const { route } = this.request;
         const { scheduler } = this.dependencies;
-        this.lastReceivedMs = scheduler.nowMs();
-        if (!this.canRepeat()) {
-            return;
-        }
         if (route.kind === "repeatable") {
             scheduler.after(route.timeoutMs * relayLimits.attemptTimeoutShare, () => {
-                if (!attempt.hasResponseHead && this.hasAlternative()) {
-                    attempt.abort("no response head in time");
+                if (!running.attempt.hasResponseHead) {
+                    void this.startReplacement(running);
+                }
+            }, running.endSignal);
+        }
+        else if (route.kind === "stream" && route.isResumable) {
+            scheduler.every(relayLimits.streamIdleTimeoutMs / 4, () => {
+                if (scheduler.nowMs() - running.lastReceivedMs > relayLimits.streamIdleTimeoutMs) {
+                    void this.startReplacement(running);
                 }
-            }, endSignal);
+            }, running.endSignal);
+        }
+    }
+
+    /**
+     * Sends the call to another upstream as well. A sound upstream may fall silent for a moment, so the silent attempt is kept until the
+     * other upstream has taken the call: it may refuse it, or not be reachable.
+     */
+    private async startReplacement(running: RunningAttempt): Promise<void> {
+        if (this.current !== running || this.replacement !== undefined || this.isPlacingReplacement || !this.mayRetry("silent")) {
+            return;
+        }
+        const { lastReceivedMs } = running;
+        this.isPlacingReplacement = true;
+        const placement = await this.choosePlacement();
+        this.isPlacingReplacement = false;
+        const isStillSilent = this.current === running && running.lastReceivedMs === lastReceivedMs && !running.endSignal.aborted;
+        if (placement === undefined || !isStillSilent) {
             return;
         }
-        scheduler.every(relayLimits.streamIdleTimeoutMs / 4, () => {
-            if (scheduler.nowMs() - this.lastReceivedMs > relayLimits.streamIdleTimeoutMs && this.hasAlternative()) {
-                attempt.abort("stream idle for too long");
+        const replacement = this.startAttempt(placement);
+        this.replacement = replacement;
+        void replacement.result.then(result => {
+            this.endReplacement(replacement, result);
+        });
+        if (this.request.route.kind === "stream") {
+            this.takeOverUnlessRefused(replacement);
+        }
+    }
+
+    /** Two upstreams do not work on one stream for longer than a refusal takes to arrive. */
+    private takeOverUnlessRefused(replacement: RunningAttempt): void {
+        this.dependencies.scheduler.every(relayLimits.refusalTimeoutMs, () => {
+            if (this.replacement === replacement && replacement.attempt.isSent) {
+                this.takeOver(replacement);
             }
-        }, endSignal);
+        }, replacement.endSignal);
+    }
+
+    private endReplacement(replacement: RunningAttempt, result: AttemptResult): void {
+        if (this.replacement !== replacement) {
+            return;
+        }
+        if (this.endsCall(result)) {
+            this.takeOver(replacement);
+            return;
+        }
+        this.replacement = undefined;
+        log("replacement of a silent attempt failed; keeping the silent attempt", {
+            requestId: this.request.call.requestId,
+            upstream: this.current?.placement.upstream.id,
+            replacement: replacement.placement.upstream.id,
+            end: result.kind,
+        });
+    }
+
+    private takeOver(replacement: RunningAttempt): void {
+        const silent = this.current;
+        this.current = replacement;
+        this.replacement = undefined;
+        this.callerResponse.framer.dropPending();
+        this.summary.upstreamId = replacement.placement.upstream.id;
+        silent?.attempt.abort(upstreamSilent);
+    }
+
+    private cancelReplacement(): void {
+        this.replacement?.attempt.abort(replacementNotNeeded);
+        this.replacement = undefined;
+        this.summary.upstreamId = this.current?.placement.upstream.id;
+    }
+
+    /** Whether the call needs no other attempt after this result, or can have none. */
+    private endsCall(result: AttemptResult): boolean {
+        switch (result.kind) {
+            case "forwarded":
+                return this.callerResponse.framer.pendingBytes === 0;
+            case "held":
+                return result.answer.status < 500 && !this.callerResponse.hasSentHead;
+            case "cancelled":
+                return result.reason === deadlineExceeded || result.reason === callerDisconnected;
+            default:
+                return false;
+        }
     }
 
     private hasAlternative(): boolean {
@@ -203,8 +321,9 @@
     }
 
     /** Records what the result of an attempt shows about its upstream's health and about whether the call has run. */
-    private recordResult({ upstream }: Placement, result: AttemptResult): void {
+    private recordResult(running: RunningAttempt, result: AttemptResult): void {
         const { health, scheduler } = this.dependencies;
+        const { upstream } = running.placement;
         if (result.kind === "forwarded" || result.kind === "held") {
             this.outcome = "ran";
             if (health.recordSuccess(upstream.id)) {
@@ -214,13 +333,17 @@
         }
         if (result.kind === "cancelled") {
             this.outcome = result.isSent ? "unknown" : this.outcome;
-            if (result.reason === callerDisconnected || !this.isUpstreamFailure(result.reason)) {
+            if (!this.isUpstreamFailure(running, result.reason)) {
                 return;
             }
         }
         if (result.kind === "broken") {
             this.outcome = "unknown";
         }
+        if (result.kind === "not-sent" || result.kind === "not-run" && result.isWrongUpstream) {
+            this.summary.attempts--;
+            this.connectFailures++;
+        }
         if (result.kind === "not-run" && !result.isWrongUpstream && result.bodyFailure === undefined) {
             return;
         }
@@ -249,8 +372,6 @@
             case "held":
                 return this.handleResponse(result.answer);
             case "not-sent":
-                this.summary.attempts--;
-                this.connectFailures++;
                 if (this.connectFailures < relayLimits.maxUndeliveredAttempts) {
                     return true;
                 }
@@ -293,8 +414,6 @@
 
     private handleNotRun(result: Extract<AttemptResult, { kind: "not-run"; }>, placement: Placement): boolean {
         if (result.isWrongUpstream) {
-            this.summary.attempts--;
-            this.connectFailures++;
             if (this.connectFailures < relayLimits.maxUndeliveredAttempts) {
                 return true;
             }
@@ -323,11 +442,14 @@
         return isRepeatable && this.callerResponse.canContinue && this.summary.attempts < route.maxAttempts;
     }
 
+    /** Whether the call may be sent to another upstream although it may have run; takes the retry out of the budget. */
+    private mayRetry(reason: string): boolean {
+        return !this.request.disconnectSignal.aborted && this.remainingMs() > 0 && this.canRepeat() && this.hasAlternative() &&
+            this.spendRetry(reason);
+    }
+
     private retryOr(reason: string, endCall: () => void): boolean {
-        if (
-            !this.request.disconnectSignal.aborted && this.remainingMs() > 0 && this.canRepeat() && this.hasAlternative() &&
-            this.spendRetry(reason)
-        ) {
+        if (this.mayRetry(reason)) {
             this.callerResponse.framer.dropPending();
             return true;
         }
@@ -337,6 +459,10 @@
 
     private spendRetry(reason: string): boolean {
         const isAllowed = this.dependencies.retryBudget(this.service).trySpend();
+        if (!isAllowed && this.hasLoggedExhaustedBudget) {
+            return false;
+        }
+        this.hasLoggedExhaustedBudget ||= !isAllowed;
         log(isAllowed ? "retrying the call" : "not retrying the call: retry budget is exhausted", {
             requestId: this.request.call.requestId,
             service: this.service,
@@ -348,17 +474,24 @@
     }
 
     /** An attempt aborted at the call's deadline counts against its upstream only when the upstream had sent nothing for long enough. */
-    private isUpstreamFailure(reason: string): boolean {
-        return reason !== deadlineExceeded || this.dependencies.scheduler.nowMs() - this.lastReceivedMs >= relayLimits.minFailureSilenceMs;
+    private isUpstreamFailure(running: RunningAttempt, reason: string): boolean {
+        const silenceMs = this.dependencies.scheduler.nowMs() - running.lastReceivedMs;
+        return reason === upstreamSilent || reason === deadlineExceeded && silenceMs >= relayLimits.minFailureSilenceMs;
     }
 
     /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
-    private forward(bytes: Buffer): Result<boolean, string> {
+    private forward(running: RunningAttempt, bytes: Buffer): Result<boolean, string> {
         const nowMs = this.dependencies.scheduler.nowMs();
-        this.lastReceivedMs = nowMs;
+        running.lastReceivedMs = nowMs;
+        if (running !== this.current) {
+            return ok(true);
+        }
         const isWritable = this.callerResponse.forward(bytes);
-        if (isWritable !== undefined && this.callerResponse.isStreamed) {
-            this.recordEvent(nowMs);
+        if (isWritable !== undefined) {
+            this.cancelReplacement();
+            if (this.callerResponse.isStreamed) {
+                this.recordEvent(running, nowMs);
+            }
         }
         return this.callerResponse.framer.isTooLong
             ? err("the upstream sent an event larger than 1 MiB; check that it ends events with an empty line")
@@ -366,18 +499,12 @@
     }
 
     /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
-    private recordEvent(nowMs: number): void {
-        if (this.currentPlacement === undefined) {
-            return;
-        }
-        const { loadTracker } = this.dependencies;
-        const { id } = this.currentPlacement.upstream;
-        if (this.hasFirstEvent) {
-            loadTracker.eventGaps.recordGap(id, this.callerResponse.lastEventGapMs, nowMs);
+    private recordEvent(running: RunningAttempt, nowMs: number): void {
+        if (running.hasFirstEvent) {
+            this.dependencies.loadTracker.eventGaps.recordGap(running.placement.upstream.id, this.callerResponse.lastEventGapMs, nowMs);
             return;
         }
-        this.hasFirstEvent = true;
-        loadTracker.recordFirstEvent(id, this.currentPlacement);
+        running.recordFirstEvent();
     }
 
     private deliver(response: BufferedResponse): void {
@@ -387,7 +514,7 @@
 
     private cancelAfterDisconnect(): void {
         if (this.request.route.kind !== "once") {
-            this.currentAttempt?.abort(callerDisconnected);
+            this.current?.attempt.abort(callerDisconnected);
         }
     }
 
--- /dev/null
+++ b/src/node/relay/RunningAttempt.ts
@@ -0,0 +1,45 @@
+import type { Placement } from "../../core/relay/Placement.js";
+import type { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
+import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { RelayAttempt } from "./RelayAttempt.js";
+
+/** An attempt in progress on the upstream that it was placed on, counted in the upstream's load until it ends. */
+export class RunningAttempt {
+    /** When its upstream last sent something; before that, when it was started. */
+    lastReceivedMs: number;
+    /** Whether the first event has arrived, which shows that the prefill is complete. */
+    hasFirstEvent = false;
+    /** Resolves when the attempt has ended; never rejects. */
+    readonly result: Promise<AttemptResult>;
+    private readonly endController = new AbortController();
+
+    constructor(
+        readonly attempt: RelayAttempt,
+        readonly placement: Placement,
+        private readonly dependencies: { readonly scheduler: Scheduler; readonly loadTracker: UpstreamLoadTracker; },
+    ) {
+        this.lastReceivedMs = dependencies.scheduler.nowMs();
+        this.result = this.run();
+    }
+
+    /** Aborts when the attempt has ended. */
+    get endSignal(): AbortSignal {
+        return this.endController.signal;
+    }
+
+    recordFirstEvent(): void {
+        this.hasFirstEvent = true;
+        this.dependencies.loadTracker.recordFirstEvent(this.placement.upstream.id, this.placement);
+    }
+
+    private async run(): Promise<AttemptResult> {
+        const { loadTracker } = this.dependencies;
+        const { id } = this.placement.upstream;
+        loadTracker.recordCallStart(id, this.placement);
+        const result = await this.attempt.run();
+        this.endController.abort();
+        loadTracker.recordCallEnd(id, this.placement, this.hasFirstEvent);
+        return result;
+    }
+}
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -17,12 +17,16 @@
 import { RelayServer } from "../RelayServer.js";
 import { exampleDialect } from "./exampleDialect.js";
 
-/** Starts a relay in front of the upstreams with these addresses, `u0`, `u1` and so on; they are chosen in that order. */
+/**
+ * Starts a relay in front of the upstreams with these addresses, `u0`, `u1` and so on; they are chosen in that order. `maxRetries` is the
+ * number of retries that a call may take from the retry budget.
+ */
 export async function startTestRelay(
     route: Partial<RelayRoute>,
     addresses: readonly string[],
     signal: AbortSignal,
     scheduler: Scheduler = new SystemScheduler(),
+    maxRetries = 10,
 ) {
     const directory = new UpstreamDirectory();
     const loadTracker = new UpstreamLoadTracker();
@@ -52,7 +56,7 @@
         observer: { requestEnded: summary => summaries.push(summary) },
         onRefusal: ({ status, reason }) => refusals.push(`${status} ${reason}`),
         routeTable: () => routeTable,
-        retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: 10 }),
+        retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: maxRetries }),
         placeCall: request => placer.place(request),
     });
     (await server.start(signal))._unsafeUnwrap();
