Refuse calls with a prompt part that has crashed engines, on all VMs

Cause: every call was placed like any other. A VM forgot which calls had waited on an engine when it crashed, and no VM knew what the others had seen, so that calls with the part went on to crash one engine each: 18 crashes in 22 s, 9 of them sent after the window. Class: a fault that travels with the request is handled as a fault of the upstream. RelayCallHandler.test.ts on the code before: 'a call is not sent to a third upstream when a shared part of its prompt has crashed two' gets no refusal, and the third upstream receives the call. Why this works: a call that breaks before its first event makes its VM try a connection; an upstream that accepts none has crashed, and the parts of its waiting calls are suspected on all VMs. The second event of a response clears its parts. A part whose calls were sent after one crash and waited on the next engine that crashed is quarantined: calls with it are refused as not run, those that still wait are withdrawn, and one call at a time probes, at intervals that grow with each failed probe. Of a call's parts only the one with the most crashes is quarantined, and of these the last, so that shared first parts stay in service. In a large fleet the placement VM passes the news on, over the links it has. 'upstream failed' tells whether the call had had an event; logs of part 'quarantine' name the parts; quarantined_prompt_parts counts them.

--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -1,6 +1,7 @@
 import type { EngineCrash } from "./EngineCrash.js";
 import type { PartAdmission } from "./PartAdmission.js";
 import type { PartRecord } from "./PartRecord.js";
+import type { QuarantineSnapshot } from "./QuarantineSnapshot.js";
 import type { WaitingCall } from "./WaitingCall.js";
 
 /** Crashes in a row, with no response to a call with the part in between, after which a part is quarantined. */
@@ -17,6 +18,7 @@
 const recordRetentionMs = 3_600_000;
 const maxRecords = 1_024;
 const maxExplainedCrashes = 64;
+const maxSnapshotRecords = 64;
 
 /**
  * Finds the prompt parts that crash engines, and keeps calls with them from further engines.
@@ -108,20 +110,22 @@
         return this.quarantinedRecords().length;
     }
 
-    /** All that another VM needs to know, with times relative to `nowMs`. */
-    takeSnapshot(nowMs: number): { readonly nextProbeInMs: number; readonly records: readonly [string, PartRecord][]; } {
-        const records = [...this.records].map(([id, record]): [string, PartRecord] => [id, shiftTimes(record, -nowMs)]);
-        return { nextProbeInMs: Math.max(0, this.nextProbeMs - nowMs), records };
+    /** The quarantined parts, for a VM that may have missed reports; those that were asked for last, if there are many. */
+    takeSnapshot(): QuarantineSnapshot {
+        const quarantined = [...this.records].filter(([, record]) => record.quarantinedMs !== undefined);
+        return { nextProbeMs: this.nextProbeMs, records: new Map(quarantined.slice(-maxSnapshotRecords)) };
     }
 
-    /** Adds the parts of a snapshot that are not known here. */
-    applySnapshot(snapshot: ReturnType<PromptPartQuarantine["takeSnapshot"]>, nowMs: number): void {
-        for (const [id, record] of snapshot.records) {
-            if (!this.records.has(id)) {
-                this.setRecord(id, shiftTimes(record, nowMs));
-            }
+    /** Quarantines the parts of another VM's snapshot that are not quarantined here. Returns these parts. */
+    applySnapshot({ nextProbeMs, records }: QuarantineSnapshot): readonly string[] {
+        const added = [...records].filter(([id]) => !this.isQuarantined(id));
+        for (const [id, record] of added) {
+            this.setRecord(id, { ...record });
+        }
+        if (added.length > 0) {
+            this.nextProbeMs = Math.max(this.nextProbeMs, nextProbeMs);
         }
-        this.nextProbeMs = Math.max(this.nextProbeMs, nowMs + snapshot.nextProbeInMs);
+        return added.map(([id]) => id);
     }
 
     private recordSuspicion(id: string, { sentMs }: WaitingCall, engineKey: string, crashedMs: number): void {
@@ -223,13 +227,3 @@
         }
     }
 }
-
-function shiftTimes(record: PartRecord, offsetMs: number): PartRecord {
-    const { quarantinedMs } = record;
-    return {
-        ...record,
-        lastCrashMs: record.lastCrashMs + offsetMs,
-        quarantinedMs: quarantinedMs === undefined ? undefined : quarantinedMs + offsetMs,
-        lastAskedMs: record.lastAskedMs + offsetMs,
-    };
-}
--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -136,3 +136,58 @@
         expect([(await answer).status, (await answer).body]).toEqual([200, answersFirst]);
     }
 });
+
+const deadlyPrompt = { "prompt-parts": "common,deadly,own", ...patience };
+
+/** Starts a relay of streams in front of three upstreams, which are chosen in that order. */
+async function startPromptRelay() {
+    const upstreams = await Promise.all([0, 1, 2].map(() => startScriptedUpstream(controller.signal)));
+    const relay = await startTestRelay({ kind: "stream", timeoutMs: 60_000 }, upstreams.map(({ address }) => address), controller.signal);
+    return { relay, upstreams };
+}
+
+test("a call is not sent to a third upstream when a shared part of its prompt has crashed two", async () => {
+    const { relay, upstreams } = await startPromptRelay();
+    for (const upstream of upstreams.slice(0, 2)) {
+        const answer = callRelay(relay.port, deadlyPrompt);
+        await upstream.nextCall();
+        upstream.crash();
+        expect((await answer).status).toEqual(502);
+    }
+    await waitFor(() => relay.partGuard.isQuarantined(["deadly"]));
+    const refused = await callRelay(relay.port, { ...deadlyPrompt, "prompt-parts": "other,deadly,own-2" });
+    const { error } = JSON.parse(refused.body);
+    expect([refused.status, error.code, error.outcome, Number(refused.headers["retry-after"]) > 0]).toEqual([
+        503,
+        "quarantined_prompt_part",
+        "not-run",
+        true,
+    ]);
+    const sound = callRelay(relay.port, { ...deadlyPrompt, "prompt-parts": "common,sound,own" });
+    (await upstreams[2]?.nextCall())?.response.writeHead(200, streamHeaders).end(wholeStream);
+    expect((await sound).body).toEqual(wholeStream);
+});
+
+test("a call that waits for its first event is withdrawn when a part of its prompt is quarantined", async () => {
+    const { relay, upstreams } = await startPromptRelay();
+    const waiting = callRelay(relay.port, deadlyPrompt);
+    const waitingCall = await upstreams[0]?.nextCall();
+    for (const upstream of upstreams.slice(1)) {
+        const answer = callRelay(relay.port, deadlyPrompt);
+        await upstream.nextCall();
+        upstream.crash();
+        expect((await answer).status).toEqual(502);
+    }
+    await waitingCall?.closed;
+    expect((await waiting).status).toEqual(502);
+});
+
+test("calls whose connections were reset by upstreams that still run do not quarantine their prompt parts", async () => {
+    const { relay, upstreams } = await startPromptRelay();
+    for (const upstream of upstreams) {
+        const answer = callRelay(relay.port, deadlyPrompt);
+        (await upstream.nextCall()).request.socket.resetAndDestroy();
+        expect((await answer).status).toEqual(502);
+    }
+    expect(relay.partGuard.isQuarantined(["common", "deadly"])).toEqual(false);
+});
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -22,12 +22,13 @@
 const deadlineExceeded = "deadline exceeded";
 const callerDisconnected = "caller disconnected";
 const upstreamSilent = "upstream was silent for too long; another one has taken the call";
+const partQuarantined = "a part of its prompt has crashed upstreams and is quarantined";
 const replacementNotNeeded = "the attempt that it was to replace went on";
 
 /** The result with which a call is left after an attempt and its replacements. */
 interface EndedAttempt {
     readonly result: AttemptResult;
-    readonly placement: Placement;
+    readonly running: RunningAttempt;
 }
 
 /** Handles one call from its arrival to the end of its response: places it, sends it, and retries it where that is allowed. */
@@ -37,6 +38,9 @@
     private readonly triedUpstreamIds = new Set<string>();
     private readonly callerResponse: CallerResponse;
     private readonly service: string;
+    /** Shared parts of the prompt; empty for a call without a prompt. */
+    private readonly sharedPartIds: readonly string[];
+    private isProbe = false;
     private connectFailures = 0;
     /** Whether an upstream has run the call, as far as this VM knows. */
     private outcome: Outcome = "not-run";
@@ -53,6 +57,7 @@
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerTimeoutMs);
         this.callerResponse = new CallerResponse(dependencies, request, this.summary);
         this.service = pickService(route, call.requestId) ?? "";
+        this.sharedPartIds = call.prompt?.parts.slice(0, -1).map(part => part.id) ?? [];
         this.summary.service = this.service;
     }
 
@@ -87,6 +92,9 @@
                 this.endAtDeadline();
                 return;
             }
+            if (!this.admitParts()) {
+                return;
+            }
             const placement = await this.choosePlacement();
             if (this.request.disconnectSignal.aborted) {
                 return;
@@ -96,12 +104,45 @@
                 return;
             }
             const ended = await this.send(placement);
-            if (!this.handleResult(ended.result, ended.placement)) {
+            await this.reportBrokenPrompt(ended);
+            if (!this.handleResult(ended.result, ended.running.placement)) {
                 return;
             }
         }
     }
 
+    /** Refuses the call if one of its prompt parts is quarantined, unless the call is to probe the part. */
+    private admitParts(): boolean {
+        if (this.isProbe && this.outcome === "not-run") {
+            return true;
+        }
+        const admission = this.dependencies.partGuard.admit(this.sharedPartIds, this.service, this.request.call.requestId);
+        this.isProbe = admission.kind === "probe";
+        if (admission.kind !== "quarantined") {
+            return true;
+        }
+        if (this.outcome !== "not-run") {
+            this.endAfterFailure(partQuarantined);
+            return false;
+        }
+        this.callerResponse.refuse({
+            status: 503,
+            reason: "quarantined_prompt_part",
+            outcome: "not-run",
+            message: `part ${admission.partId} of the prompt has crashed upstreams; calls with it are refused until a probe is answered`,
+            retryAfterMs: admission.retryAfterMs,
+        });
+        return false;
+    }
+
+    /** A call that broke before its first event may have crashed its upstream, and would crash the next one too. */
+    private async reportBrokenPrompt({ result, running }: EndedAttempt): Promise<void> {
+        if (result.kind === "broken" && running.firstEventMs === undefined && this.sharedPartIds.length > 0) {
+            const call = { partIds: this.sharedPartIds, sentMs: running.sentMs };
+            await this.dependencies.partGuard.recordBrokenCall(running.placement.upstream, call);
+        }
+    }
+
     private remainingMs(): number {
         return this.deadlineMs - this.dependencies.scheduler.nowMs();
     }
@@ -129,7 +170,7 @@
             if (replacement === undefined || this.endsCall(result)) {
                 this.cancelReplacement();
                 this.current = undefined;
-                return { result, placement: running.placement };
+                return { result, running };
             }
             if (result.kind === "held" && !this.callerResponse.hasSentHead) {
                 this.failedResponse = result.answer;
@@ -155,6 +196,7 @@
             this.recordResult(running, result);
         });
         this.watchForSilence(running);
+        this.watchForQuarantine(running);
         return running;
     }
 
@@ -310,12 +352,24 @@
             case "held":
                 return result.answer.status < 500 && !this.callerResponse.hasSentHead;
             case "cancelled":
-                return result.reason === deadlineExceeded || result.reason === callerDisconnected;
+                return result.reason === deadlineExceeded || result.reason === callerDisconnected || result.reason === partQuarantined;
             default:
                 return false;
         }
     }
 
+    /** Withdraws the call from an upstream that has not begun to answer it, before it crashes that one too. */
+    private watchForQuarantine(running: RunningAttempt): void {
+        if (this.sharedPartIds.length === 0 || this.isProbe) {
+            return;
+        }
+        this.dependencies.partGuard.watch(this.sharedPartIds, () => {
+            if (running.firstEventMs === undefined) {
+                running.attempt.abort(partQuarantined);
+            }
+        }, running.endSignal);
+    }
+
     private hasAlternative(): boolean {
         return this.dependencies.directory.available(this.service).some(upstream => !this.triedUpstreamIds.has(upstream.id));
     }
@@ -326,6 +380,9 @@
         const { upstream } = running.placement;
         if (result.kind === "forwarded" || result.kind === "held") {
             this.outcome = "ran";
+            if (this.endsCall(result)) {
+                this.recordAnswer(running);
+            }
             if (health.recordSuccess(upstream.id)) {
                 log("upstream recovered", { upstream: upstream.id, requestId: this.request.call.requestId });
             }
@@ -353,6 +410,7 @@
             requestId: this.request.call.requestId,
             end: result.kind,
             reason: describeFailure(result),
+            hadFirstEvent: running.firstEventMs !== undefined,
             avoidMs,
         });
     }
@@ -445,7 +503,7 @@
     /** Whether the call may be sent to another upstream although it may have run; takes the retry out of the budget. */
     private mayRetry(reason: string): boolean {
         return !this.request.disconnectSignal.aborted && this.remainingMs() > 0 && this.canRepeat() && this.hasAlternative() &&
-            this.spendRetry(reason);
+            !this.dependencies.partGuard.isQuarantined(this.sharedPartIds) && this.spendRetry(reason);
     }
 
     private retryOr(reason: string, endCall: () => void): boolean {
@@ -500,11 +558,21 @@
 
     /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
     private recordEvent(running: RunningAttempt, nowMs: number): void {
-        if (running.hasFirstEvent) {
-            this.dependencies.loadTracker.eventGaps.recordGap(running.placement.upstream.id, this.callerResponse.lastEventGapMs, nowMs);
+        if (running.firstEventMs === undefined) {
+            running.recordFirstEvent(nowMs);
             return;
         }
-        running.recordFirstEvent();
+        this.dependencies.loadTracker.eventGaps.recordGap(running.placement.upstream.id, this.callerResponse.lastEventGapMs, nowMs);
+        this.recordAnswer(running);
+    }
+
+    /** Only a second event, or a whole response, shows that the upstream did not crash over the prompt. */
+    private recordAnswer(running: RunningAttempt): void {
+        if (!running.hasAnswered) {
+            running.hasAnswered = true;
+            const begunMs = running.firstEventMs ?? this.dependencies.scheduler.nowMs();
+            this.dependencies.partGuard.recordAnswer(this.sharedPartIds, this.service, begunMs);
+        }
     }
 
     private deliver(response: BufferedResponse): void {
--- a/src/node/relay/RelayDependencies.ts
+++ b/src/node/relay/RelayDependencies.ts
@@ -8,6 +8,7 @@
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { RequestObserver } from "../services/RequestObserver.js";
 import type { UpstreamConnections } from "../upstream/UpstreamConnections.js";
+import type { PromptPartGuard } from "./PromptPartGuard.js";
 import type { RelayDialect } from "./RelayDialect.js";
 
 /** Services and state that relaying a call depends on. */
@@ -17,6 +18,7 @@
     readonly directory: UpstreamDirectory;
     readonly loadTracker: UpstreamLoadTracker;
     readonly health: UpstreamHealth;
+    readonly partGuard: PromptPartGuard;
     readonly connections: UpstreamConnections;
     readonly observer: RequestObserver;
     /** Route table of the configuration in force; undefined until the first configuration is known. */
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -19,11 +19,13 @@
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
+import { canConnect } from "../upstream/canConnect.js";
 import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
 import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 import { LoadExchange } from "./LoadExchange.js";
 import { PlacementExchange } from "./PlacementExchange.js";
+import { PromptPartGuard } from "./PromptPartGuard.js";
 import { RelayMetrics } from "./RelayMetrics.js";
 import { RelayServer } from "./RelayServer.js";
 import { RelayState } from "./RelayState.js";
@@ -93,6 +95,8 @@
     private readonly enginePlacer: EnginePlacer;
     private readonly plainPlacer: LeastLoadedPlacer;
     private readonly placementExchange: PlacementExchange;
+    private readonly partGuard: PromptPartGuard;
+    private readonly stopController = new AbortController();
     private registeredVms: VmList["vms"] = [];
     private isStopping = false;
 
@@ -129,6 +133,18 @@
             scheduler,
             placeLocally: request => this.placeLocally(request),
         });
+        this.partGuard = new PromptPartGuard({
+            vm,
+            links,
+            membership: this.membership,
+            scheduler,
+            canConnect: upstream => canConnect(`http://${upstream.address}`, this.stopController.signal),
+        });
+        this.metrics.registerGauge(
+            "quarantined_prompt_parts",
+            "Prompt parts that have crashed upstreams and whose calls are refused.",
+            () => this.partGuard.quarantinedCount,
+        );
         this.server = new RelayServer({
             ...dependencies.listen.caller,
             dialect: dependencies.dialect,
@@ -136,6 +152,7 @@
             directory: this.state.directory,
             loadTracker: this.loadTracker,
             health: this.health,
+            partGuard: this.partGuard,
             connections: this.connections,
             observer: this.metrics,
             onRefusal: refusal => {
@@ -194,6 +211,7 @@
             serviceOf: id => state.directory.serviceOf(id),
         }).start(signal);
         this.placementExchange.start(signal);
+        this.partGuard.start(signal);
         const config = this.createFollower(
             "config",
             dependencies.config.source,
@@ -221,6 +239,7 @@
         }, signal);
         this.startRegistryTasks(signal);
         signal.addEventListener("abort", () => {
+            this.stopController.abort();
             void this.connections.close();
         }, { once: true });
     }
--- a/src/node/relay/RunningAttempt.ts
+++ b/src/node/relay/RunningAttempt.ts
@@ -8,8 +8,11 @@
 export class RunningAttempt {
     /** When its upstream last sent something; before that, when it was started. */
     lastReceivedMs: number;
-    /** Whether the first event has arrived, which shows that the prefill is complete. */
-    hasFirstEvent = false;
+    /** When the first event arrived, which shows that the prefill is complete; undefined before. */
+    firstEventMs: number | undefined;
+    /** Whether the upstream has sent more than its first event, or all of its response. */
+    hasAnswered = false;
+    readonly sentMs: number;
     /** Resolves when the attempt has ended; never rejects. */
     readonly result: Promise<AttemptResult>;
     private readonly endController = new AbortController();
@@ -19,7 +22,8 @@
         readonly placement: Placement,
         private readonly dependencies: { readonly scheduler: Scheduler; readonly loadTracker: UpstreamLoadTracker; },
     ) {
-        this.lastReceivedMs = dependencies.scheduler.nowMs();
+        this.sentMs = dependencies.scheduler.nowMs();
+        this.lastReceivedMs = this.sentMs;
         this.result = this.run();
     }
 
@@ -28,8 +32,8 @@
         return this.endController.signal;
     }
 
-    recordFirstEvent(): void {
-        this.hasFirstEvent = true;
+    recordFirstEvent(nowMs: number): void {
+        this.firstEventMs = nowMs;
         this.dependencies.loadTracker.recordFirstEvent(this.placement.upstream.id, this.placement);
     }
 
@@ -39,7 +43,7 @@
         loadTracker.recordCallStart(id, this.placement);
         const result = await this.attempt.run();
         this.endController.abort();
-        loadTracker.recordCallEnd(id, this.placement, this.hasFirstEvent);
+        loadTracker.recordCallEnd(id, this.placement, this.firstEventMs !== undefined);
         return result;
     }
 }
--- a/src/node/relay/testing/exampleDialect.ts
+++ b/src/node/relay/testing/exampleDialect.ts
@@ -1,6 +1,14 @@
 import { err, ok } from "neverthrow";
+import type { PromptMetadata } from "../../../schema/relay/PromptMetadata.js";
 import type { RelayDialect } from "../RelayDialect.js";
 
+/** Decodes ids of prompt parts that are separated by commas. */
+function decodePrompt(value: string | string[] | undefined): PromptMetadata | undefined {
+    return typeof value === "string"
+        ? { model: "m", promptTokens: 100, maxOutputTokens: 10, parts: value.split(",").map(id => ({ id, tokens: 10 })) }
+        : undefined;
+}
+
 /** Dialect for tests with header names that belong to no real platform. */
 export const exampleDialect: RelayDialect = {
     decodeCall: ({ headers, url = "/", method = "GET" }) => {
@@ -15,7 +23,7 @@
                 key: "key-1",
                 patienceMs: Number(headers["patience"] ?? 5_000),
                 lastEventId: undefined,
-                prompt: undefined,
+                prompt: decodePrompt(headers["prompt-parts"]),
             })
             : err("call-id is missing");
     },
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -1,3 +1,4 @@
+import { errAsync } from "neverthrow";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { LeastLoadedPlacer } from "../../../core/relay/LeastLoadedPlacer.js";
@@ -13,7 +14,9 @@
 import type { RelayRoute } from "../../../schema/relay/RelayRoute.js";
 import type { RequestSummary } from "../../services/RequestSummary.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
+import { canConnect } from "../../upstream/canConnect.js";
 import { UpstreamConnections } from "../../upstream/UpstreamConnections.js";
+import { PromptPartGuard } from "../PromptPartGuard.js";
 import { RelayServer } from "../RelayServer.js";
 import { exampleDialect } from "./exampleDialect.js";
 
@@ -43,6 +46,18 @@
     await new Promise<void>(resolve => temporaryServer.listen(0, "127.0.0.1", resolve));
     const { port } = temporaryServer.address() as AddressInfo;
     await new Promise(resolve => temporaryServer.close(resolve));
+    const partGuard = new PromptPartGuard({
+        vm: "vm-1",
+        links: {
+            send: () => false,
+            request: () => errAsync({ kind: "no-link", message: "" }),
+            onMessage: () => undefined,
+            onLinkOpened: () => undefined,
+        },
+        membership: { members: [] },
+        scheduler,
+        canConnect: upstream => canConnect(`http://${upstream.address}`, signal),
+    });
     const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
     const server = new RelayServer({
         host: "127.0.0.1",
@@ -52,6 +67,7 @@
         directory,
         loadTracker,
         health,
+        partGuard,
         connections,
         observer: { requestEnded: summary => summaries.push(summary) },
         onRefusal: ({ status, reason }) => refusals.push(`${status} ${reason}`),
@@ -60,5 +76,5 @@
         placeCall: request => placer.place(request),
     });
     (await server.start(signal))._unsafeUnwrap();
-    return { port, server, summaries, refusals, loadTracker, health };
+    return { port, server, summaries, refusals, loadTracker, health, partGuard };
 }
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -8,6 +8,7 @@
 import { GrantEnd } from "./GrantEnd.js";
 import { MemberRecord } from "./MemberRecord.js";
 import { MemberTombstone } from "./MemberTombstone.js";
+import { PromptPartNews } from "./PromptPartNews.js";
 import { QuotaLoan } from "./QuotaLoan.js";
 import { QuotaReport } from "./QuotaReport.js";
 import { Ticket } from "./Ticket.js";
@@ -145,6 +146,12 @@
             z.object({ offset: z.int(), key: z.string(), value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).optional() }),
         ),
     }),
+    z.object({
+        type: z.literal("promptParts"),
+        news: PromptPartNews,
+        /** Whether the receiver passes the news on to all other VMs. */
+        isForAll: z.boolean(),
+    }),
     z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
     z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
     z.object({ type: z.literal("quotaBorrow"), customer: z.string(), report: QuotaReport }),
