Give a replacement its whole time to refuse the call

Cause: periodic timers fire at multiples of their period, so that the first check came anywhere up to 250 ms after the replacement was sent, and a refusal on its way was taken for acceptance. Change: a timer of its own. Found by reading; the virtual scheduler of the tests does not align periodic timers, so no test of the relay can show it.

--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -305,10 +305,16 @@
 
     /** Two upstreams do not work on one stream for longer than a refusal takes to arrive. */
     private takeOverUnlessRefused(replacement: RunningAttempt): void {
-        this.dependencies.scheduler.every(relayLimits.refusalTimeoutMs, () => {
-            if (this.replacement === replacement && replacement.attempt.isSent) {
+        this.dependencies.scheduler.after(relayLimits.refusalTimeoutMs, () => {
+            if (this.replacement !== replacement) {
+                return;
+            }
+            if (replacement.attempt.isSent) {
                 this.takeOver(replacement);
             }
+            else {
+                this.takeOverUnlessRefused(replacement);
+            }
         }, replacement.endSignal);
     }
 
