--- a/proof/processes/freePort.test.ts
+++ b/proof/processes/freePort.test.ts
@@ -1,8 +1,10 @@
 import { expect } from "earl";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
+import { createServer } from "node:net";
 import { createInterface } from "node:readline/promises";
 import { test } from "node:test";
+import { freePort } from "./freePort.js";
 
 const script = 'import("./proof/processes/freePort.ts").then(async ({ freePort }) => { const ports = []; '
     + "for (let count = 0; count < 20; count++) { ports.push(await freePort()); } console.log(JSON.stringify(ports)); "
@@ -24,3 +26,11 @@
     expect(new Set(ports).size).toEqual(80);
     expect(ports.every(port => port < 32_768)).toEqual(true);
 });
+
+test("a port on which a process left over from another test run listens is not given out", async context => {
+    const leftover = createServer();
+    context.after(() => leftover.close());
+    const heldPort = await freePort() + 1;
+    await once(leftover.listen(heldPort, "127.0.0.1"), "listening");
+    expect(await freePort()).not.toEqual(heldPort);
+});
