--- a/proof/processes/VmProcess.ts
+++ b/proof/processes/VmProcess.ts
@@ -3,6 +3,7 @@
 import { createInterface } from "node:readline";
 import { request } from "undici";
 import { bundleProgram } from "./bundleProgram.js";
+import { exitWithParent } from "./exitWithParent.js";
 
 interface ServeOutput {
     readonly callerUrl: string;
@@ -10,7 +11,7 @@
     readonly peerUrl: string;
 }
 
-/** One VM in a separate process, started by `orioleshelf serve`. */
+/** One VM in a separate process, started by `orioleshelf serve`, which ends when this process does. */
 export class VmProcess {
     private hasExited = false;
 
@@ -29,9 +30,9 @@
 
     /** Starts a VM with a settings file; resolves when its listeners are open. */
     static async start(id: string, settingsFile: string, environment: Record<string, string>): Promise<VmProcess> {
-        const child = spawn(process.execPath, [await bundleProgram(), "serve", "--settings", settingsFile], {
+        const child = spawn(process.execPath, [...exitWithParent, await bundleProgram(), "serve", "--settings", settingsFile], {
             env: { ...process.env, ...environment },
-            stdio: ["ignore", "pipe", "pipe"],
+            stdio: ["pipe", "pipe", "pipe"],
         });
         const errorLines: string[] = [];
         createInterface({ input: child.stderr }).on("line", line => {
