--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -1,6 +1,6 @@
 import { ResultAsync } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { admitRelayCall } from "../../core/relay/admitRelayCall.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import { bufferRequestBody } from "../caller/bufferRequestBody.js";
@@ -21,6 +21,7 @@
 
 interface RelayServerOptions extends RelayDependencies {
     readonly host: string;
+    /** 0 selects any free port. */
     readonly port: number;
     /** Called for each call that is refused before an upstream is chosen. */
     readonly onRefusal: (refusal: { readonly status: number; readonly reason: string; }) => void;
@@ -54,16 +55,18 @@
         return this.activeCallCount;
     }
 
-    /** Listens until `signal` aborts; the error says why the port could not be opened. */
-    start(signal: AbortSignal): ResultAsync<void, string> {
+    /** Listens until `signal` aborts; resolves with the port, and the error says why it could not be opened. */
+    start(signal: AbortSignal): ResultAsync<number, string> {
         signal.addEventListener("abort", () => {
             this.server.close();
             this.server.closeAllConnections();
         }, { once: true });
         const { host, port } = this.options;
-        const listening = new Promise<void>((resolve, reject) => {
+        const listening = new Promise<number>((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(port, host, resolve);
+            this.server.listen(port, host, () => {
+                resolve((this.server.address() as AddressInfo).port);
+            });
         });
         return ResultAsync.fromPromise(
             listening,
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -1,5 +1,3 @@
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { LeastLoadedPlacer } from "../../../core/relay/LeastLoadedPlacer.js";
 import { RouteTable } from "../../../core/relay/RouteTable.js";
 import { exampleConfig } from "../../../core/relay/testing/exampleConfig.js";
@@ -39,14 +37,10 @@
     const connections = new UpstreamConnections();
     signal.addEventListener("abort", () => void connections.close());
     const placer = new LeastLoadedPlacer(loadTracker, "z1", () => 0.5);
-    const temporaryServer = createServer();
-    await new Promise<void>(resolve => temporaryServer.listen(0, "127.0.0.1", resolve));
-    const { port } = temporaryServer.address() as AddressInfo;
-    await new Promise(resolve => temporaryServer.close(resolve));
     const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
     const server = new RelayServer({
         host: "127.0.0.1",
-        port,
+        port: 0,
         dialect: exampleDialect,
         scheduler,
         directory,
@@ -59,6 +53,6 @@
         retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: maxRetries }),
         placeCall: request => placer.place(request),
     });
-    (await server.start(signal))._unsafeUnwrap();
+    const port = (await server.start(signal))._unsafeUnwrap();
     return { port, server, summaries, refusals, loadTracker, health };
 }
