--- a/proof/soak/SoakVm.ts
+++ b/proof/soak/SoakVm.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { exitWithParent } from "../processes/exitWithParent.js";
 import type { SoakPorts } from "./SoakPorts.js";
 
 interface SoakVmOptions {
@@ -17,7 +18,7 @@
 
 const restartDelayMs = 300;
 
-/** A VM on the platform in a separate process, which is restarted whenever it exits. */
+/** A VM on the platform in a separate process, which is restarted whenever it exits and ends when this process does. */
 export class SoakVm {
     private child: ChildProcess | undefined;
     private isRunning = false;
@@ -36,9 +37,10 @@
         const { name, folder, ports } = this.options;
         const settingsFile = join(folder, `${name}.conf`);
         writeFileSync(settingsFile, this.settings());
-        const child = spawn(process.execPath, ["--import", "tsx", "platform/main.ts", "--metrics-port", String(ports.metrics)], {
+        const program = ["--import", "tsx", "platform/main.ts", "--metrics-port", String(ports.metrics)];
+        const child = spawn(process.execPath, [...exitWithParent, ...program], {
             env: { ...process.env, ORIOLESHELF_CONFIG: settingsFile },
-            stdio: ["ignore", "pipe", "pipe"],
+            stdio: ["pipe", "pipe", "pipe"],
         });
         const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
         child.stdout.pipe(log, { end: false });
