--- a/proof/platform/platformVm.test.ts
+++ b/proof/platform/platformVm.test.ts
@@ -9,6 +9,7 @@
 import { test } from "node:test";
 import { request } from "undici";
 import { StoreStandin } from "../../standins/store/StoreStandin.js";
+import { exitWithParent } from "../processes/exitWithParent.js";
 import { freePort } from "../processes/freePort.js";
 import { LogReader } from "./LogReader.js";
 
@@ -82,9 +83,9 @@
         "bounds.grace_s": "2",
     };
     writeFileSync(join(folder, "boot.conf"), Object.entries(settings).map(([name, value]) => `${name}=${value}`).join("\n"));
-    const child = spawn(process.execPath, ["--import", "tsx", "platform/main.ts", "--metrics-port", String(metrics)], {
+    const child = spawn(process.execPath, [...exitWithParent, "--import", "tsx", "platform/main.ts", "--metrics-port", String(metrics)], {
         env: { ...process.env, ORIOLESHELF_CONFIG: join(folder, "boot.conf") },
-        stdio: ["ignore", "pipe", "inherit"],
+        stdio: ["pipe", "pipe", "inherit"],
     });
     const exited = once(child, "exit");
     const log = new LogReader(child);
