--- a/proof/platform/platformVm.test.ts
+++ b/proof/platform/platformVm.test.ts
@@ -1,34 +1,17 @@
 import { expect } from "earl";
-import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { test } from "node:test";
+import { after, test } from "node:test";
 import { request } from "undici";
 import { StoreStandin } from "../../standins/store/StoreStandin.js";
-import { freePort } from "../processes/freePort.js";
-import { LogReader } from "./LogReader.js";
+import { platformConfig } from "./platformConfig.js";
+import { startPlatformVm } from "./startPlatformVm.js";
 
-const config = {
-    version: 3,
-    routes: [{
-        name: "r-book",
-        host: "h.example",
-        path_prefix: "/book/",
-        kind: "non_idempotent",
-        timeout_ms: 1_500,
-        target_latency_ms: 300,
-        priority: 2,
-        service: "jobs",
-        max_attempts: 1,
-    }],
-    services: [{ name: "jobs", health_path: "/health", max_conns: 100 }],
-    limits: { header_bytes: 16_384, body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-    tenants: [{ name: "ana", api_keys: ["key-1"] }],
-};
+const controller = new AbortController();
+after(() => {
+    controller.abort();
+});
 
 const slowAnswerMs = 700;
 
@@ -48,6 +31,7 @@
         });
     }).listen(0, "127.0.0.1");
     await once(upstream, "listening");
+    controller.signal.addEventListener("abort", () => upstream.close(), { once: true });
     return upstream;
 }
 
@@ -60,34 +44,15 @@
 }
 
 test("a VM on the platform serves calls, logs a failed call under its id, and finishes in-flight calls before it exits on SIGTERM", async () => {
-    const controller = new AbortController();
     const store = new StoreStandin();
     const storeUrl = await store.server.start(controller.signal);
     let isBroken = false;
     const upstream = await startUpstream(() => isBroken);
     const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
-    store.put("keyed.op", "config", JSON.stringify(config));
+    store.put("keyed.op", "config", JSON.stringify(platformConfig));
     store.put("keyed.servers", "i-1", JSON.stringify({ service: "jobs", address, zone: "z1", slots: 6, state: "ready", sequence: 1 }));
-    const [front, ready, control, metrics] = [await freePort(), await freePort(), await freePort(), await freePort()];
-    const folder = mkdtempSync(join(tmpdir(), "platform-"));
-    const settings = {
-        node_name: "front-1",
-        ip: "127.0.0.1",
-        zone: "z1",
-        region: "r1",
-        "bind_addrs.front": `127.0.0.1:${front}`,
-        "bind_addrs.ready": `127.0.0.1:${ready}`,
-        "bind_addrs.control": `127.0.0.1:${control}`,
-        "platform.address": storeUrl.replace("http://", ""),
-        "bounds.grace_s": "2",
-    };
-    writeFileSync(join(folder, "boot.conf"), Object.entries(settings).map(([name, value]) => `${name}=${value}`).join("\n"));
-    const child = spawn(process.execPath, ["--import", "tsx", "platform/main.ts", "--metrics-port", String(metrics)], {
-        env: { ...process.env, ORIOLESHELF_CONFIG: join(folder, "boot.conf") },
-        stdio: ["ignore", "pipe", "inherit"],
-    });
-    const exited = once(child, "exit");
-    const log = new LogReader(child);
+    const { child, log, ports, exited } = await startPlatformVm("front-1", storeUrl, controller.signal);
+    const { front, ready, metrics } = ports;
     await log.waitForLine(line => line["message"] === "starting");
     child.kill("SIGHUP");
     await log.waitForLine(line => line["message"] === "ready");
@@ -122,10 +87,6 @@
     child.kill("SIGTERM");
     expect((await send(ready, "/v1/ready")).status).toEqual(503);
     expect(await slow).toEqual({ status: 200, text: "ana" });
-    expect((await exited)[0]).toEqual(0);
+    expect(await exited).toEqual(0);
     expect(log.lines.some(line => line["message"] === "stopped" && line["unfinishedCalls"] === 0)).toEqual(true);
-
-    controller.abort();
-    upstream.close();
-    rmSync(folder, { recursive: true });
 });
