Read a refusal that echoes another call's id as foreign

Seen by callers: a call that had run or was running was answered 503 "not run", or was sent to a second upstream although it may run only once. A faulty upstream had written an earlier refusal once more on a kept connection, where it was read as the response to the next call.

Cause: classifyResponse looked at the id of answers only; any response with X-Not-Executed or status 421 counted as a refusal of this call.

Fix: a refusal with another id is foreign, as an answer with one is: the attempt is broken, its connection is closed, and a call that may run only once is told 502 with outcome unknown. Upstreams echo the id in their responses, and a 400 without an id answers a request that had none, so a refusal without an id on a connection that has carried a response before may belong to an earlier call, or to bytes that the upstream took for a request; it is foreign too. As the first response on its connection it can only answer the request sent there, also where a listener refuses before it has read the head, and it still counts as a refusal. ConnectionState tells the two cases apart.

Nothing was found in the client's reading of a kept connection: a response that arrives while no request is running, also in the segment of the one before, closes the connection before the next request is written (tests in RelayAttempt.test.ts); one that is read after the request has been written is told apart by its id.

--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -257,6 +257,22 @@
     });
 }
 
+for (const [name, idHeader] of [["the earlier call's id", "call-id: r-1\r\n"], ["no id", ""]] as const) {
+    test(`a refusal written once more on a kept connection, with ${name}, does not make a call that may run only once repeatable`, async () => {
+        const end = "content-length: 0\r\n\r\n";
+        const faulty = await startEndlessUpstream(
+            [{ start: `${refusalHead}call-id: r-1\r\n${end}`, filler: "" }, { start: `${refusalHead}${idHeader}${end}`, filler: "" }],
+            controller.signal,
+        );
+        const healthy = await startEndlessUpstream([completeResponse], controller.signal);
+        const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [faulty.address, healthy.address], controller.signal);
+        expect((await callRelay(relay.port, patience)).body).toEqual("good");
+        const { status, body } = await callRelay(relay.port, { ...patience, "call-id": "r-2" });
+        expect([status, JSON.parse(body).error.outcome]).toEqual([502, "unknown"]);
+        expect([faulty.requestCount(), faulty.connectionCount(), healthy.requestCount()]).toEqual([2, 1, 1]);
+    });
+}
+
 test("a call whose upstream refused it is reported as not run at a deadline before the end of the refusal", async () => {
     const upstream = await startEndlessUpstream([{ start: `${refusalHead}\r\n`, filler: "a", isSlow: true }], controller.signal);
     const scheduler = new VirtualScheduler();
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -47,7 +47,7 @@
 
     constructor(private readonly options: RelayAttemptOptions) {
         this.exchange = new UpstreamExchange(head => {
-            this.processHead(head.status, head.headers);
+            this.processHead(head.status, head.headers, head.isFirstOnConnection);
             return this;
         });
         this.exchange.responseHead.catch((failure: ThrownUpstreamError) => {
@@ -132,10 +132,10 @@
         this.completion.resolve({ kind: failure.kind === "not-sent" ? "not-sent" : "broken", reason: failure.message });
     }
 
-    private processHead(status: number, headers: IncomingHttpHeaders): void {
+    private processHead(status: number, headers: IncomingHttpHeaders, isFirstOnConnection: boolean): void {
         this.status = status;
         this.headers = headers;
-        const responseKind = this.options.dialect.classifyResponse(status, headers, this.options.call);
+        const responseKind = this.options.dialect.classifyResponse(status, headers, this.options.call, isFirstOnConnection);
         if (responseKind === "foreign") {
             this.fail("the upstream sent a response that does not belong to this call");
             return;
--- a/src/node/relay/RelayDialect.ts
+++ b/src/node/relay/RelayDialect.ts
@@ -28,6 +28,9 @@
     buildUpstreamHeaders(call: RelayCall, received: IncomingHttpHeaders, context: AttemptContext): Record<string, string | string[]>;
     /** Builds the response headers that contain the retry delay. */
     buildRetryAfterHeaders(delayMs: number): Record<string, string>;
-    /** Determines from the head of a response whether it answers `call` and whether the upstream did any work. */
-    classifyResponse(status: number, headers: IncomingHttpHeaders, call: RelayCall): ResponseKind;
+    /**
+     * Determines from the head of a response whether it answers `call` and whether the upstream did any work. A response that is not the
+     * first one on its connection may be a repetition of an earlier one.
+     */
+    classifyResponse(status: number, headers: IncomingHttpHeaders, call: RelayCall, isFirstOnConnection: boolean): ResponseKind;
 }
--- a/src/node/relay/testing/exampleDialect.ts
+++ b/src/node/relay/testing/exampleDialect.ts
@@ -25,6 +25,9 @@
         ...(context.lastEventId === undefined ? {} : { "last-event-id": context.lastEventId }),
     }),
     buildRetryAfterHeaders: delayMs => ({ "retry-after": String(delayMs / 1_000) }),
-    classifyResponse: (status, headers, call) =>
-        headers["not-run"] !== undefined && status >= 400 ? "not-run" : headers["call-id"] === call.requestId ? "answer" : "foreign",
+    classifyResponse: (status, headers, call, isFirstOnConnection) => {
+        const isRefusal = headers["not-run"] !== undefined && status >= 400;
+        const isOwn = headers["call-id"] === undefined ? isRefusal && isFirstOnConnection : headers["call-id"] === call.requestId;
+        return isOwn ? isRefusal ? "not-run" : "answer" : "foreign";
+    },
 };
--- a/src/node/upstream/ConnectionState.ts
+++ b/src/node/upstream/ConnectionState.ts
@@ -4,6 +4,8 @@
 export interface ConnectionState {
     /** The connection was reset or failed, so a response that is delimited by the end of its connection may be truncated. */
     hasFailed: boolean;
+    /** The upstream has sent the head of a response on this connection; a later one may be a repetition of it. */
+    hasResponded: boolean;
     /** Limits what the upstream sends outside bodies; undefined until the connection is open. */
     framingLimiter: FramingLimiter | undefined;
 }
--- a/src/node/upstream/TrackedClient.ts
+++ b/src/node/upstream/TrackedClient.ts
@@ -16,13 +16,14 @@
     private readonly state: ConnectionState;
 
     constructor(origin: string | URL, { connectTimeoutMs, keepAliveMs }: TrackedClientOptions) {
-        const state: ConnectionState = { hasFailed: false, framingLimiter: undefined };
+        const state: ConnectionState = { hasFailed: false, hasResponded: false, framingLimiter: undefined };
         const connect = buildConnector({ timeout: connectTimeoutMs, keepAlive: true });
         super(origin, {
             connect: (options, callback) => {
                 connect(options, (...result) => {
                     const socket = result[1];
                     state.hasFailed = false;
+                    state.hasResponded = false;
                     state.framingLimiter = socket ? new FramingLimiter(socket) : undefined;
                     socket?.once("error", () => {
                         state.hasFailed = true;
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -7,6 +7,8 @@
 interface ResponseHead {
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
+    /** No other response has arrived on this connection before. */
+    readonly isFirstOnConnection: boolean;
 }
 
 /**
@@ -69,8 +71,12 @@
             return;
         }
         this.controller = controller;
-        this.sink = this.onHead({ status, headers });
-        this.head.resolve({ status, headers });
+        const head = { status, headers, isFirstOnConnection: this.connection?.hasResponded === false };
+        if (this.connection !== undefined) {
+            this.connection.hasResponded = true;
+        }
+        this.sink = this.onHead(head);
+        this.head.resolve(head);
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
