Pin that a refusal in the segment of an earlier response answers no call

It holds already: the client waits for a turn of the event loop before it reuses a connection, and closes one on which a response arrives while no request is running. The next call goes out on a new connection.

--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -273,6 +273,17 @@
     });
 }
 
+test("a refusal sent together with the response before it is not read as the response to the next call", async () => {
+    const extra = `${refusalHead}content-length: 0\r\n\r\n`;
+    const upstream = await startEndlessUpstream(
+        [{ ...completeResponse, start: completeResponse.start + extra }, completeResponse],
+        controller.signal,
+    );
+    const relay = await startTestRelay({ ...farDeadline, kind: "once" }, [upstream.address], controller.signal);
+    expect([(await callRelay(relay.port, patience)).body, (await callRelay(relay.port, patience)).body]).toEqual(["good", "good"]);
+    expect([upstream.requestCount(), upstream.connectionCount()]).toEqual([2, 2]);
+});
+
 test("a call whose upstream refused it is reported as not run at a deadline before the end of the refusal", async () => {
     const upstream = await startEndlessUpstream([{ start: `${refusalHead}\r\n`, filler: "a", isSlow: true }], controller.signal);
     const scheduler = new VirtualScheduler();
