Resume a broken stream elsewhere when the next upstream answers with an error

Seen by callers: a resumable stream that had broken off was cut although a third upstream could have gone on, because the second one had answered with an error (or with anything else than a stream).

Cause: handleResponse aborted the caller's response on any complete response that came after the head had been sent. The other ways in which the second upstream can fail (a refusal, a break, an error of over 256 KiB) went through retryOr already.

Fix: the complete response is retried like them, where the route's attempts and the retry budget allow; otherwise the response is cut as before, and the reason names the status. Neither text nor head of the error reached callers before or now: the head of a later attempt is never sent, and bytes are forwarded only from a stream that can follow.

--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -399,8 +399,9 @@
 
     private handleResponse(response: BufferedResponse): boolean {
         if (this.callerResponse.hasSentHead) {
-            this.callerResponse.abort("upstream did not resume the stream but sent a separate response");
-            return false;
+            return this.retryOr("upstream-error", () => {
+                this.callerResponse.abort(`the upstream did not resume the stream but answered with status ${response.status}`);
+            });
         }
         if (response.status < 500) {
             this.deliver(response);
