Do not take an error's events for the rest of a broken stream

Seen by callers: a resumable stream broke off, the next upstream answered 200 with an event stream of its own, and its text stood in the middle of their stream (events without ids), or their stream ended as if it were complete (it started anew and ended before the events that they had).

Cause: EventFramer dropped repeated events by their id, and let everything else pass; and a stream that ended after a complete event counted as whole, also when all of its events were repeated ones from before the last one delivered.

Fix: EventFramer knows where a stream goes on from an earlier one (resume). A stream that begins there with data without an id cannot be placed; the attempt is broken, and retried like any other. A stream that has repeated events may end only once it has reached the last one (canEnd). Comments, and events without an id after one with an id, pass as before; so does a first stream, whatever it holds.

Not told apart: ids of events may grow in uneven steps, as an event may hold several tokens, so a resumed stream that leaves out events has no sign of it.

Evidence, on the code without the fix, 4 of the 26 tests of CallerResponse: not ok: a stream that broke off and was answered with an event stream without ids ends incomplete when no other upstream is left The value ["id: 4\nd...", true] is not equal to ["id: 4\ndata: a\n\n", false] not ok: a stream that broke off and was answered with an event stream that starts anew and ends at once ends incomplete when no other upstream is left: The value ["id: 4\ndata: a\n\n", true] is not equal to ["id: 4\ndata: a\n\n", false] and the two of a third upstream, which got no call.

--- a/src/core/relay/EventFramer.test.ts
+++ b/src/core/relay/EventFramer.test.ts
@@ -28,7 +28,7 @@
     const framer = new EventFramer(undefined);
     expect(framer.push(Buffer.from("id: 4\ndata: a\n\nid: 8\nda")).toString()).toEqual("id: 4\ndata: a\n\n");
     expect(framer.pendingBytes).toEqual("id: 8\nda".length);
-    framer.dropPending();
+    framer.resume();
     expect(framer.push(Buffer.from("id: 8\ndata: b\n\n")).toString()).toEqual("id: 8\ndata: b\n\n");
 });
 
@@ -37,6 +37,26 @@
     expect(framer.push(Buffer.from(events.join(""))).toString()).toEqual("id: 12\r\ndata: c\r\n\r\n");
 });
 
+test("a stream that resumes another one with an event without an id is out of place, and a comment or a later event is not", () => {
+    const framer = new EventFramer(undefined);
+    expect(framer.push(Buffer.from("data: x\n\nid: 4\ndata: a\n\n")).length > 0 && !framer.isOutOfPlace).toEqual(true);
+    framer.resume();
+    expect(framer.push(Buffer.from(": wait\n\nevent: error\ndata: evil\n\nid: 8\ndata: b\n\n")).toString()).toEqual(": wait\n\n");
+    expect([framer.isOutOfPlace, framer.lastEventId]).toEqual([true, "4"]);
+    framer.resume();
+    expect(framer.push(Buffer.from("id: 8\ndata: b\n\ndata: c\n\n")).toString()).toEqual("id: 8\ndata: b\n\ndata: c\n\n");
+    expect(framer.isOutOfPlace).toEqual(false);
+});
+
+test("a resumed stream cannot end while it repeats events before the last one", () => {
+    const framer = new EventFramer("8");
+    const canEndAfter = events.map(event => {
+        framer.push(Buffer.from(event));
+        return framer.canEnd;
+    });
+    expect(canEndAfter).toEqual([false, true, true]);
+});
+
 test("an event without end is reported as too long, and dropping it makes room for the next upstream's events", () => {
     const framer = new EventFramer(undefined);
     const kibibyte = Buffer.from("data: a\n".repeat(128));
@@ -44,7 +64,7 @@
         expect(framer.push(kibibyte).length).toEqual(0);
         expect(framer.pendingBytes <= 1025 * 1024).toEqual(true);
     }
-    framer.dropPending();
+    framer.resume();
     expect(framer.isTooLong as boolean).toEqual(false);
     expect(framer.push(Buffer.from("id: 8\ndata: b\n\n")).toString()).toEqual("id: 8\ndata: b\n\n");
 });
--- a/src/core/relay/EventFramer.ts
+++ b/src/core/relay/EventFramer.ts
@@ -3,6 +3,7 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idFieldPrefix = Buffer.from("id:");
+const dataFieldPrefix = Buffer.from("data");
 const maxEventBytes = 1024 * 1024;
 /** All bytes of an event end except the last one, as in `\n\r\n`. */
 const maxPartialEndBytes = 2;
@@ -16,6 +17,12 @@
     lastEventId: string | undefined;
     /** Number of complete events so far, without duplicates. */
     eventCount = 0;
+    /** A resumed stream began with an event without an id, which may belong anywhere in the stream. Its events are dropped. */
+    isOutOfPlace = false;
+    /** Whether the current stream goes on from events of an earlier one, and has not sent an event with an id. */
+    private isUnplacedContinuation = false;
+    /** Whether the current stream repeats events and has not reached the last one. */
+    private isBehind = false;
     private readonly pending = new GrowingBuffer();
 
     constructor(lastEventId: string | undefined) {
@@ -32,9 +39,17 @@
         return this.pending.length > maxEventBytes;
     }
 
-    /** Discards the incomplete event before the stream is resumed. */
-    dropPending(): void {
+    /** Whether the current stream may end here: after a complete event, and not before the last one. */
+    get canEnd(): boolean {
+        return this.pending.length === 0 && !this.isBehind;
+    }
+
+    /** Discards the incomplete event; the next bytes are those of the stream that resumes this one. */
+    resume(): void {
         this.pending.clear();
+        this.isUnplacedContinuation = this.eventCount > 0;
+        this.isOutOfPlace = false;
+        this.isBehind = false;
     }
 
     /** Appends received bytes and returns the events that they complete, without those that a resumed stream repeats. */
@@ -63,11 +78,18 @@
         return newEvents.length === 1 ? newEvents[0] as Buffer : Buffer.concat(newEvents);
     }
 
-    /** Counts an event and records its id. Returns false for an event that a resumed stream repeats. */
+    /** Counts an event and records its id. Returns false for an event that a resumed stream repeats, or that cannot be placed in it. */
     private accept(event: Buffer): boolean {
-        const id = readId(event);
+        const id = readField(event, idFieldPrefix);
+        this.isOutOfPlace ||= id === undefined && this.isUnplacedContinuation && readField(event, dataFieldPrefix) !== undefined;
+        if (this.isOutOfPlace) {
+            return false;
+        }
         if (id !== undefined) {
-            if (this.lastEventId !== undefined && isDuplicateId(id, this.lastEventId)) {
+            this.isUnplacedContinuation = false;
+            const isDuplicate = this.lastEventId !== undefined && isDuplicateId(id, this.lastEventId);
+            this.isBehind = isDuplicate && id !== this.lastEventId;
+            if (isDuplicate) {
                 return false;
             }
             this.lastEventId = id;
@@ -88,12 +110,13 @@
     return -1;
 }
 
-function readId(event: Buffer): string | undefined {
+/** The rest of the first line that starts with `prefix`. */
+function readField(event: Buffer, prefix: Buffer): string | undefined {
     for (let start = 0; start < event.length;) {
         const lineEnd = event.indexOf(lineFeed, start);
         const end = lineEnd === -1 ? event.length : lineEnd;
-        if (event.subarray(start, start + idFieldPrefix.length).equals(idFieldPrefix)) {
-            return event.toString("utf8", start + idFieldPrefix.length, end).trim();
+        if (event.subarray(start, start + prefix.length).equals(prefix)) {
+            return event.toString("utf8", start + prefix.length, end).trim();
         }
         start = end + 1;
     }
--- a/src/node/relay/CallerResponse.test.ts
+++ b/src/node/relay/CallerResponse.test.ts
@@ -27,6 +27,8 @@
     "a response that is no stream": response => response.writeHead(200, own).end("evil"),
     "a refusal": response => response.writeHead(503, { ...own, "not-run": "1" }).end("evil"),
     "a response to another call": response => response.writeHead(200, { ...streamHeaders, "call-id": "r-9" }).end("data: evil\n\n"),
+    "an event stream without ids": response => response.writeHead(200, streamHeaders).end("event: error\ndata: evil\n\n"),
+    "an event stream that starts anew and ends at once": response => response.writeHead(200, streamHeaders).end("id: 1\ndata: evil\n\n"),
     "a stream that breaks inside an event": response => response.writeHead(200, streamHeaders).end("id: 8\ndata: evil"),
     "nothing": response => response.socket?.destroy(),
 };
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -291,7 +291,7 @@
         const silent = this.current;
         this.current = replacement;
         this.replacement = undefined;
-        this.callerResponse.framer.dropPending();
+        this.callerResponse.framer.resume();
         this.summary.upstreamId = replacement.placement.upstream.id;
         silent?.attempt.abort(upstreamSilent);
     }
@@ -306,7 +306,7 @@
     private endsCall(result: AttemptResult): boolean {
         switch (result.kind) {
             case "forwarded":
-                return this.callerResponse.framer.pendingBytes === 0;
+                return this.callerResponse.framer.canEnd;
             case "held":
                 return result.answer.status < 500 && !this.callerResponse.hasSentHead;
             case "cancelled":
@@ -361,13 +361,13 @@
     private handleResult(result: AttemptResult, placement: Placement): boolean {
         switch (result.kind) {
             case "forwarded":
-                if (this.callerResponse.framer.pendingBytes === 0) {
+                if (this.callerResponse.framer.canEnd) {
                     this.callerResponse.end();
                     this.outcome = "ran";
                     return false;
                 }
                 return this.retryOr("broken", () => {
-                    this.callerResponse.abort("the stream ended in the middle of an event");
+                    this.callerResponse.abort("the stream ended in the middle of an event, or before the last one that the caller has");
                 });
             case "held":
                 return this.handleResponse(result.answer);
@@ -451,7 +451,7 @@
 
     private retryOr(reason: string, endCall: () => void): boolean {
         if (this.mayRetry(reason)) {
-            this.callerResponse.framer.dropPending();
+            this.callerResponse.framer.resume();
             return true;
         }
         endCall();
@@ -494,6 +494,9 @@
                 this.recordEvent(running, nowMs);
             }
         }
+        if (this.callerResponse.framer.isOutOfPlace) {
+            return err("the upstream resumed the stream with an event without an id");
+        }
         return this.callerResponse.framer.isTooLong
             ? err("the upstream sent an event larger than 1 MiB; check that it ends events with an empty line")
             : ok(isWritable ?? true);
