Let a drain wait until responses have been written

What callers saw: a response that had ended on the VM, but of which not every byte had left it, was cut when the VM drained. It takes a caller that reads slowly, or a slow link, at the moment at which a stopping VM closes its port. A drain ended when the handlers of all calls had returned, and the process then closed all connections. Before that, `close` of Node.js's HTTP server closes connections that it takes for idle, which is any whose response has ended, written or not. Why this works: a response counts as open until it emits `close`, which it does once its last byte was handed to the kernel or its connection has ended. The port is closed with net.Server's `close`, and idle connections only while no response has ended without being written. The grace period still bounds the drain.

--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -1,6 +1,6 @@
 import { ResultAsync } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { admitRelayCall } from "../../core/relay/admitRelayCall.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import { bufferRequestBody } from "../caller/bufferRequestBody.js";
@@ -30,7 +30,8 @@
 export class RelayServer {
     private readonly server: Server;
     private readonly drainResolvers: (() => void)[] = [];
-    private activeCallCount = 0;
+    /** Responses that have not been written completely. */
+    private readonly openResponses = new Set<ServerResponse>();
     private phase: "open" | "leaving" | "closed" = "open";
 
     constructor(private readonly options: RelayServerOptions) {
@@ -51,7 +52,7 @@
 
     /** Number of calls whose response is not complete. */
     get activeCalls(): number {
-        return this.activeCallCount;
+        return this.openResponses.size;
     }
 
     /** Listens until `signal` aborts; the error says why the port could not be opened. */
@@ -82,19 +83,20 @@
         this.phase = "leaving";
     }
 
-    /** Accepts no more calls; resolves when the response to each one in flight is complete. */
+    /** Accepts no more calls; resolves when the response to each one in flight has been written. */
     drain(): Promise<void> {
         this.phase = "closed";
-        this.server.close();
-        this.server.closeIdleConnections();
+        // `close` of the HTTP server would also close connections whose response has ended but has not been written yet.
+        NetServer.prototype.close.call(this.server);
         return new Promise(resolve => {
             this.drainResolvers.push(resolve);
-            this.resolveDrainWhenIdle();
+            this.continueDrain();
         });
     }
 
     private async handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-        this.activeCallCount++;
+        this.openResponses.add(outgoing);
+        const written = new Promise(resolve => outgoing.once("close", resolve));
         if (this.phase !== "open") {
             outgoing.setHeader("connection", "close");
         }
@@ -107,10 +109,9 @@
             });
             outgoing.destroy();
         }
-        finally {
-            this.activeCallCount--;
-            this.resolveDrainWhenIdle();
-        }
+        await written;
+        this.openResponses.delete(outgoing);
+        this.continueDrain();
     }
 
     private async receiveCall(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -224,8 +225,16 @@
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
-    private resolveDrainWhenIdle(): void {
-        if (this.phase === "closed" && this.activeCallCount === 0) {
+    /** Closes the connections that carry no response, and ends the drain after the last response. */
+    private continueDrain(): void {
+        if (this.phase !== "closed") {
+            return;
+        }
+        // Node.js counts a connection as idle as soon as its response has ended.
+        if (![...this.openResponses].some(response => response.writableEnded)) {
+            this.server.closeIdleConnections();
+        }
+        if (this.openResponses.size === 0) {
             for (const resolve of this.drainResolvers.splice(0)) {
                 resolve();
             }
