Answer the calls before a malformed one, and refuse it on a used connection

What callers saw: a call that was being answered lost its response, or was told 400 or 408 although it ran on an upstream, when something else than a whole call followed on its connection: a malformed request, bytes after a call with `Connection: close`, or the head of the next call that did not arrive in time. On a connection that had carried a response a malformed call got no answer at all. Cause: refuseMalformed took the bytes written to the connection for a sign of what was in progress on it. Without any it wrote its refusal, which the caller reads as the answer to the call before; with some it destroyed the connection. Class: acts on a connection without regard to the calls in progress on it. Why this works: the calls in progress on the connection are known. The refusal is written after the response to the last whole one, and not at all where that response ends the connection or the late call has arrived meanwhile. A connection is closed without a response only when its caller has ended it, or when a response to the malformed call itself has begun; that is logged.

--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -27,6 +27,10 @@
     return `POST /a/b HTTP/1.1\r\nHost: shop.example\r\nCall-Id: r-1\r\nPatience: 60000\r\n${fields}`;
 }
 
+function findStatuses(text: string): (string | undefined)[] {
+    return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => match[1]);
+}
+
 /** Lets the sockets of this process bring about what they can. */
 async function settle(): Promise<void> {
     for (let turn = 0; turn < 50; turn++) {
@@ -55,3 +59,67 @@
     connection.socket.resume();
     expect((await connection.receiveAll()).length).toBeGreaterThan(callCount * body.length);
 });
+
+for (
+    const { name, firstCall, rest, isAnswered } of [
+        { name: "a malformed call", firstCall: formatCall(), rest: "BAD\r\n\r\n", isAnswered: true },
+        {
+            name: "bytes after its last call",
+            firstCall: formatCall("Connection: close\r\nContent-Length: 0\r\n\r\n"),
+            rest: "BAD\r\n\r\n",
+            isAnswered: false,
+        },
+    ]
+) {
+    test(`a response is not cut when its caller sends ${name} before it`, async () => {
+        const { upstream, connection } = await start();
+        connection.socket.write(firstCall + rest);
+        const { response } = await upstream.nextCall();
+        await settle();
+        response.writeHead(200, { "call-id": "r-1" }).end("whole");
+        expect(findStatuses(await connection.receiveAll())).toEqual(isAnswered ? ["200", "400"] : ["200"]);
+    });
+}
+
+test("a stream is not cut when its caller sends a malformed call after its first event", async () => {
+    const { upstream, connection } = await start({ kind: "stream" });
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    response.writeHead(200, { "call-id": "r-1", "content-type": "text/event-stream" }).write("id: 4\ndata: a\n\n");
+    await connection.receive(/data: a/);
+    connection.socket.write("BAD\r\n\r\n");
+    await settle();
+    response.end("id: 8\ndata: b\n\n");
+    expect(await connection.receiveAll()).toMatchRegex(/data: b\n\n\r\n0\r\n\r\nHTTP\/1\.1 400 /);
+});
+
+test("a response is not cut when the head of the next call does not arrive in time", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+    connection.socket.write(`${formatCall()}POST /a/b HTTP/1.1\r\n`);
+    const { response } = await upstream.nextCall();
+    const later = await openConnection(relay.port);
+    later.socket.write("POST /a/b HTTP/1.1\r\n");
+    await later.receive(/ 408 /);
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(findStatuses(await connection.receiveAll())).toEqual(["200", "408"]);
+});
+
+for (
+    const { name, bytes, status } of [
+        { name: "malformed call", bytes: "BAD\r\n\r\n", status: "400" },
+        { name: "call with a malformed body", bytes: formatCall("Transfer-Encoding: chunked\r\n\r\n!\r\n"), status: "400" },
+        { name: "call that does not arrive in time", bytes: "POST /a/b HTTP/1.1\r\n", status: "408" },
+    ]
+) {
+    test(`a ${name} is refused on a connection that has carried a response`, async () => {
+        const { upstream, relay, connection } = await start();
+        relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+        connection.socket.write(formatCall());
+        const { response } = await upstream.nextCall();
+        response.writeHead(200, { "call-id": "r-1" }).end("whole");
+        await connection.receive(/whole/);
+        connection.socket.write(bytes);
+        expect(findStatuses(await connection.receiveAll())).toEqual(["200", status]);
+    });
+}
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -32,6 +32,8 @@
     private readonly drainResolvers: (() => void)[] = [];
     /** Responses that have not been written completely. */
     private readonly openResponses = new Set<ServerResponse>();
+    /** Connections on which a malformed request is refused once the responses before it have been written. */
+    private readonly malformedConnections = new WeakSet<Socket>();
     private phase: "open" | "leaving" | "closed" = "open";
 
     constructor(private readonly options: RelayServerOptions) {
@@ -203,15 +205,25 @@
         sendRefusal(outgoing, refusal, call?.requestId, this.options.dialect);
     }
 
+    /** Refuses bytes that are no HTTP request, or no whole one in time, after the responses to the calls before them. */
     private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-        if (!socket.writable || socket.bytesWritten > 0) {
-            if (error.code !== "ECONNRESET") {
-                log("connection that has carried a response closed: the caller's next bytes are no HTTP request in time", {
-                    code: error.code,
-                    idleTimeoutMs: this.server.keepAliveTimeout,
-                    headerTimeoutMs: this.server.headersTimeout,
-                });
-            }
+        if (!socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const responses = this.findOpenResponses(socket);
+        const responseBefore = responses.findLast(response => response.req.complete);
+        const isEndedByCaller = error.code === "HPE_INVALID_EOF_STATE";
+        if (responseBefore !== undefined && !isEndedByCaller) {
+            this.refuseMalformedAfter(responseBefore, error, socket);
+            return;
+        }
+        if (responseBefore !== undefined || responses.some(response => response.headersSent)) {
+            log("connection closed in the middle of a response: the bytes after its call are no HTTP request in time", {
+                code: error.code,
+                isEndedByCaller,
+                openResponses: responses.length,
+            });
             socket.destroy();
             return;
         }
@@ -225,6 +237,25 @@
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
+    private refuseMalformedAfter(responseBefore: ServerResponse, error: NodeJS.ErrnoException, socket: Socket): void {
+        if (this.malformedConnections.has(socket)) {
+            return;
+        }
+        this.malformedConnections.add(socket);
+        log("malformed HTTP request received; refusing it after the response before it", { code: error.code });
+        responseBefore.once("close", () => {
+            this.malformedConnections.delete(socket);
+            // A call that was late may have arrived meanwhile.
+            if (!this.findOpenResponses(socket).some(response => response.req.complete)) {
+                this.refuseMalformed(error, socket);
+            }
+        });
+    }
+
+    private findOpenResponses(socket: Socket): ServerResponse[] {
+        return [...this.openResponses].filter(response => response.req.socket === socket && !response.closed);
+    }
+
     /** Closes the connections that carry no response, and ends the drain after the last response. */
     private continueDrain(): void {
         if (this.phase !== "closed") {
