Read no call on a connection that ends with the response before it

What callers saw: a call that followed another at once on its connection was passed on to an upstream and then cut off, when the response before it said `Connection: close`, as all do while a VM stops. A call whose head was late was told 408, which promises that it has not run, and was passed on to an upstream when the rest of it arrived. Callers whose calls were in flight when the VM began to stop were told to keep their connection, and found it closed with their next call. Cause: Node.js goes on parsing a connection after a response that ends it has been begun, and the server took whatever came. `Connection: close` was set only for calls that arrived after the stop had begun. Evidence: the three new tests on the code before: [1, 1] calls at the upstream instead of [0, 0]; [1, 0] instead of [0, 0]; no `connection: close` in the response. Why this works: a connection is marked when the last response on it is begun, or a refusal is written to it; what arrives after that is read and dropped, which a caller may send elsewhere. When the VM begins to stop, the last response in flight on each connection gets the header, if its head has not been sent.

--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -123,3 +123,35 @@
         expect(findStatuses(await connection.receiveAll())).toEqual(["200", status]);
     });
 }
+
+test("a call that follows a response with connection: close is not passed on to an upstream, where it would be cut off", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.disableKeepAlive();
+    connection.socket.write(formatCall().repeat(2));
+    const { response } = await upstream.nextCall();
+    await settle();
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(findStatuses(await connection.receiveAll())).toEqual(["200"]);
+    expect([relay.loadTracker.callsInFlight("u0"), upstream.untakenCalls()]).toEqual([0, 0]);
+});
+
+test("a call that was refused because it was late is not passed on to an upstream when the rest of it arrives", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+    const call = formatCall();
+    connection.socket.allowHalfOpen = true;
+    connection.socket.write(call.slice(0, 20));
+    await connection.receive(/ 408 /);
+    connection.socket.end(call.slice(20));
+    expect(findStatuses(await connection.receiveAll())).toEqual(["408"]);
+    expect([relay.loadTracker.callsInFlight("u0"), upstream.untakenCalls()]).toEqual([0, 0]);
+});
+
+test("the caller of a call in flight is told that its connection will be closed when the VM begins to stop", async () => {
+    const { upstream, relay, connection } = await start();
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    relay.server.disableKeepAlive();
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(await connection.receive(/whole/)).toMatchRegex(/connection: close/i);
+});
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -30,10 +30,12 @@
 export class RelayServer {
     private readonly server: Server;
     private readonly drainResolvers: (() => void)[] = [];
-    /** Responses that have not been written completely. */
-    private readonly openResponses = new Set<ServerResponse>();
+    /** Responses that have not been written completely, with their connections. */
+    private readonly openResponses = new Map<ServerResponse, Socket>();
     /** Connections on which a malformed request is refused once the responses before it have been written. */
     private readonly malformedConnections = new WeakSet<Socket>();
+    /** Connections that end with the last response that was begun on them; what arrives after its call is not read. */
+    private readonly endingConnections = new WeakSet<Socket>();
     private phase: "open" | "leaving" | "closed" = "open";
 
     constructor(private readonly options: RelayServerOptions) {
@@ -83,6 +85,10 @@
     /** Still accepts calls, but closes each connection after its response, so that callers open the next one to another VM. */
     disableKeepAlive(): void {
         this.phase = "leaving";
+        const lastResponses = new Map([...this.openResponses].map(([response, socket]) => [socket, response]));
+        for (const response of lastResponses.values()) {
+            this.endConnectionAfter(response);
+        }
     }
 
     /** Accepts no more calls; resolves when the response to each one in flight has been written. */
@@ -97,10 +103,15 @@
     }
 
     private async handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-        this.openResponses.add(outgoing);
+        if (this.endingConnections.has(incoming.socket)) {
+            log("call not read: its connection is about to be closed", { phase: this.phase });
+            incoming.resume();
+            return;
+        }
+        this.openResponses.set(outgoing, incoming.socket);
         const written = new Promise(resolve => outgoing.once("close", resolve));
         if (this.phase !== "open") {
-            outgoing.setHeader("connection", "close");
+            this.endConnectionAfter(outgoing);
         }
         try {
             await this.receiveCall(incoming, outgoing);
@@ -116,6 +127,14 @@
         this.continueDrain();
     }
 
+    private endConnectionAfter(response: ServerResponse): void {
+        const socket = this.openResponses.get(response);
+        if (socket !== undefined && !response.headersSent) {
+            response.setHeader("connection", "close");
+            this.endingConnections.add(socket);
+        }
+    }
+
     private async receiveCall(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
         const { dialect, scheduler } = this.options;
         const arrivedMs = scheduler.nowMs();
@@ -136,7 +155,7 @@
         const call = decoded.value;
         if (body.isErr()) {
             const status = body.error.status === 413 ? 413 : 400;
-            outgoing.setHeader("connection", "close");
+            this.endConnectionAfter(outgoing);
             this.refuse(outgoing, call, { status, reason: body.error.code, outcome: "not-run", message: body.error.message });
             return;
         }
@@ -234,6 +253,7 @@
             ? "408 Request Timeout"
             : "400 Bad Request";
         this.options.onRefusal({ status: Number.parseInt(status, 10), reason: "malformed-http" });
+        this.endingConnections.add(socket);
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
@@ -253,7 +273,7 @@
     }
 
     private findOpenResponses(socket: Socket): ServerResponse[] {
-        return [...this.openResponses].filter(response => response.req.socket === socket && !response.closed);
+        return [...this.openResponses.keys()].filter(response => this.openResponses.get(response) === socket && !response.closed);
     }
 
     /** Closes the connections that carry no response, and ends the drain after the last response. */
@@ -262,7 +282,7 @@
             return;
         }
         // Node.js counts a connection as idle as soon as its response has ended.
-        if (![...this.openResponses].some(response => response.writableEnded)) {
+        if (![...this.openResponses.keys()].some(response => response.writableEnded)) {
             this.server.closeIdleConnections();
         }
         if (this.openResponses.size === 0) {
