--- /dev/null
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -0,0 +1,157 @@
+import { expect } from "earl";
+import { after, test } from "node:test";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
+import { openConnection } from "./testing/openConnection.js";
+import { startScriptedUpstream } from "./testing/startScriptedUpstream.js";
+import { startTestRelay } from "./testing/startTestRelay.js";
+
+const controller = new AbortController();
+after(() => {
+    controller.abort();
+});
+
+/** Starts a relay in front of one upstream, and a caller's connection to it. */
+async function start(route: Partial<RelayRoute> = {}) {
+    const upstream = await startScriptedUpstream(controller.signal);
+    const vm = new AbortController();
+    const relay = await startTestRelay(
+        { kind: "once", timeoutMs: 60_000, ...route },
+        [upstream.address],
+        AbortSignal.any([controller.signal, vm.signal]),
+    );
+    return { upstream, relay, vm, connection: await openConnection(relay.port) };
+}
+
+/** A call with these fields and body. */
+function formatCall(fields = "Content-Length: 5\r\n\r\nhello"): string {
+    return `POST /a/b HTTP/1.1\r\nHost: shop.example\r\nCall-Id: r-1\r\nPatience: 60000\r\n${fields}`;
+}
+
+function findStatuses(text: string): (string | undefined)[] {
+    return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => match[1]);
+}
+
+/** Lets the sockets of this process bring about what they can. */
+async function settle(): Promise<void> {
+    for (let turn = 0; turn < 50; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+test("responses are not cut when their caller reads them slowly while the VM drains", async () => {
+    const { upstream, relay, vm, connection } = await start();
+    // More than the buffers of the kernel hold.
+    const body = Buffer.alloc(250_000);
+    const callCount = 64;
+    connection.socket.pause();
+    connection.socket.write(formatCall().repeat(callCount));
+    for (let received = 0; received < callCount; received++) {
+        const { response } = await upstream.nextCall();
+        response.writeHead(200, { "call-id": "r-1" }).end(body);
+    }
+    while (relay.summaries.length < callCount) {
+        await settle();
+    }
+    void relay.server.drain().then(() => {
+        vm.abort();
+    });
+    await settle();
+    connection.socket.resume();
+    expect((await connection.receiveAll()).length).toBeGreaterThan(callCount * body.length);
+});
+
+for (
+    const { name, firstCall, rest, isAnswered } of [
+        { name: "a malformed call", firstCall: formatCall(), rest: "BAD\r\n\r\n", isAnswered: true },
+        {
+            name: "bytes after its last call",
+            firstCall: formatCall("Connection: close\r\nContent-Length: 0\r\n\r\n"),
+            rest: "BAD\r\n\r\n",
+            isAnswered: false,
+        },
+    ]
+) {
+    test(`a response is not cut when its caller sends ${name} before it`, async () => {
+        const { upstream, connection } = await start();
+        connection.socket.write(firstCall + rest);
+        const { response } = await upstream.nextCall();
+        await settle();
+        response.writeHead(200, { "call-id": "r-1" }).end("whole");
+        expect(findStatuses(await connection.receiveAll())).toEqual(isAnswered ? ["200", "400"] : ["200"]);
+    });
+}
+
+test("a stream is not cut when its caller sends a malformed call after its first event", async () => {
+    const { upstream, connection } = await start({ kind: "stream" });
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    response.writeHead(200, { "call-id": "r-1", "content-type": "text/event-stream" }).write("id: 4\ndata: a\n\n");
+    await connection.receive(/data: a/);
+    connection.socket.write("BAD\r\n\r\n");
+    await settle();
+    response.end("id: 8\ndata: b\n\n");
+    expect(await connection.receiveAll()).toMatchRegex(/data: b\n\n\r\n0\r\n\r\nHTTP\/1\.1 400 /);
+});
+
+test("a response is not cut when the head of the next call does not arrive in time", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+    connection.socket.write(`${formatCall()}POST /a/b HTTP/1.1\r\n`);
+    const { response } = await upstream.nextCall();
+    const later = await openConnection(relay.port);
+    later.socket.write("POST /a/b HTTP/1.1\r\n");
+    await later.receive(/ 408 /);
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(findStatuses(await connection.receiveAll())).toEqual(["200", "408"]);
+});
+
+for (
+    const { name, bytes, status } of [
+        { name: "malformed call", bytes: "BAD\r\n\r\n", status: "400" },
+        { name: "call with a malformed body", bytes: formatCall("Transfer-Encoding: chunked\r\n\r\n!\r\n"), status: "400" },
+        { name: "call that does not arrive in time", bytes: "POST /a/b HTTP/1.1\r\n", status: "408" },
+    ]
+) {
+    test(`a ${name} is refused on a connection that has carried a response`, async () => {
+        const { upstream, relay, connection } = await start();
+        relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+        connection.socket.write(formatCall());
+        const { response } = await upstream.nextCall();
+        response.writeHead(200, { "call-id": "r-1" }).end("whole");
+        await connection.receive(/whole/);
+        connection.socket.write(bytes);
+        expect(findStatuses(await connection.receiveAll())).toEqual(["200", status]);
+    });
+}
+
+test("a call that follows a response with connection: close is not passed on to an upstream, where it would be cut off", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.disableKeepAlive();
+    connection.socket.write(formatCall().repeat(2));
+    const { response } = await upstream.nextCall();
+    await settle();
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(findStatuses(await connection.receiveAll())).toEqual(["200"]);
+    expect([relay.loadTracker.callsInFlight("u0"), upstream.untakenCalls()]).toEqual([0, 0]);
+});
+
+test("a call that was refused because it was late is not passed on to an upstream when the rest of it arrives", async () => {
+    const { upstream, relay, connection } = await start();
+    relay.server.setLimits({ headerTimeoutMs: 1, idleTimeoutMs: 15_000 });
+    const call = formatCall();
+    connection.socket.allowHalfOpen = true;
+    connection.socket.write(call.slice(0, 20));
+    await connection.receive(/ 408 /);
+    connection.socket.end(call.slice(20));
+    expect(findStatuses(await connection.receiveAll())).toEqual(["408"]);
+    expect([relay.loadTracker.callsInFlight("u0"), upstream.untakenCalls()]).toEqual([0, 0]);
+});
+
+test("the caller of a call in flight is told that its connection will be closed when the VM begins to stop", async () => {
+    const { upstream, relay, connection } = await start();
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    relay.server.disableKeepAlive();
+    response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(await connection.receive(/whole/)).toMatchRegex(/connection: close/i);
+});
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -1,6 +1,6 @@
 import { ResultAsync } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { admitRelayCall } from "../../core/relay/admitRelayCall.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import { bufferRequestBody } from "../caller/bufferRequestBody.js";
@@ -31,7 +31,12 @@
 export class RelayServer {
     private readonly server: Server;
     private readonly drainResolvers: (() => void)[] = [];
-    private activeCallCount = 0;
+    /** Responses that have not been written completely, with their connections. */
+    private readonly openResponses = new Map<ServerResponse, Socket>();
+    /** Connections on which a malformed request is refused once the responses before it have been written. */
+    private readonly malformedConnections = new WeakSet<Socket>();
+    /** Connections that end with the last response that was begun on them; what arrives after its call is not read. */
+    private readonly endingConnections = new WeakSet<Socket>();
     private phase: "open" | "leaving" | "closed" = "open";
 
     constructor(private readonly options: RelayServerOptions) {
@@ -52,7 +57,7 @@
 
     /** Number of calls whose response is not complete. */
     get activeCalls(): number {
-        return this.activeCallCount;
+        return this.openResponses.size;
     }
 
     /** Listens until `signal` aborts; resolves with the port, and the error says why it could not be opened. */
@@ -83,23 +88,33 @@
     /** Still accepts calls, but closes each connection after its response, so that callers open the next one to another VM. */
     disableKeepAlive(): void {
         this.phase = "leaving";
+        const lastResponses = new Map([...this.openResponses].map(([response, socket]) => [socket, response]));
+        for (const response of lastResponses.values()) {
+            this.endConnectionAfter(response);
+        }
     }
 
-    /** Accepts no more calls; resolves when the response to each one in flight is complete. */
+    /** Accepts no more calls; resolves when the response to each one in flight has been written. */
     drain(): Promise<void> {
         this.phase = "closed";
-        this.server.close();
-        this.server.closeIdleConnections();
+        // `close` of the HTTP server would also close connections whose response has ended but has not been written yet.
+        NetServer.prototype.close.call(this.server);
         return new Promise(resolve => {
             this.drainResolvers.push(resolve);
-            this.resolveDrainWhenIdle();
+            this.continueDrain();
         });
     }
 
     private async handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-        this.activeCallCount++;
+        if (this.endingConnections.has(incoming.socket)) {
+            log("call not read: its connection is about to be closed", { phase: this.phase });
+            incoming.resume();
+            return;
+        }
+        this.openResponses.set(outgoing, incoming.socket);
+        const written = new Promise(resolve => outgoing.once("close", resolve));
         if (this.phase !== "open") {
-            outgoing.setHeader("connection", "close");
+            this.endConnectionAfter(outgoing);
         }
         try {
             await this.receiveCall(incoming, outgoing);
@@ -110,9 +125,16 @@
             });
             outgoing.destroy();
         }
-        finally {
-            this.activeCallCount--;
-            this.resolveDrainWhenIdle();
+        await written;
+        this.openResponses.delete(outgoing);
+        this.continueDrain();
+    }
+
+    private endConnectionAfter(response: ServerResponse): void {
+        const socket = this.openResponses.get(response);
+        if (socket !== undefined && !response.headersSent) {
+            response.setHeader("connection", "close");
+            this.endingConnections.add(socket);
         }
     }
 
@@ -136,7 +158,7 @@
         const call = decoded.value;
         if (body.isErr()) {
             const status = body.error.status === 413 ? 413 : 400;
-            outgoing.setHeader("connection", "close");
+            this.endConnectionAfter(outgoing);
             this.refuse(outgoing, call, { status, reason: body.error.code, outcome: "not-run", message: body.error.message });
             return;
         }
@@ -205,15 +227,25 @@
         sendRefusal(outgoing, refusal, call?.requestId, this.options.dialect);
     }
 
+    /** Refuses bytes that are no HTTP request, or no whole one in time, after the responses to the calls before them. */
     private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-        if (!socket.writable || socket.bytesWritten > 0) {
-            if (error.code !== "ECONNRESET") {
-                log("connection that has carried a response closed: the caller's next bytes are no HTTP request in time", {
-                    code: error.code,
-                    idleTimeoutMs: this.server.keepAliveTimeout,
-                    headerTimeoutMs: this.server.headersTimeout,
-                });
-            }
+        if (!socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const responses = this.findOpenResponses(socket);
+        const responseBefore = responses.findLast(response => response.req.complete);
+        const isEndedByCaller = error.code === "HPE_INVALID_EOF_STATE";
+        if (responseBefore !== undefined && !isEndedByCaller) {
+            this.refuseMalformedAfter(responseBefore, error, socket);
+            return;
+        }
+        if (responseBefore !== undefined || responses.some(response => response.headersSent)) {
+            log("connection closed in the middle of a response: the bytes after its call are no HTTP request in time", {
+                code: error.code,
+                isEndedByCaller,
+                openResponses: responses.length,
+            });
             socket.destroy();
             return;
         }
@@ -224,11 +256,39 @@
             ? "408 Request Timeout"
             : "400 Bad Request";
         this.options.onRefusal({ status: Number.parseInt(status, 10), reason: "malformed-http" });
+        this.endingConnections.add(socket);
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
-    private resolveDrainWhenIdle(): void {
-        if (this.phase === "closed" && this.activeCallCount === 0) {
+    private refuseMalformedAfter(responseBefore: ServerResponse, error: NodeJS.ErrnoException, socket: Socket): void {
+        if (this.malformedConnections.has(socket)) {
+            return;
+        }
+        this.malformedConnections.add(socket);
+        log("malformed HTTP request received; refusing it after the response before it", { code: error.code });
+        responseBefore.once("close", () => {
+            this.malformedConnections.delete(socket);
+            // A call that was late may have arrived meanwhile.
+            if (!this.findOpenResponses(socket).some(response => response.req.complete)) {
+                this.refuseMalformed(error, socket);
+            }
+        });
+    }
+
+    private findOpenResponses(socket: Socket): ServerResponse[] {
+        return [...this.openResponses.keys()].filter(response => this.openResponses.get(response) === socket && !response.closed);
+    }
+
+    /** Closes the connections that carry no response, and ends the drain after the last response. */
+    private continueDrain(): void {
+        if (this.phase !== "closed") {
+            return;
+        }
+        // Node.js counts a connection as idle as soon as its response has ended.
+        if (![...this.openResponses.keys()].some(response => response.writableEnded)) {
+            this.server.closeIdleConnections();
+        }
+        if (this.openResponses.size === 0) {
             for (const resolve of this.drainResolvers.splice(0)) {
                 resolve();
             }
