--- a/proof/platform/startPlatformVm.ts
+++ b/proof/platform/startPlatformVm.ts
@@ -27,7 +27,14 @@
         seeds: seeds.join(","),
     };
     writeFileSync(join(folder, "boot.conf"), Object.entries(settings).map(([field, value]) => `${field}=${value}`).join("\n"));
-    const child = spawn(process.execPath, [...exitWithParent, "--import", "tsx", "platform/main.ts", "--metrics-port", String(ports.metrics)], {
+    const child = spawn(process.execPath, [
+        ...exitWithParent,
+        "--import",
+        "tsx",
+        "platform/main.ts",
+        "--metrics-port",
+        String(ports.metrics),
+    ], {
         env: { ...process.env, ORIOLESHELF_CONFIG: join(folder, "boot.conf") },
         stdio: ["pipe", "pipe", "inherit"],
     });
--- a/src/node/relay/testing/startScriptedUpstream.ts
+++ b/src/node/relay/testing/startScriptedUpstream.ts
@@ -41,6 +41,8 @@
             const call = received.shift();
             return call === undefined ? new Promise(resolve => waiting.push(resolve)) : Promise.resolve(call);
         },
+        /** Number of calls that were received and not taken with `nextCall`. */
+        untakenCalls: () => received.length,
         /** Closes the port and all connections, as the end of the process would. */
         crash: () => {
             server.close();
