Log an odd upstream entry of which no earlier one is known

An entry that cannot be decoded was logged only where it stood under the id of a known upstream, so nothing told why a VM did not use it. It is logged once for each id now, with field and value. Without the change the test of odd entries waits for that line in vain ("test timed out after 15000ms").

--- a/proof/platform/oddEntries.test.ts
+++ b/proof/platform/oddEntries.test.ts
@@ -60,6 +60,8 @@
         }
     };
     await callAll("at start");
+    const ignored = await first.log.waitForLine(line => String(line["reason"]).startsWith("slots -1: "));
+    expect(ignored["message"]).toEqual("upstream entry cannot be decoded; ignoring it");
 
     // One VM reads the list for both from now on.
     const forwarded = vms.map(({ log }) =>
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -104,10 +104,11 @@
         }
         const upstream = this.options.upstreams.decode(id, value);
         if (upstream.isErr()) {
-            this.undecodableUpstreamIds.add(id);
-            if (before !== undefined) {
-                log("upstream entry cannot be decoded; keeping the previous one", { upstream: id, offset, reason: upstream.error });
+            if (before !== undefined || !this.undecodableUpstreamIds.has(id)) {
+                const consequence = before === undefined ? "ignoring it" : "keeping the previous one";
+                log(`upstream entry cannot be decoded; ${consequence}`, { upstream: id, offset, reason: upstream.error });
             }
+            this.undecodableUpstreamIds.add(id);
             return true;
         }
         const isSame = before !== undefined && isDeepStrictEqual(before, upstream.value);
