--- a/src/node/relay/RelayAttempt.test.ts
+++ b/src/node/relay/RelayAttempt.test.ts
@@ -86,6 +86,13 @@
     });
 }
 
+test("an upstream whose address the client rejects costs a call no more than one that is unreachable", async () => {
+    const healthy = await startEndlessUpstream([completeResponse], controller.signal);
+    const addresses = ["127.0.0.1:99999", "%:80", "127.0.0.1:0", healthy.address];
+    const relay = await startTestRelay({ ...farDeadline, kind: "once" }, addresses, controller.signal);
+    expect((await callRelay(relay.port, patience)).body).toEqual("good");
+});
+
 test("a connection is kept however many responses without a body or with small chunks it carries", async () => {
     const longHeader = `x-a: ${"a".repeat(8_000)}\r\n`;
     const responses = [
