Read a body that is over the limit to its end, so that its caller receives the refusal

What callers saw: a caller that reads its response only after it has sent its body found the connection reset instead of 413, also where a new configuration had lowered the limit while the body was on its way. Cause: the response said `Connection: close`, and Node.js closes such a connection at once; a close with unread bytes resets it. Evidence: both new tests (content-length, chunks) on the code before, three runs of three: "The value [2 entries] is not equal to [undefined, ["413"]]", as the write of the body failed. A caller that reads while it sends received the 413 in both cases. Why this works: the rest of the body is dropped as it arrives, and the connection is kept. Node.js's requestTimeout of 300 s bounds a body without end.

--- a/src/node/caller/bufferRequestBody.ts
+++ b/src/node/caller/bufferRequestBody.ts
@@ -2,18 +2,22 @@
 import type { IncomingMessage } from "node:http";
 import { CallerError } from "./CallerError.js";
 
-/** Reads a request body of at most `maxBytes` into memory. A body whose content-length exceeds the limit is rejected before it is read. */
+/**
+ * Reads a request body of at most `maxBytes` into memory. The rest of a longer one is dropped as it arrives: closing the connection before the
+ * caller has sent it would reset the connection, and the caller would lose the response.
+ */
 export async function bufferRequestBody(incoming: IncomingMessage, maxBytes: number): Promise<Result<Buffer, CallerError>> {
     if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
+        incoming.resume();
         return err(createBodyTooLargeError(maxBytes));
     }
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        for await (const chunk of incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             sizeBytes += chunk.length;
             if (sizeBytes > maxBytes) {
-                return err(createBodyTooLargeError(maxBytes));
+                break;
             }
             chunks.push(chunk);
         }
@@ -26,6 +30,10 @@
             ),
         );
     }
+    if (sizeBytes > maxBytes) {
+        incoming.resume();
+        return err(createBodyTooLargeError(maxBytes));
+    }
     return ok(Buffer.concat(chunks));
 }
 
--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -38,6 +38,20 @@
     }
 }
 
+for (const framing of ["content-length", "chunks"]) {
+    test(`a call whose body, sent with ${framing}, is over the limit is refused before its connection ends, even if its caller only reads later`, async () => {
+        const { connection } = await start();
+        const body = Buffer.alloc(20_000_000);
+        const isChunked = framing === "chunks";
+        connection.socket.pause();
+        connection.socket.write(formatCall(isChunked ? "Transfer-Encoding: chunked\r\n\r\n" : `Content-Length: ${body.length}\r\n\r\n`));
+        connection.socket.write(isChunked ? Buffer.concat([Buffer.from(`${body.length.toString(16)}\r\n`), body]) : body);
+        const writeError = await new Promise(resolve => connection.socket.write(isChunked ? "\r\n0\r\n\r\n" : "", resolve));
+        connection.socket.resume();
+        expect([writeError ?? undefined, findStatuses(await connection.receive(/too_large/))]).toEqual([undefined, ["413"]]);
+    });
+}
+
 test("responses are not cut when their caller reads them slowly while the VM drains", async () => {
     const { upstream, relay, vm, connection } = await start();
     // More than the buffers of the kernel hold.
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -155,7 +155,6 @@
         const call = decoded.value;
         if (body.isErr()) {
             const status = body.error.status === 413 ? 413 : 400;
-            this.endConnectionAfter(outgoing);
             this.refuse(outgoing, call, { status, reason: body.error.code, outcome: "not-run", message: body.error.message });
             return;
         }
