Do not take a stream for silent that waits for its caller

What callers saw: the stream of a caller that reads slowly was sent to a second upstream as well, and taken over by it, although its upstream was sound: a retry out of the budget, and work done twice. At the deadline its upstream counted as failed. Cause: lastReceivedMs stands still while this VM itself has paused the upstream. Evidence: the new test on the code before: "The value [2, 1] is not equal to [1, 0]": two attempts, one call at the other upstream. Why this works: an upstream is not silent while the caller's response waits to be written, and its silence is counted anew once it is resumed.

--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -3,6 +3,7 @@
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
 import { callRelay } from "./testing/callRelay.js";
+import { openConnection } from "./testing/openConnection.js";
 import { startScriptedUpstream } from "./testing/startScriptedUpstream.js";
 import { startTestRelay } from "./testing/startTestRelay.js";
 
@@ -136,3 +137,29 @@
         expect([(await answer).status, (await answer).body]).toEqual([200, answersFirst]);
     }
 });
+
+test("a stream that is paused because its caller reads slowly is not sent to another upstream", async () => {
+    const scheduler = new VirtualScheduler();
+    const [first, second] = await Promise.all([startScriptedUpstream(controller.signal), startScriptedUpstream(controller.signal)]);
+    const route = { timeoutMs: 60_000, ...resumableStream };
+    const relay = await startTestRelay(route, [first.address, second.address], controller.signal, scheduler);
+    const connection = await openConnection(relay.port);
+    connection.socket.pause();
+    connection.socket.write("GET /a/b HTTP/1.1\r\nHost: shop.example\r\nCall-Id: r-1\r\nPatience: 60000\r\n\r\n");
+    const { response } = await first.nextCall();
+    // More than the buffers of the kernel hold.
+    const event = `data: ${"x".repeat(500_000)}\n\n`;
+    const stream = [...Array(64).keys()].map(id => `id: ${id}\n${event}`).join("");
+    response.writeHead(200, streamHeaders).end(stream);
+    const { socket } = response;
+    for (let stillTurns = 0, writtenBytes = 0; stillTurns < 200; stillTurns++) {
+        await new Promise(resolve => setImmediate(resolve));
+        stillTurns = socket?.bytesWritten === writtenBytes ? stillTurns : 0;
+        writtenBytes = socket?.bytesWritten ?? 0;
+    }
+    expect(response.writableFinished).toEqual(false);
+    await scheduler.advanceAsync(silenceMs);
+    connection.socket.destroy();
+    await waitFor(() => relay.summaries.length > 0);
+    expect([relay.summaries[0]?.attempts, second.untakenCalls()]).toEqual([1, 0]);
+});
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -68,7 +68,10 @@
             this.current?.attempt.abort(deadlineExceeded);
         }, callEnd.signal);
         this.request.outgoing.on("drain", () => {
-            this.current?.attempt.resume();
+            if (this.current !== undefined) {
+                this.current.lastReceivedMs = scheduler.nowMs();
+                this.current.attempt.resume();
+            }
         });
         this.dependencies.retryBudget(this.service).recordFirstAttempt();
         try {
@@ -228,7 +231,7 @@
         }
         else if (route.kind === "stream" && route.isResumable) {
             scheduler.every(relayLimits.streamIdleTimeoutMs / 4, () => {
-                if (scheduler.nowMs() - running.lastReceivedMs > relayLimits.streamIdleTimeoutMs) {
+                if (this.getSilenceMs(running) > relayLimits.streamIdleTimeoutMs) {
                     void this.startReplacement(running);
                 }
             }, running.endSignal);
@@ -475,8 +478,12 @@
 
     /** An attempt aborted at the call's deadline counts against its upstream only when the upstream had sent nothing for long enough. */
     private isUpstreamFailure(running: RunningAttempt, reason: string): boolean {
-        const silenceMs = this.dependencies.scheduler.nowMs() - running.lastReceivedMs;
-        return reason === upstreamSilent || reason === deadlineExceeded && silenceMs >= relayLimits.minFailureSilenceMs;
+        return reason === upstreamSilent || reason === deadlineExceeded && this.getSilenceMs(running) >= relayLimits.minFailureSilenceMs;
+    }
+
+    /** For how long an upstream has sent nothing; one that is paused because the caller reads slowly is not silent. */
+    private getSilenceMs(running: RunningAttempt): number {
+        return this.request.outgoing.writableNeedDrain ? 0 : this.dependencies.scheduler.nowMs() - running.lastReceivedMs;
     }
 
     /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
