Keep a connection for as long as its last response promised

What callers saw: a caller whose response was in progress while a configuration shortened the idle timeout was told the longer one, and found its connection closed when it sent its next call within that time. Cause: Node.js writes `Keep-Alive` from the timeout at the begin of a response and starts the timer with the one at its end. Evidence: the new test on the code before: "The value 3000 is not equal to 16000": a timer of 2 s and its margin after a promise of 15 s. Why this works: at the end of a response the timer is set to the longer of the two, with the same margin. Other connections close as before.

--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -1,4 +1,6 @@
 import { expect } from "earl";
+import { subscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
 import { after, test } from "node:test";
 import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
 import { openConnection } from "./testing/openConnection.js";
@@ -169,3 +171,20 @@
     response.writeHead(200, { "call-id": "r-1" }).end("whole");
     expect(await connection.receive(/whole/)).toMatchRegex(/connection: close/i);
 });
+
+test("a connection is kept for as long as its last response promised when the idle timeout is shortened during that response", async () => {
+    const { upstream, relay, connection } = await start({ kind: "stream" });
+    const vmSocket = new Promise<Socket>(resolve => {
+        subscribe("http.server.request.start", message => {
+            resolve((message as { readonly socket: Socket; }).socket);
+        });
+    });
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    response.writeHead(200, { "call-id": "r-1", "content-type": "text/event-stream" }).write("id: 4\ndata: a\n\n");
+    expect(await connection.receive(/data: a/)).toMatchRegex(/Keep-Alive: timeout=15/);
+    relay.server.setLimits({ headerTimeoutMs: 3_000, idleTimeoutMs: 2_000 });
+    response.end();
+    await connection.receive(/\r\n0\r\n\r\n$/);
+    expect((await vmSocket).timeout).toEqual(16_000);
+});
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -110,6 +110,7 @@
         }
         this.openResponses.set(outgoing, incoming.socket);
         const written = new Promise(resolve => outgoing.once("close", resolve));
+        this.keepPromisedIdleTime(outgoing, incoming.socket);
         if (this.phase !== "open") {
             this.endConnectionAfter(outgoing);
         }
@@ -127,6 +128,17 @@
         this.continueDrain();
     }
 
+    /** Node.js applies the idle timeout at the end of a response, while its head has told the caller the one in force at its beginning. */
+    private keepPromisedIdleTime(outgoing: ServerResponse, socket: Socket): void {
+        const promisedMs = this.server.keepAliveTimeout;
+        outgoing.once("finish", () => {
+            const timeoutMs = socket.timeout ?? 0;
+            if (timeoutMs > 0) {
+                socket.setTimeout(Math.max(timeoutMs, promisedMs + this.server.keepAliveTimeoutBuffer));
+            }
+        });
+    }
+
     private endConnectionAfter(response: ServerResponse): void {
         const socket = this.openResponses.get(response);
         if (socket !== undefined && !response.headersSent) {
