--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -1,4 +1,6 @@
 import { expect } from "earl";
+import { subscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
 import { after, test } from "node:test";
 import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
 import { openConnection } from "./testing/openConnection.js";
@@ -38,6 +40,20 @@
     }
 }
 
+for (const framing of ["content-length", "chunks"]) {
+    test(`a call whose body, sent with ${framing}, is over the limit is refused before its connection ends, even if its caller only reads later`, async () => {
+        const { connection } = await start();
+        const body = Buffer.alloc(20_000_000);
+        const isChunked = framing === "chunks";
+        connection.socket.pause();
+        connection.socket.write(formatCall(isChunked ? "Transfer-Encoding: chunked\r\n\r\n" : `Content-Length: ${body.length}\r\n\r\n`));
+        connection.socket.write(isChunked ? Buffer.concat([Buffer.from(`${body.length.toString(16)}\r\n`), body]) : body);
+        const writeError = await new Promise(resolve => connection.socket.write(isChunked ? "\r\n0\r\n\r\n" : "", resolve));
+        connection.socket.resume();
+        expect([writeError ?? undefined, findStatuses(await connection.receive(/too_large/))]).toEqual([undefined, ["413"]]);
+    });
+}
+
 test("responses are not cut when their caller reads them slowly while the VM drains", async () => {
     const { upstream, relay, vm, connection } = await start();
     // More than the buffers of the kernel hold.
@@ -155,3 +171,20 @@
     response.writeHead(200, { "call-id": "r-1" }).end("whole");
     expect(await connection.receive(/whole/)).toMatchRegex(/connection: close/i);
 });
+
+test("a connection is kept for as long as its last response promised when the idle timeout is shortened during that response", async () => {
+    const { upstream, relay, connection } = await start({ kind: "stream" });
+    const vmSocket = new Promise<Socket>(resolve => {
+        subscribe("http.server.request.start", message => {
+            resolve((message as { readonly socket: Socket; }).socket);
+        });
+    });
+    connection.socket.write(formatCall());
+    const { response } = await upstream.nextCall();
+    response.writeHead(200, { "call-id": "r-1", "content-type": "text/event-stream" }).write("id: 4\ndata: a\n\n");
+    expect(await connection.receive(/data: a/)).toMatchRegex(/Keep-Alive: timeout=15/);
+    relay.server.setLimits({ headerTimeoutMs: 3_000, idleTimeoutMs: 2_000 });
+    response.end();
+    await connection.receive(/\r\n0\r\n\r\n$/);
+    expect((await vmSocket).timeout).toEqual(16_000);
+});
