--- /dev/null
+++ b/src/core/quarantine/testing/FleetMessage.ts
@@ -0,0 +1,13 @@
+import type { PromptPartQuarantine } from "../PromptPartQuarantine.js";
+
+/** What a VM of the model tells another one. Times are ages, as VMs have clocks of their own. */
+export type FleetMessage =
+    | {
+        readonly kind: "crash";
+        readonly engineKey: string;
+        readonly crashedAgoMs: number;
+        readonly calls: readonly { readonly partIds: readonly string[]; readonly sentAgoMs: number; }[];
+    }
+    | { readonly kind: "answer"; readonly partIds: readonly string[]; readonly begunAgoMs: number; }
+    | { readonly kind: "probe"; readonly partId: string; }
+    | { readonly kind: "snapshot"; readonly snapshot: ReturnType<PromptPartQuarantine["takeSnapshot"]>; };
--- /dev/null
+++ b/src/core/quarantine/testing/ModelCall.ts
@@ -0,0 +1,7 @@
+/** A caller's call in the model. */
+export interface ModelCall {
+    readonly partIds: readonly string[];
+    readonly isSound: boolean;
+    readonly arrivedMs: number;
+    readonly isRepeated: boolean;
+}
--- /dev/null
+++ b/src/core/quarantine/testing/ModelVm.ts
@@ -0,0 +1,68 @@
+import type { Scheduler } from "../../util/Scheduler.js";
+import type { PartAdmission } from "../PartAdmission.js";
+import { PromptPartQuarantine } from "../PromptPartQuarantine.js";
+import type { WaitingCall } from "../WaitingCall.js";
+import type { FleetMessage } from "./FleetMessage.js";
+
+/** A VM's part in the quarantine: it tells the other VMs what it has seen itself. */
+export class ModelVm {
+    quarantine = new PromptPartQuarantine();
+
+    constructor(
+        private readonly scheduler: Scheduler,
+        private readonly clockOffsetMs: number,
+        private readonly broadcast: (message: FleetMessage) => void,
+        private readonly onQuarantined: (partIds: readonly string[]) => void,
+    ) {}
+
+    nowMs(): number {
+        return this.scheduler.nowMs() + this.clockOffsetMs;
+    }
+
+    admit(partIds: readonly string[]): PartAdmission {
+        const admission = this.quarantine.admit(partIds, this.nowMs());
+        if (admission.kind === "probe") {
+            this.broadcast({ kind: "probe", partId: admission.partId });
+        }
+        return admission;
+    }
+
+    reportAnswer(partIds: readonly string[]): void {
+        const begunMs = this.nowMs();
+        if (this.quarantine.recordAnswer(partIds, begunMs).length > 0) {
+            this.broadcast({ kind: "answer", partIds, begunAgoMs: 0 });
+        }
+    }
+
+    reportCrash(engineKey: string, crashedMs: number, calls: readonly WaitingCall[]): void {
+        const nowMs = this.nowMs();
+        this.onQuarantined(this.quarantine.recordCrash({ engineKey, crashedMs, calls }, nowMs));
+        const reported = calls.map(({ partIds, sentMs }) => ({ partIds, sentAgoMs: nowMs - sentMs }));
+        this.broadcast({ kind: "crash", engineKey, crashedAgoMs: nowMs - crashedMs, calls: reported });
+    }
+
+    receive(message: FleetMessage): void {
+        const nowMs = this.nowMs();
+        switch (message.kind) {
+            case "crash": {
+                const { engineKey, crashedAgoMs } = message;
+                const calls = message.calls.map(({ partIds, sentAgoMs }) => ({ partIds, sentMs: nowMs - sentAgoMs }));
+                this.onQuarantined(this.quarantine.recordCrash({ engineKey, crashedMs: nowMs - crashedAgoMs, calls }, nowMs));
+                return;
+            }
+            case "answer":
+                this.quarantine.recordAnswer(message.partIds, nowMs - message.begunAgoMs);
+                return;
+            case "probe":
+                this.quarantine.recordProbe(message.partId, nowMs);
+                return;
+            case "snapshot":
+                this.quarantine.applySnapshot(message.snapshot, nowMs);
+        }
+    }
+
+    /** Starts again without any knowledge. */
+    restart(): void {
+        this.quarantine = new PromptPartQuarantine();
+    }
+}
