Test PromptPartQuarantine by itself and in a seeded model of a fleet

The model has VMs with clocks of their own, messages with delays, engines with slots and prefill queues, popular and rare parts, crashes that no part causes, and VMs that restart. Bounds are those of the issue: at most three calls later than the window after the fifth crash, more than half of the sound calls with a first part begun at the first attempt. Without the quarantine the model breaks the first one.

--- a/src/core/quarantine/testing/FleetMeasurement.ts
+++ b/src/core/quarantine/testing/FleetMeasurement.ts
@@ -11,7 +11,7 @@
 export class FleetMeasurement {
     messages = 0;
     crashes = 0;
-    maxRecords = 0;
+    private answeredDeadlyCalls = 0;
     private readonly deadlyCrashesMs: number[] = [];
     private readonly deadlySentMs: number[] = [];
     private readonly soundCalls: SoundCall[] = [];
@@ -43,24 +43,24 @@
         this.longestRefusalMs = Math.max(this.longestRefusalMs, nowMs - firstMs);
     }
 
-    addAnswer(partIds: readonly string[]): void {
+    addAnswer(partIds: readonly string[], isSound: boolean): void {
+        this.answeredDeadlyCalls += isSound ? 0 : 1;
         partIds.forEach(id => this.firstRefusalMs.delete(id));
     }
 
-    summarize({ stableWindowMs, durationMs }: FleetModelOptions, wronglyQuarantined: number): FleetModelResult {
+    summarize({ stableWindowMs, durationMs }: FleetModelOptions): FleetModelResult {
         const crash = this.deadlyCrashesMs[4] ?? this.deadlyCrashesMs.at(-1) ?? 0;
         const fifthMs = this.deadlyCrashesMs[4] ?? Infinity;
         return {
             deadlyCrashesMs: this.deadlyCrashesMs,
             lateDeadlyCalls: this.deadlySentMs.filter(sentMs => sentMs > fifthMs + stableWindowMs).length,
+            answeredDeadlyCalls: this.answeredDeadlyCalls,
             soundCalls: this.soundCalls.length,
             soundRefusals: this.soundRefusals,
             longestRefusalMs: this.longestRefusalMs,
             worstFirstAttemptShare: this.getWorstFirstAttemptShare(crash + 2 * stableWindowMs, durationMs - 2_000),
             messages: this.messages,
             crashes: this.crashes,
-            maxRecords: this.maxRecords,
-            wronglyQuarantined,
         };
     }
 
--- a/src/core/quarantine/testing/FleetMessage.ts
+++ b/src/core/quarantine/testing/FleetMessage.ts
@@ -1,4 +1,4 @@
-import type { PromptPartQuarantine } from "../PromptPartQuarantine.js";
+import type { PartRecord } from "../PartRecord.js";
 
 /** What a VM of the model tells another one. Times are ages, as VMs have clocks of their own. */
 export type FleetMessage =
@@ -10,4 +10,4 @@
     }
     | { readonly kind: "answer"; readonly partIds: readonly string[]; readonly begunAgoMs: number; }
     | { readonly kind: "probe"; readonly partId: string; }
-    | { readonly kind: "snapshot"; readonly snapshot: ReturnType<PromptPartQuarantine["takeSnapshot"]>; };
+    | { readonly kind: "snapshot"; readonly nextProbeInMs: number; readonly records: readonly (readonly [string, PartRecord])[]; };
--- a/src/core/quarantine/testing/FleetModelOptions.ts
+++ b/src/core/quarantine/testing/FleetModelOptions.ts
@@ -11,7 +11,7 @@
     readonly callRate: number;
     /** Time for which a response takes a slot after its first event. */
     readonly streamMs: number;
-    /** Each part crashes engines during its time; the calls that have it keep coming after that. */
+    /** Each part crashes engines during its time; calls with it come before and after that, too. */
     readonly deadlyParts: readonly { readonly id: string; readonly share: number; readonly fromMs: number; readonly untilMs: number; }[];
     /** Attempts of a VM for one call; 1 for a route whose calls may not be repeated. */
     readonly maxAttempts: number;
--- a/src/core/quarantine/testing/FleetModelResult.ts
+++ b/src/core/quarantine/testing/FleetModelResult.ts
@@ -4,6 +4,8 @@
     readonly deadlyCrashesMs: readonly number[];
     /** Calls with a deadly part that were sent to engines later than the stable window after the fifth crash. */
     readonly lateDeadlyCalls: number;
+    /** Responses to calls with a part that is deadly for a time, before and after that time. */
+    readonly answeredDeadlyCalls: number;
     readonly soundCalls: number;
     /** Sound calls of callers that were refused, repeated calls included. */
     readonly soundRefusals: number;
@@ -14,8 +16,4 @@
     /** Messages between VMs. */
     readonly messages: number;
     readonly crashes: number;
-    /** Most records that a VM held. */
-    readonly maxRecords: number;
-    /** Sound parts in quarantine on some VM, and the deadly parts on all. */
-    readonly wronglyQuarantined: number;
 }
--- a/src/core/quarantine/testing/ModelVm.ts
+++ b/src/core/quarantine/testing/ModelVm.ts
@@ -1,19 +1,22 @@
 import type { Scheduler } from "../../util/Scheduler.js";
 import type { PartAdmission } from "../PartAdmission.js";
+import type { PartRecord } from "../PartRecord.js";
 import { PromptPartQuarantine } from "../PromptPartQuarantine.js";
 import type { WaitingCall } from "../WaitingCall.js";
 import type { FleetMessage } from "./FleetMessage.js";
 
 /** A VM's part in the quarantine: it tells the other VMs what it has seen itself. */
 export class ModelVm {
-    quarantine = new PromptPartQuarantine();
+    quarantine: PromptPartQuarantine;
 
     constructor(
         private readonly scheduler: Scheduler,
         private readonly clockOffsetMs: number,
         private readonly broadcast: (message: FleetMessage) => void,
         private readonly onQuarantined: (partIds: readonly string[]) => void,
-    ) {}
+    ) {
+        this.quarantine = new PromptPartQuarantine();
+    }
 
     nowMs(): number {
         return this.scheduler.nowMs() + this.clockOffsetMs;
@@ -57,12 +60,35 @@
                 this.quarantine.recordProbe(message.partId, nowMs);
                 return;
             case "snapshot":
-                this.quarantine.applySnapshot(message.snapshot, nowMs);
+                this.onQuarantined(this.quarantine.applySnapshot({
+                    nextProbeMs: nowMs + message.nextProbeInMs,
+                    records: new Map([...message.records].map(([id, record]) => [id, shiftTimes(record, nowMs)])),
+                }));
         }
     }
 
+    takeSnapshot(): FleetMessage {
+        const nowMs = this.nowMs();
+        const { nextProbeMs, records } = this.quarantine.takeSnapshot();
+        return {
+            kind: "snapshot",
+            nextProbeInMs: nextProbeMs - nowMs,
+            records: [...records].map(([id, record]) => [id, shiftTimes(record, -nowMs)]),
+        };
+    }
+
     /** Starts again without any knowledge. */
     restart(): void {
         this.quarantine = new PromptPartQuarantine();
     }
 }
+
+function shiftTimes(record: PartRecord, offsetMs: number): PartRecord {
+    const { quarantinedMs } = record;
+    return {
+        ...record,
+        lastCrashMs: record.lastCrashMs + offsetMs,
+        quarantinedMs: quarantinedMs === undefined ? undefined : quarantinedMs + offsetMs,
+        lastAskedMs: record.lastAskedMs + offsetMs,
+    };
+}
--- a/src/core/quarantine/testing/simulateFleet.ts
+++ b/src/core/quarantine/testing/simulateFleet.ts
@@ -68,10 +68,7 @@
         this.after(0, () => this.generateCalls());
         this.scheduler.advance(durationMs);
         this.controller.abort();
-        const deadlyIds = new Set(this.options.deadlyParts.map(({ id }) => id));
-        const quarantined = this.vms.flatMap(({ quarantine }) => quarantine.takeSnapshot(0).records)
-            .filter(([id, record]) => !deadlyIds.has(id) && record.quarantinedMs !== undefined);
-        return this.measurement.summarize(this.options, new Set(quarantined.map(([id]) => id)).size);
+        return this.measurement.summarize(this.options);
     }
 
     private after(delayMs: number, callback: () => void): void {
@@ -81,7 +78,7 @@
     private generateCalls(): void {
         const arrivedMs = this.scheduler.nowMs();
         let remaining = this.random();
-        const deadly = this.options.deadlyParts.find(({ share, fromMs }) => arrivedMs >= fromMs && (remaining -= share) < 0);
+        const deadly = this.options.deadlyParts.find(({ share }) => (remaining -= share) < 0);
         const call = { partIds: this.source.next(deadly?.id), isSound: deadly === undefined, arrivedMs, isRepeated: false };
         if (call.isSound) {
             this.begunListeners.set(call, this.measurement.addSoundCall(call.partIds, arrivedMs));
@@ -142,7 +139,7 @@
         this.after(engineLinkMs, () => {
             this.waiting[vm]?.delete(attempt);
             this.vms[vm]?.reportAnswer(call.partIds);
-            this.measurement.addAnswer(call.partIds);
+            this.measurement.addAnswer(call.partIds, call.isSound);
             if (attempt.attempt === 1 && !call.isRepeated) {
                 this.begunListeners.get(call)?.();
             }
@@ -208,10 +205,6 @@
                 this.after(engineLinkMs, () => this.refuseAborted(attempt, partId));
             }
         }
-        this.measurement.maxRecords = Math.max(
-            this.measurement.maxRecords,
-            this.vms[vm]?.quarantine.takeSnapshot(0).records.length ?? 0,
-        );
     }
 
     private refuseAborted(attempt: ModelAttempt, partId: string): void {
@@ -242,10 +235,9 @@
 
     private restartVm(): void {
         this.vms[0]?.restart();
-        const source = this.vms[1];
-        if (source !== undefined) {
-            const snapshot = source.quarantine.takeSnapshot(source.nowMs());
-            this.after(this.drawMessageMs(), () => this.vms[0]?.receive({ kind: "snapshot", snapshot }));
+        const message = this.vms[1]?.takeSnapshot();
+        if (message !== undefined) {
+            this.after(this.drawMessageMs(), () => this.vms[0]?.receive(message));
         }
     }
 
