Probe each quarantined part at intervals of its own

What callers saw: sound calls with a rare part that had waited beside a deadly one stayed refused for 55 s of 60 s in the model. Cause: the failed probes of all parts shared one backoff and one due time. Calls with the deadly part are more frequent, took each probe and pushed back the next one for all. Why this works: only the time for which a probe is under way is shared. The backoff is counted for each part, up to six hours, and a jitter that differs between VMs spreads their probes.

--- a/src/core/quarantine/PromptPartQuarantine.test.ts
+++ b/src/core/quarantine/PromptPartQuarantine.test.ts
@@ -5,6 +5,8 @@
 import { simulateFleet } from "./testing/simulateFleet.js";
 import type { WaitingCall } from "./WaitingCall.js";
 
+const dayMs = 86_400_000;
+
 function call(sentMs: number, ...partIds: readonly string[]): WaitingCall {
     return { partIds, sentMs };
 }
@@ -58,6 +60,21 @@
         expect(crash("b", 1_300, call(1_100, "deadly"))).toEqual(["deadly"]);
     });
 
+    test("failed probes of one part do not delay the probe of another", () => {
+        const scenario = createQuarantine();
+        quarantinePart("deadly", 1_000, scenario);
+        quarantinePart("sound", 1_200, scenario);
+        const { quarantine, crash } = scenario;
+        expect(quarantine.admit(["deadly"], 6_300).kind).toEqual("probe");
+        expect(quarantine.admit(["sound"], 6_310).kind).toEqual("quarantined");
+        crash("probed", 6_400, call(6_300, "deadly"));
+
+        expect(quarantine.admit(["sound"], 6_460).kind).toEqual("probe");
+        expect(quarantine.recordAnswer(["sound"], 6_600)).toEqual(["sound"]);
+        expect(quarantine.admit(["sound"], 6_610).kind).toEqual("admitted");
+        expect(quarantine.admit(["deadly"], 26_000).kind).toEqual("quarantined");
+    });
+
     test("a VM does not probe while the probe of another VM is under way", () => {
         const scenario = createQuarantine();
         quarantinePart("deadly", 1_000, scenario);
@@ -65,6 +82,19 @@
         expect(scenario.quarantine.admit(["deadly"], 6_200).kind).toEqual("quarantined");
     });
 
+    test("probes of a part that stays deadly do not crash engines throughout a day", () => {
+        const scenario = createQuarantine();
+        quarantinePart("deadly", 1_000, scenario);
+        let crashes = 2;
+        for (let nowMs = 2_000; nowMs < dayMs; nowMs += 1_000) {
+            if (scenario.quarantine.admit(["deadly"], nowMs).kind === "probe") {
+                scenario.crash(`probed-${crashes++}`, nowMs + 100, call(nowMs, "deadly"));
+            }
+        }
+        // The fifth crash, three more, and one for each quarter of a day.
+        expect(crashes).toBeLessThanOrEqual(5 + 3 + 4);
+    });
+
     test("a part that no longer crashes engines is free after one answered probe", () => {
         const scenario = createQuarantine();
         quarantinePart("part", 1_000, scenario);
--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -6,14 +6,12 @@
 
 /** Crashes in a row, with no response to a call with the part in between, after which a part is quarantined. */
 const crashesBeforeQuarantine = 2;
-/** Time between the last crash and the first probe; multiplied by `probeBackoffFactor` with each failed probe of any part. */
+/** Time between the last crash and the first probe; multiplied by `probeBackoffFactor` with each failed probe of the part. */
 const initialProbeDelayMs = 5_000;
 const probeBackoffFactor = 4;
-const maxProbeDelayMs = 600_000;
+const maxProbeDelayMs = 21_600_000;
 /** A probe that has told nothing within this time is followed by another one. */
 const probeTimeoutMs = 5_000;
-/** Parts with fewer crashes are probed first: the others wait this much longer. */
-const probePriorityDelayMs = 2_000;
 /** A part that no call has asked for in this time is forgotten. */
 const recordRetentionMs = 3_600_000;
 const maxRecords = 1_024;
@@ -25,8 +23,8 @@
  *
  * An engine that crashes takes down all calls on it. Those that had no event yet are suspected, with all shared parts of their prompts. A part
  * is cleared as soon as an engine has begun to answer a call with it after the crash. If calls with the part that were sent after one crash wait
- * on an engine that crashes again, the part is quarantined. One call at a time then probes whether the part still crashes engines, at
- * intervals that grow with each failed probe.
+ * on an engine that crashes again, the part is quarantined. One call at a time then probes whether its part still crashes engines, at
+ * intervals that grow with each failed probe of the part.
  */
 export class PromptPartQuarantine {
     /** Suspected and quarantined parts, the least recently used first. */
@@ -35,6 +33,9 @@
     private readonly explainedEngineKeys = new Set<string>();
     private nextProbeMs = -Infinity;
 
+    /** `probeJitter` is the share by which this VM lengthens delays of probes. VMs with different shares seldom probe at the same moment. */
+    constructor(private readonly probeJitter = 0) {}
+
     /** Records a crash. Returns the parts that it puts into quarantine. */
     recordCrash({ engineKey, crashedMs, calls }: EngineCrash, nowMs: number): readonly string[] {
         this.removeExpired(nowMs);
@@ -55,7 +56,7 @@
         }
         const newlyQuarantined = new Set(calls.flatMap(call => this.findCulprit(call) ?? []));
         for (const id of newlyQuarantined) {
-            this.quarantine(id, nowMs, crashedMs);
+            this.quarantine(id, nowMs);
         }
         return [...newlyQuarantined];
     }
@@ -89,7 +90,7 @@
         for (const id of quarantined) {
             this.touch(id, nowMs);
         }
-        const dueMs = this.nextProbeMs + (this.isMostSuspected(quarantined) ? probePriorityDelayMs : 0);
+        const dueMs = Math.max(this.nextProbeMs, ...quarantined.map(id => this.getProbeDueMs(id)));
         if (nowMs < dueMs) {
             return { kind: "quarantined", partId, retryAfterMs: dueMs - nowMs };
         }
@@ -154,7 +155,8 @@
         if (sentMs > record.quarantinedMs) {
             record.failedProbes++;
         }
-        this.delayProbes(crashedMs);
+        // The probe has ended; other parts need not wait for its timeout.
+        this.nextProbeMs = Math.min(this.nextProbeMs, crashedMs);
     }
 
     /** The part of a call with the most crashes; of several, the one that comes last, which fewer other calls have. */
@@ -171,25 +173,21 @@
         return culprit;
     }
 
-    private quarantine(id: string, nowMs: number, crashedMs: number): void {
+    private quarantine(id: string, nowMs: number): void {
         const record = this.records.get(id);
         if (record !== undefined) {
             record.quarantinedMs = nowMs;
             record.lastAskedMs = nowMs;
-            this.delayProbes(crashedMs);
         }
     }
 
-    private delayProbes(crashedMs: number): void {
-        const failedProbes = this.quarantinedRecords().reduce((sum, record) => sum + record.failedProbes, 0);
-        const delayMs = Math.min(maxProbeDelayMs, initialProbeDelayMs * probeBackoffFactor ** failedProbes);
-        this.nextProbeMs = Math.max(this.nextProbeMs, crashedMs + delayMs);
-    }
-
-    /** Whether other quarantined parts have fewer crashes, so that their calls are to probe first. */
-    private isMostSuspected(partIds: readonly string[]): boolean {
-        const crashes = Math.max(...partIds.map(id => this.records.get(id)?.crashes ?? 0));
-        return this.quarantinedRecords().some(record => record.crashes < crashes);
+    private getProbeDueMs(id: string): number {
+        const record = this.records.get(id);
+        if (record === undefined) {
+            return -Infinity;
+        }
+        const delayMs = Math.min(maxProbeDelayMs, initialProbeDelayMs * probeBackoffFactor ** record.failedProbes);
+        return record.lastCrashMs + delayMs * (1 + this.probeJitter);
     }
 
     private quarantinedRecords(): readonly PartRecord[] {
--- a/src/core/quarantine/testing/ModelVm.ts
+++ b/src/core/quarantine/testing/ModelVm.ts
@@ -12,10 +12,11 @@
     constructor(
         private readonly scheduler: Scheduler,
         private readonly clockOffsetMs: number,
+        private readonly probeJitter: number,
         private readonly broadcast: (message: FleetMessage) => void,
         private readonly onQuarantined: (partIds: readonly string[]) => void,
     ) {
-        this.quarantine = new PromptPartQuarantine();
+        this.quarantine = new PromptPartQuarantine(probeJitter);
     }
 
     nowMs(): number {
@@ -79,7 +80,7 @@
 
     /** Starts again without any knowledge. */
     restart(): void {
-        this.quarantine = new PromptPartQuarantine();
+        this.quarantine = new PromptPartQuarantine(this.probeJitter);
     }
 }
 
--- a/src/core/quarantine/testing/simulateFleet.ts
+++ b/src/core/quarantine/testing/simulateFleet.ts
@@ -17,6 +17,7 @@
 const crashCheckMs = 50;
 const engineRestartMs = 3_000;
 const callerRepeatMs = 500;
+const maxProbeJitter = 0.5;
 
 /** Simulates VMs that send calls to engines, some of which crash on certain parts of prompts. */
 export function simulateFleet(options: FleetModelOptions): FleetModelResult {
@@ -53,6 +54,7 @@
             new ModelVm(
                 this.scheduler,
                 Math.floor(this.random() * 100_000),
+                this.random() * maxProbeJitter,
                 message => this.broadcast(index, message),
                 partIds => this.abortWaiting(index, partIds),
             )
