Do not suspect parts that were answered between a crash and its report

What callers saw: sound parts were suspected, and sooner quarantined, although an engine had begun to answer a call with them after the crash. Cause: a crash is reported once a connection attempt has failed, and other VMs hear of it later still. An answer before that found no record to clear and was forgotten. Evidence: on the code before, 'an answer that is known before the crash is reported keeps its parts out of suspicion' prints 'The value true is not equal to false'. Why this works: the times of the last 256 answered parts are kept and compared with the time of the crash.

--- a/src/core/quarantine/PromptPartQuarantine.test.ts
+++ b/src/core/quarantine/PromptPartQuarantine.test.ts
@@ -60,6 +60,13 @@
         expect(crash("b", 1_300, call(1_100, "deadly"))).toEqual(["deadly"]);
     });
 
+    test("an answer that is known before the crash is reported keeps its parts out of suspicion", () => {
+        const { quarantine, crash } = createQuarantine();
+        quarantine.recordAnswer(["sound"], 1_020);
+        crash("a", 1_000, call(900, "sound"));
+        expect(quarantine.isSuspected("sound")).toEqual(false);
+    });
+
     test("failed probes of one part do not delay the probe of another", () => {
         const scenario = createQuarantine();
         quarantinePart("deadly", 1_000, scenario);
--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -17,6 +17,7 @@
 const maxRecords = 1_024;
 const maxExplainedCrashes = 64;
 const maxSnapshotRecords = 64;
+const maxRecentAnswers = 256;
 
 /**
  * Finds the prompt parts that crash engines, and keeps calls with them from further engines.
@@ -31,6 +32,8 @@
     private readonly records = new Map<string, PartRecord>();
     /** Engines whose crash a quarantined part explains. */
     private readonly explainedEngineKeys = new Set<string>();
+    /** When the last answers to calls with a part began, the oldest first: a crash may be reported after an answer that followed it. */
+    private readonly recentAnswersMs = new Map<string, number>();
     private nextProbeMs = -Infinity;
 
     /** `probeJitter` is the share by which this VM lengthens delays of probes. VMs with different shares seldom probe at the same moment. */
@@ -63,6 +66,9 @@
 
     /** Records that an engine began to answer a call with these parts at `begunMs`. Returns the parts that this clears of a suspicion. */
     recordAnswer(partIds: readonly string[], begunMs: number): readonly string[] {
+        for (const id of partIds) {
+            this.addRecentAnswer(id, begunMs);
+        }
         const cleared = partIds.filter(id => begunMs > (this.records.get(id)?.lastCrashMs ?? Infinity));
         for (const id of cleared) {
             if (this.isQuarantined(id)) {
@@ -130,6 +136,9 @@
     }
 
     private recordSuspicion(id: string, { sentMs }: WaitingCall, engineKey: string, crashedMs: number): void {
+        if (crashedMs < (this.recentAnswersMs.get(id) ?? -Infinity)) {
+            return;
+        }
         const record = this.records.get(id);
         if (record === undefined) {
             const first = { crashes: 1, lastCrashMs: crashedMs, lastEngineKey: engineKey, quarantinedMs: undefined, failedProbes: 0 };
@@ -217,6 +226,15 @@
         }
     }
 
+    private addRecentAnswer(id: string, begunMs: number): void {
+        const latestMs = Math.max(begunMs, this.recentAnswersMs.get(id) ?? -Infinity);
+        this.recentAnswersMs.delete(id);
+        this.recentAnswersMs.set(id, latestMs);
+        if (this.recentAnswersMs.size > maxRecentAnswers) {
+            this.recentAnswersMs.delete(this.recentAnswersMs.keys().next().value as string);
+        }
+    }
+
     private removeExpired(nowMs: number): void {
         for (const [id, record] of this.records) {
             if (nowMs - Math.max(record.lastAskedMs, record.lastCrashMs) > recordRetentionMs) {
