Withdraw the suspicions of a crash once a quarantined part explains it

What callers saw: sound parts that waited beside a probe counted a crash, and were quarantined by the next one. Cause: several VMs report one crash. Only reports after the one with the quarantined part were left out, not those before it. Evidence: on the code before, 'a crash that a quarantined part explains leaves no suspicion, whichever report comes first' prints 'The value [true, false] is not equal to [false, false]'. Why this works: the crash is taken off the records whose last counted crash it was.

--- a/src/core/quarantine/PromptPartQuarantine.test.ts
+++ b/src/core/quarantine/PromptPartQuarantine.test.ts
@@ -67,6 +67,16 @@
         expect(quarantine.isSuspected("sound")).toEqual(false);
     });
 
+    test("a crash that a quarantined part explains leaves no suspicion, whichever report comes first", () => {
+        const scenario = createQuarantine();
+        quarantinePart("deadly", 1_000, scenario);
+        const { quarantine, crash } = scenario;
+        crash("probed", 7_000, call(6_900, "sound"));
+        crash("probed", 7_000, call(6_900, "deadly"));
+        crash("probed", 7_000, call(6_900, "late"));
+        expect([quarantine.isSuspected("sound"), quarantine.isSuspected("late")]).toEqual([false, false]);
+    });
+
     test("failed probes of one part do not delay the probe of another", () => {
         const scenario = createQuarantine();
         quarantinePart("deadly", 1_000, scenario);
--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -219,13 +219,25 @@
         }
     }
 
+    /** Notes that a quarantined part explains the crash, and takes back what an earlier report of it made suspicious. */
     private addExplained(engineKey: string): void {
+        if (!this.explainedEngineKeys.has(engineKey)) {
+            this.withdrawSuspicions(engineKey);
+        }
         this.explainedEngineKeys.add(engineKey);
         if (this.explainedEngineKeys.size > maxExplainedCrashes) {
             this.explainedEngineKeys.delete(this.explainedEngineKeys.values().next().value as string);
         }
     }
 
+    private withdrawSuspicions(engineKey: string): void {
+        for (const [id, record] of this.records) {
+            if (record.quarantinedMs === undefined && record.lastEngineKey === engineKey && --record.crashes === 0) {
+                this.records.delete(id);
+            }
+        }
+    }
+
     private addRecentAnswer(id: string, begunMs: number): void {
         const latestMs = Math.max(begunMs, this.recentAnswersMs.get(id) ?? -Infinity);
         this.recentAnswersMs.delete(id);
