--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -6,35 +6,39 @@
 
 /** Crashes in a row, with no response to a call with the part in between, after which a part is quarantined. */
 const crashesBeforeQuarantine = 2;
-/** Time between the last crash and the first probe; multiplied by `probeBackoffFactor` with each failed probe of any part. */
+/** Time between the last crash and the first probe; multiplied by `probeBackoffFactor` with each failed probe of the part. */
 const initialProbeDelayMs = 5_000;
 const probeBackoffFactor = 4;
-const maxProbeDelayMs = 600_000;
+const maxProbeDelayMs = 21_600_000;
 /** A probe that has told nothing within this time is followed by another one. */
 const probeTimeoutMs = 5_000;
-/** Parts with fewer crashes are probed first: the others wait this much longer. */
-const probePriorityDelayMs = 2_000;
 /** A part that no call has asked for in this time is forgotten. */
 const recordRetentionMs = 3_600_000;
 const maxRecords = 1_024;
 const maxExplainedCrashes = 64;
 const maxSnapshotRecords = 64;
+const maxRecentAnswers = 256;
 
 /**
  * Finds the prompt parts that crash engines, and keeps calls with them from further engines.
  *
  * An engine that crashes takes down all calls on it. Those that had no event yet are suspected, with all shared parts of their prompts. A part
  * is cleared as soon as an engine has begun to answer a call with it after the crash. If calls with the part that were sent after one crash wait
- * on an engine that crashes again, the part is quarantined. One call at a time then probes whether the part still crashes engines, at
- * intervals that grow with each failed probe.
+ * on an engine that crashes again, the part is quarantined. One call at a time then probes whether its part still crashes engines, at
+ * intervals that grow with each failed probe of the part.
  */
 export class PromptPartQuarantine {
     /** Suspected and quarantined parts, the least recently used first. */
     private readonly records = new Map<string, PartRecord>();
     /** Engines whose crash a quarantined part explains. */
     private readonly explainedEngineKeys = new Set<string>();
+    /** When the last answers to calls with a part began, the oldest first: a crash may be reported after an answer that followed it. */
+    private readonly recentAnswersMs = new Map<string, number>();
     private nextProbeMs = -Infinity;
 
+    /** `probeJitter` is the share by which this VM lengthens delays of probes. VMs with different shares seldom probe at the same moment. */
+    constructor(private readonly probeJitter = 0) {}
+
     /** Records a crash. Returns the parts that it puts into quarantine. */
     recordCrash({ engineKey, crashedMs, calls }: EngineCrash, nowMs: number): readonly string[] {
         this.removeExpired(nowMs);
@@ -55,13 +59,16 @@
         }
         const newlyQuarantined = new Set(calls.flatMap(call => this.findCulprit(call) ?? []));
         for (const id of newlyQuarantined) {
-            this.quarantine(id, nowMs, crashedMs);
+            this.quarantine(id, nowMs);
         }
         return [...newlyQuarantined];
     }
 
     /** Records that an engine began to answer a call with these parts at `begunMs`. Returns the parts that this clears of a suspicion. */
     recordAnswer(partIds: readonly string[], begunMs: number): readonly string[] {
+        for (const id of partIds) {
+            this.addRecentAnswer(id, begunMs);
+        }
         const cleared = partIds.filter(id => begunMs > (this.records.get(id)?.lastCrashMs ?? Infinity));
         for (const id of cleared) {
             if (this.isQuarantined(id)) {
@@ -89,7 +96,7 @@
         for (const id of quarantined) {
             this.touch(id, nowMs);
         }
-        const dueMs = this.nextProbeMs + (this.isMostSuspected(quarantined) ? probePriorityDelayMs : 0);
+        const dueMs = Math.max(this.nextProbeMs, ...quarantined.map(id => this.getProbeDueMs(id)));
         if (nowMs < dueMs) {
             return { kind: "quarantined", partId, retryAfterMs: dueMs - nowMs };
         }
@@ -129,6 +136,9 @@
     }
 
     private recordSuspicion(id: string, { sentMs }: WaitingCall, engineKey: string, crashedMs: number): void {
+        if (crashedMs < (this.recentAnswersMs.get(id) ?? -Infinity)) {
+            return;
+        }
         const record = this.records.get(id);
         if (record === undefined) {
             const first = { crashes: 1, lastCrashMs: crashedMs, lastEngineKey: engineKey, quarantinedMs: undefined, failedProbes: 0 };
@@ -154,7 +164,8 @@
         if (sentMs > record.quarantinedMs) {
             record.failedProbes++;
         }
-        this.delayProbes(crashedMs);
+        // The probe has ended; other parts need not wait for its timeout.
+        this.nextProbeMs = Math.min(this.nextProbeMs, crashedMs);
     }
 
     /** The part of a call with the most crashes; of several, the one that comes last, which fewer other calls have. */
@@ -171,25 +182,21 @@
         return culprit;
     }
 
-    private quarantine(id: string, nowMs: number, crashedMs: number): void {
+    private quarantine(id: string, nowMs: number): void {
         const record = this.records.get(id);
         if (record !== undefined) {
             record.quarantinedMs = nowMs;
             record.lastAskedMs = nowMs;
-            this.delayProbes(crashedMs);
         }
     }
 
-    private delayProbes(crashedMs: number): void {
-        const failedProbes = this.quarantinedRecords().reduce((sum, record) => sum + record.failedProbes, 0);
-        const delayMs = Math.min(maxProbeDelayMs, initialProbeDelayMs * probeBackoffFactor ** failedProbes);
-        this.nextProbeMs = Math.max(this.nextProbeMs, crashedMs + delayMs);
-    }
-
-    /** Whether other quarantined parts have fewer crashes, so that their calls are to probe first. */
-    private isMostSuspected(partIds: readonly string[]): boolean {
-        const crashes = Math.max(...partIds.map(id => this.records.get(id)?.crashes ?? 0));
-        return this.quarantinedRecords().some(record => record.crashes < crashes);
+    private getProbeDueMs(id: string): number {
+        const record = this.records.get(id);
+        if (record === undefined) {
+            return -Infinity;
+        }
+        const delayMs = Math.min(maxProbeDelayMs, initialProbeDelayMs * probeBackoffFactor ** record.failedProbes);
+        return record.lastCrashMs + delayMs * (1 + this.probeJitter);
     }
 
     private quarantinedRecords(): readonly PartRecord[] {
@@ -212,13 +219,34 @@
         }
     }
 
+    /** Notes that a quarantined part explains the crash, and takes back what an earlier report of it made suspicious. */
     private addExplained(engineKey: string): void {
+        if (!this.explainedEngineKeys.has(engineKey)) {
+            this.withdrawSuspicions(engineKey);
+        }
         this.explainedEngineKeys.add(engineKey);
         if (this.explainedEngineKeys.size > maxExplainedCrashes) {
             this.explainedEngineKeys.delete(this.explainedEngineKeys.values().next().value as string);
         }
     }
 
+    private withdrawSuspicions(engineKey: string): void {
+        for (const [id, record] of this.records) {
+            if (record.quarantinedMs === undefined && record.lastEngineKey === engineKey && --record.crashes === 0) {
+                this.records.delete(id);
+            }
+        }
+    }
+
+    private addRecentAnswer(id: string, begunMs: number): void {
+        const latestMs = Math.max(begunMs, this.recentAnswersMs.get(id) ?? -Infinity);
+        this.recentAnswersMs.delete(id);
+        this.recentAnswersMs.set(id, latestMs);
+        if (this.recentAnswersMs.size > maxRecentAnswers) {
+            this.recentAnswersMs.delete(this.recentAnswersMs.keys().next().value as string);
+        }
+    }
+
     private removeExpired(nowMs: number): void {
         for (const [id, record] of this.records) {
             if (nowMs - Math.max(record.lastAskedMs, record.lastCrashMs) > recordRetentionMs) {
