Spread the probes of VMs by a jitter of their own

Cause: VMs that learnt of a crash at the same moment probed at the same moment, before they could hear of each other's probe.

--- a/src/node/relay/PromptPartGuard.test.ts
+++ b/src/node/relay/PromptPartGuard.test.ts
@@ -28,6 +28,7 @@
             vm,
             scheduler,
             membership: { members },
+            probeJitter: 0,
             canConnect: () => Promise.resolve(areEnginesUp),
             links: {
                 send: (to, message) => {
--- a/src/node/relay/PromptPartGuard.ts
+++ b/src/node/relay/PromptPartGuard.ts
@@ -21,19 +21,22 @@
     readonly links: PeerLinks & { readonly onLinkOpened: (listener: (vm: string) => void, signal: AbortSignal) => void; };
     readonly membership: Pick<MembershipService, "members">;
     readonly scheduler: Scheduler;
+    /** Share by which this VM lengthens the delays of probes, so that VMs seldom probe at the same moment. */
+    readonly probeJitter: number;
     /** Whether an upstream accepts a new connection. */
     readonly canConnect: (upstream: RelayUpstream) => Promise<boolean>;
 }
 
 /** Keeps calls with prompt parts that crash engines from further engines, on this VM and, by what it tells them, on the others. */
 export class PromptPartGuard {
-    private readonly quarantine = new PromptPartQuarantine();
+    private readonly quarantine: PromptPartQuarantine;
     private readonly crashDetector: EngineCrashDetector;
     /** Called when a part is quarantined, by part. */
     private readonly listeners = new Map<string, Set<() => void>>();
     private signal: AbortSignal = new AbortController().signal;
 
     constructor(private readonly options: PromptPartGuardOptions) {
+        this.quarantine = new PromptPartQuarantine(options.probeJitter);
         this.crashDetector = new EngineCrashDetector({
             scheduler: options.scheduler,
             canConnect: options.canConnect,
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -71,6 +71,8 @@
 const registryCheckIntervalMs = 3_000;
 /** Hash key for ranking the VMs that read the platform's log for the fleet. */
 const logReaderDuty = "log-reader";
+/** Largest share by which a VM lengthens the delays of its probes of quarantined prompt parts. */
+const maxProbeJitter = 0.5;
 /** Share of the retry limits that VMs may use; the rest covers uneven traffic among them. */
 const retryBudgetShare = 0.7;
 
@@ -138,6 +140,7 @@
             links,
             membership: this.membership,
             scheduler,
+            probeJitter: Math.random() * maxProbeJitter,
             canConnect: upstream => canConnect(`http://${upstream.address}`, this.stopController.signal),
         });
         this.metrics.registerGauge(
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -50,6 +50,7 @@
         },
         membership: { members: [] },
         scheduler,
+        probeJitter: 0,
         canConnect: upstream => canConnect(`http://${upstream.address}`, signal),
     });
     const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
