Answer a call whose handler throws

What callers would see: no answer, only a closed connection, when code that relays their call throws; and the end of the process, with all its calls, when placing a replacement of a silent attempt throws. Cause: the handler's last resort destroyed the connection, also when nothing had been sent. Class: a call that was read ends without an answer. Evidence: the new test on the code before: the caller's connection ends without a response. No exception of this kind has been seen. Why this works: 502 with outcome unknown promises nothing, and the connection ends after it; a failed replacement leaves the silent attempt.

--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -290,7 +290,13 @@
         }
         const { lastReceivedMs } = running;
         this.isPlacingReplacement = true;
-        const placement = await this.choosePlacement();
+        const placement = await this.choosePlacement().catch((error: unknown) => {
+            log("placing a replacement failed unexpectedly; keeping the silent attempt", {
+                requestId: this.request.call.requestId,
+                error: String(error),
+            });
+            return undefined;
+        });
         this.isPlacingReplacement = false;
         const isStillSilent = this.current === running && running.lastReceivedMs === lastReceivedMs && !running.endSignal.aborted;
         if (placement === undefined || !isStillSilent) {
--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -202,3 +202,12 @@
     expect(relay.server.activeCalls).toEqual(0);
     expect(await call(relay.port).then(() => "answered", () => "refused")).toEqual("refused");
 });
+
+test("a call whose handler throws is answered as possibly run instead of ending without an answer", async () => {
+    const relay = await startRelay({ kind: "once" }, [respondWith(200, "fine")]);
+    relay.loadTracker.callsInFlight = () => {
+        throw new Error("fault of the test");
+    };
+    const answer = await call(relay.port);
+    expect([answer.status, JSON.parse(answer.body).error.outcome, answer.headers.connection]).toEqual([502, "unknown", "close"]);
+});
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -121,10 +121,7 @@
             await this.receiveCall(incoming, outgoing);
         }
         catch (error) {
-            log("relaying a call failed unexpectedly; closing its connection", {
-                error: error instanceof Error ? error.stack : String(error),
-            });
-            outgoing.destroy();
+            this.refuseAfterException(outgoing, error);
         }
         await written;
         this.openResponses.delete(outgoing);
@@ -142,6 +139,32 @@
         });
     }
 
+    /** Answers a call whose handler has thrown, or cuts its response when the head has been sent. */
+    private refuseAfterException(outgoing: ServerResponse, error: unknown): void {
+        log(
+            `relaying a call failed unexpectedly; ${
+                outgoing.headersSent ? "cutting its response" : "telling its caller that it may have run"
+            }`,
+            {
+                error: error instanceof Error ? error.stack : String(error),
+            },
+        );
+        if (outgoing.headersSent) {
+            outgoing.destroy();
+            return;
+        }
+        for (const name of outgoing.getHeaderNames()) {
+            outgoing.removeHeader(name);
+        }
+        this.endConnectionAfter(outgoing);
+        this.refuse(outgoing, undefined, {
+            status: 502,
+            reason: "internal_error",
+            outcome: "unknown",
+            message: "this VM failed while it relayed the call; the call may have run",
+        });
+    }
+
     private endConnectionAfter(response: ServerResponse): void {
         const socket = this.openResponses.get(response);
         if (socket !== undefined && !response.headersSent) {
