Refuse a call whose deadline passes while it is placed

What callers saw: neither an answer nor a refusal, until they left; a call that may run only once ended not even then. Cause: the timer of the deadline aborts the attempt in progress, and there is none while the call is placed. The call was then sent with a patience of 1 ms and no deadline of its own. Class: a deadline that is bound to a part of the call. Why this works: the time left is looked at again after each placement, before anything is sent.

--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -218,3 +218,21 @@
     await waitFor(() => relay.summaries.length > 0);
     expect([relay.summaries[0]?.attempts, second.untakenCalls()]).toEqual([1, 0]);
 });
+
+for (const kind of ["once", "stream"] as const) {
+    test(`a ${kind} call whose deadline passes while it is placed is refused, and is not sent without a deadline`, async () => {
+        const scheduler = new VirtualScheduler();
+        const upstream = await startScriptedUpstream(controller.signal);
+        const [isPlacing, mayPlace] = [Promise.withResolvers<void>(), Promise.withResolvers<void>()];
+        const relay = await startTestRelay({ kind, timeoutMs: 1_000 }, [upstream.address], controller.signal, scheduler, 10, () => {
+            isPlacing.resolve();
+            return mayPlace.promise;
+        });
+        const answer = callRelay(relay.port, patience);
+        await isPlacing.promise;
+        await scheduler.advanceAsync(1_001);
+        mayPlace.resolve();
+        expect([(await answer).status, JSON.parse((await answer).body).error.outcome]).toEqual([503, "not-run"]);
+        expect(upstream.untakenCalls()).toEqual(0);
+    });
+}
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -102,6 +102,10 @@
             if (this.request.disconnectSignal.aborted) {
                 return;
             }
+            if (this.remainingMs() <= 0) {
+                this.endAtDeadline();
+                return;
+            }
             if (placement === undefined) {
                 this.endWithoutUpstream();
                 return;
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -20,7 +20,7 @@
 
 /**
  * Starts a relay in front of the upstreams with these addresses, `u0`, `u1` and so on; they are chosen in that order. `maxRetries` is the
- * number of retries that a call may take from the retry budget.
+ * number of retries that a call may take from the retry budget; a call is placed once `beforePlacement` resolves.
  */
 export async function startTestRelay(
     route: Partial<RelayRoute>,
@@ -28,6 +28,7 @@
     signal: AbortSignal,
     scheduler: Scheduler = new SystemScheduler(),
     maxRetries = 10,
+    beforePlacement: () => Promise<void> = () => Promise.resolve(),
 ) {
     const directory = new UpstreamDirectory();
     const loadTracker = new UpstreamLoadTracker();
@@ -68,7 +69,10 @@
         onRefusal: ({ status, reason }) => refusals.push(`${status} ${reason}`),
         routeTable: () => routeTable,
         retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: maxRetries }),
-        placeCall: request => placer.place(request),
+        placeCall: async request => {
+            await beforePlacement();
+            return placer.place(request);
+        },
     });
     const port = (await server.start(signal))._unsafeUnwrap();
     return { port, server, summaries, refusals, loadTracker, health, partGuard };
