Close the connection of a pipelined call that was cut before its turn

What callers saw: a connection left open without an answer, when a call that was sent behind another one on it was cut before the first one ended. Cause: a response that is destroyed before it has its connection never closes it; Node.js hands it the connection afterwards and does nothing. Evidence: the new test on the code before: 'test timed out', the connection stays open. Why this works: a destroyed response that gets its connection closes it, once what was written before has been sent.

--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -188,3 +188,19 @@
     await connection.receive(/\r\n0\r\n\r\n$/);
     expect((await vmSocket).timeout).toEqual(16_000);
 });
+
+test("a pipelined call whose response is cut before its turn does not leave its connection open without an answer", async () => {
+    const { upstream, relay, connection } = await start({ kind: "stream", maxAttempts: 1 });
+    connection.socket.write(formatCall());
+    const first = await upstream.nextCall();
+    connection.socket.write(formatCall().replace("r-1", "r-2"));
+    const second = await upstream.nextCall();
+    second.response.writeHead(200, { "call-id": "r-2", "content-type": "text/event-stream" }).write("id: 4\ndata: a\n\n");
+    await settle();
+    second.request.socket.destroy();
+    while (relay.summaries.length === 0) {
+        await settle();
+    }
+    first.response.writeHead(200, { "call-id": "r-1" }).end("whole");
+    expect(await connection.receiveAll()).toMatchRegex(/whole$/);
+});
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -114,6 +114,12 @@
         this.openResponses.set(outgoing, incoming.socket);
         const written = new Promise(resolve => outgoing.once("close", resolve));
         this.keepPromisedIdleTime(outgoing, incoming.socket);
+        // Node.js gives a pipelined response its connection when the response before has ended, also if it was destroyed meanwhile.
+        outgoing.once("socket", (socket: Socket) => {
+            if (outgoing.destroyed) {
+                socket.destroySoon();
+            }
+        });
         if (this.phase !== "open") {
             this.endConnectionAfter(outgoing);
         }
