Count the time in which a replacement may refuse from its sending

Cause: the 250 ms ran from the start of the attempt, so that a refusal was taken for acceptance where connecting had taken most of them.

--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -316,17 +316,18 @@
         }
     }
 
-    /** Two upstreams do not work on one stream for longer than a refusal takes to arrive. */
-    private takeOverUnlessRefused(replacement: RunningAttempt): void {
-        this.dependencies.scheduler.after(relayLimits.refusalTimeoutMs, () => {
+    /** Two upstreams do not work on one stream for longer than a refusal takes to arrive, counted from the sending. */
+    private takeOverUnlessRefused(replacement: RunningAttempt, sentForMs = 0): void {
+        this.dependencies.scheduler.after(relayLimits.refusalCheckIntervalMs, () => {
             if (this.replacement !== replacement) {
                 return;
             }
-            if (replacement.attempt.isSent) {
+            const nowSentForMs = replacement.attempt.isSent ? sentForMs + relayLimits.refusalCheckIntervalMs : 0;
+            if (nowSentForMs >= relayLimits.refusalTimeoutMs) {
                 this.takeOver(replacement);
             }
             else {
-                this.takeOverUnlessRefused(replacement);
+                this.takeOverUnlessRefused(replacement, nowSentForMs);
             }
         }, replacement.endSignal);
     }
--- a/src/node/relay/relayLimits.ts
+++ b/src/node/relay/relayLimits.ts
@@ -8,6 +8,7 @@
     streamIdleTimeoutMs: 1_000,
     /** An upstream that has been sent a call and has not refused it within this time has taken it. */
     refusalTimeoutMs: 250,
+    refusalCheckIntervalMs: 25,
     /** An upstream that sent nothing for at least this long before a call's deadline counts as failed; a shorter silence is no sign of a fault. */
     minFailureSilenceMs: 1_000,
     /** Longest time and largest size for which the body of a refusal is read, so that its connection can be reused. */
