Withdraw only calls that no upstream has begun to answer, and tell those that were never sent the truth

What callers would see when a part of their prompt is quarantined: a response that is not a stream was cut under way; a silent stream was cut when the quarantine withdrew its replacement; 502 'may have run' for a call that had not been sent yet. A crash beside a replacement was not reported, and a client error as the answer to a probe cleared its part. Cause: 'no first event' stood for 'not begun', also for responses without events and for resumed streams; the end of a replacement by withdrawal counted as the end of the call; only the attempt that ended the call was looked at for a crash. Evidence: the three new tests on the code before: ["id: 4...", false] instead of the whole stream; false instead of 600,000 bytes; [502, "unknown"] instead of [503, "not-run"]. Why this works: a call counts as begun with its first event, or with its head where it is no stream, and a stream that has had events is not withdrawn; a withdrawn call that was not sent is admitted anew, and refused as not run. Found by the review of this change.

--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -20,7 +20,7 @@
 const resumableStream = { kind: "stream", isResumable: true } as const;
 
 /** Starts a relay in front of two upstreams, the first of which has received a call. */
-async function startCall(route: Partial<RelayRoute>, maxRetries = 10, secondAddress?: string) {
+async function startCall(route: Partial<RelayRoute>, maxRetries = 10, secondAddress?: string, headers: Record<string, string> = patience) {
     const scheduler = new VirtualScheduler();
     const [first, second] = await Promise.all([startScriptedUpstream(controller.signal), startScriptedUpstream(controller.signal)]);
     const relay = await startTestRelay(
@@ -30,13 +30,13 @@
         scheduler,
         maxRetries,
     );
-    const answer = callRelay(relay.port, patience);
+    const answer = callRelay(relay.port, headers);
     return { scheduler, relay, answer, second, firstCall: await first.nextCall() };
 }
 
 /** Starts a resumable stream that falls silent after its first event. */
-async function startSilentStream(maxRetries?: number, secondAddress?: string) {
-    const started = await startCall(resumableStream, maxRetries, secondAddress);
+async function startSilentStream(maxRetries?: number, secondAddress?: string, headers?: Record<string, string>) {
+    const started = await startCall(resumableStream, maxRetries, secondAddress, headers);
     started.firstCall.response.writeHead(200, streamHeaders);
     started.firstCall.response.write(events[0]);
     await waitFor(() => started.relay.loadTracker.streamsInFlight("u0") === 1);
@@ -236,3 +236,46 @@
         expect(upstream.untakenCalls()).toEqual(0);
     });
 }
+
+/** Quarantines the part `deadly`, as two crashes of other upstreams would. */
+function quarantineDeadlyPart(relay: Awaited<ReturnType<typeof startTestRelay>>): void {
+    relay.receiveNews({ kind: "crash", engineKey: "e1", crashedMsAgo: 20, calls: [{ partIds: ["deadly"], sentMsAgo: 30 }] });
+    relay.receiveNews({ kind: "crash", engineKey: "e2", crashedMsAgo: 0, calls: [{ partIds: ["deadly"], sentMsAgo: 10 }] });
+}
+
+test("a silent stream is not cut when a part of its prompt is quarantined while another upstream has been asked", async () => {
+    const { answer, firstCall, second, relay } = await startSilentStream(10, undefined, deadlyPrompt);
+    await second.nextCall();
+    quarantineDeadlyPart(relay);
+    firstCall.response.end(events[1] + events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a response that is under way is not cut when a part of its prompt is quarantined", async () => {
+    const upstream = await startScriptedUpstream(controller.signal);
+    const relay = await startTestRelay({ kind: "once", timeoutMs: 60_000 }, [upstream.address], controller.signal);
+    const connection = await openConnection(relay.port);
+    const fields = "Host: shop.example\r\nCall-Id: r-1\r\nPrompt-Parts: common,deadly,own\r\nConnection: close";
+    connection.socket.write(`GET /a/b HTTP/1.1\r\n${fields}\r\n\r\n`);
+    const { response } = await upstream.nextCall();
+    response.writeHead(200, { "call-id": "r-1", "content-length": 600_000 }).write("x".repeat(300_000));
+    await connection.receive(/xxx/);
+    quarantineDeadlyPart(relay);
+    response.end("x".repeat(300_000));
+    expect((await connection.receiveAll()).endsWith("x".repeat(600_000))).toEqual(true);
+});
+
+test("a call that is withdrawn before it was sent is refused as not run", async () => {
+    const scheduler = new VirtualScheduler();
+    const upstream = await startScriptedUpstream(controller.signal);
+    const relay = await startTestRelay({ kind: "once", timeoutMs: 60_000 }, [upstream.address], controller.signal, scheduler);
+    const { recordCallStart } = relay.loadTracker;
+    relay.loadTracker.recordCallStart = (...call) => {
+        recordCallStart.apply(relay.loadTracker, call);
+        setImmediate(() => {
+            quarantineDeadlyPart(relay);
+        });
+    };
+    const answer = await callRelay(relay.port, deadlyPrompt);
+    expect([answer.status, JSON.parse(answer.body).error.outcome]).toEqual([503, "not-run"]);
+});
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -111,7 +111,7 @@
                 return;
             }
             const ended = await this.send(placement);
-            await this.reportBrokenPrompt(ended);
+            await ended.running.crashCheck;
             if (!this.handleResult(ended.result, ended.running.placement)) {
                 return;
             }
@@ -142,14 +142,6 @@
         return false;
     }
 
-    /** A call that broke before its first event may have crashed its upstream, and would crash the next one too. */
-    private async reportBrokenPrompt({ result, running }: EndedAttempt): Promise<void> {
-        if (result.kind === "broken" && running.firstEventMs === undefined && this.sharedPartIds.length > 0) {
-            const call = { partIds: this.sharedPartIds, sentMs: running.sentMs };
-            await this.dependencies.partGuard.recordBrokenCall(running.placement.upstream, call);
-        }
-    }
-
     private remainingMs(): number {
         return this.deadlineMs - this.dependencies.scheduler.nowMs();
     }
@@ -201,6 +193,7 @@
         const running = new RunningAttempt(attempt, placement, dependencies);
         void running.result.then(result => {
             this.recordResult(running, result);
+            this.reportBrokenPrompt(running, result);
         });
         this.watchForSilence(running);
         this.watchForQuarantine(running);
@@ -245,6 +238,14 @@
         return this.callerResponse.sendHead(status, headers, isStreamed);
     }
 
+    /** A call that broke before its first event may have crashed its upstream, and would crash the next one too. */
+    private reportBrokenPrompt(running: RunningAttempt, result: AttemptResult): void {
+        if (result.kind === "broken" && !this.hasBegun(running) && this.sharedPartIds.length > 0) {
+            const call = { partIds: this.sharedPartIds, sentMs: running.sentMs };
+            running.crashCheck = this.dependencies.partGuard.recordBrokenCall(running.placement.upstream, call);
+        }
+    }
+
     private logPlacement(placement: Placement, patienceMs: number): void {
         const { request, dependencies, summary } = this;
         log("placed", {
@@ -336,7 +337,7 @@
         if (this.replacement !== replacement) {
             return;
         }
-        if (this.endsCall(result)) {
+        if (result.kind !== "cancelled" && this.endsCall(result)) {
             this.takeOver(replacement);
             return;
         }
@@ -384,12 +385,17 @@
             return;
         }
         this.dependencies.partGuard.watch(this.sharedPartIds, () => {
-            if (running.firstEventMs === undefined) {
+            if (!this.hasBegun(running) && this.callerResponse.framer.eventCount === 0) {
                 running.attempt.abort(partQuarantined);
             }
         }, running.endSignal);
     }
 
+    /** Whether an upstream has begun to answer: with the first event of a stream, or the head of another response. */
+    private hasBegun(running: RunningAttempt): boolean {
+        return running.firstEventMs !== undefined || this.request.route.kind !== "stream" && running.attempt.hasResponseHead;
+    }
+
     private hasAlternative(): boolean {
         return this.dependencies.directory.available(this.service).some(upstream => !this.triedUpstreamIds.has(upstream.id));
     }
@@ -400,7 +406,7 @@
         const { upstream } = running.placement;
         if (result.kind === "forwarded" || result.kind === "held") {
             this.outcome = "ran";
-            if (this.endsCall(result)) {
+            if (this.endsCall(result) && (result.kind === "forwarded" || result.answer.status < 400)) {
                 this.recordAnswer(running);
             }
             if (health.recordSuccess(upstream.id)) {
@@ -469,6 +475,9 @@
                     this.endAtDeadline();
                     return false;
                 }
+                if (result.reason === partQuarantined && this.outcome === "not-run") {
+                    return true;
+                }
                 return this.retryOr("silent", () => {
                     this.endAfterFailure(result.reason);
                 });
--- a/src/node/relay/RunningAttempt.ts
+++ b/src/node/relay/RunningAttempt.ts
@@ -12,6 +12,8 @@
     firstEventMs: number | undefined;
     /** Whether the upstream has sent more than its first event, or all of its response. */
     hasAnswered = false;
+    /** Resolves when it is known whether the attempt broke because its upstream crashed, as far as a retry has to wait for that. */
+    crashCheck: Promise<void> = Promise.resolve();
     readonly sentMs: number;
     /** Resolves when the attempt has ended; never rejects. */
     readonly result: Promise<AttemptResult>;
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -9,6 +9,7 @@
 import { UpstreamLoadTracker } from "../../../core/relay/UpstreamLoadTracker.js";
 import { RetryBudget } from "../../../core/retry/RetryBudget.js";
 import type { Scheduler } from "../../../core/util/Scheduler.js";
+import type { PromptPartNews } from "../../../schema/peer/PromptPartNews.js";
 import type { RelayRoute } from "../../../schema/relay/RelayRoute.js";
 import type { RequestSummary } from "../../services/RequestSummary.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
@@ -41,12 +42,15 @@
     const connections = new UpstreamConnections();
     signal.addEventListener("abort", () => void connections.close());
     const placer = new LeastLoadedPlacer(loadTracker, "z1", () => 0.5);
+    let receiveMessage: (from: string, message: { readonly news: PromptPartNews; }) => unknown = () => undefined;
     const partGuard = new PromptPartGuard({
         vm: "vm-1",
         links: {
             send: () => false,
             request: () => errAsync({ kind: "no-link", message: "" }),
-            onMessage: () => undefined,
+            onMessage: (...[, handler]) => {
+                receiveMessage = handler as unknown as typeof receiveMessage;
+            },
             onLinkOpened: () => undefined,
         },
         membership: { members: [] },
@@ -54,6 +58,7 @@
         probeJitter: 0,
         canConnect: upstream => canConnect(`http://${upstream.address}`, signal),
     });
+    partGuard.start(signal);
     const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
     const server = new RelayServer({
         host: "127.0.0.1",
@@ -75,5 +80,6 @@
         },
     });
     const port = (await server.start(signal))._unsafeUnwrap();
-    return { port, server, summaries, refusals, loadTracker, health, partGuard };
+    const receiveNews = (news: PromptPartNews) => receiveMessage("vm-2", { news });
+    return { port, server, summaries, refusals, loadTracker, health, partGuard, receiveNews };
 }
