Take only a refused connection for the crash of an upstream

Cause: a connection attempt that timed out or found no route, on a VM whose network loses packets, and one that the stop of the VM cancelled, all counted as a crashed upstream, so that one such VM could have rare sound parts refused by the whole fleet. Found by the review of this change.

--- a/src/node/relay/EngineCrashDetector.ts
+++ b/src/node/relay/EngineCrashDetector.ts
@@ -4,8 +4,8 @@
 
 interface EngineCrashDetectorOptions {
     readonly scheduler: Scheduler;
-    /** Whether the upstream accepts a new connection. */
-    readonly canConnect: (upstream: RelayUpstream) => Promise<boolean>;
+    /** Whether the upstream refuses a new connection, as its process has ended. */
+    readonly isDown: (upstream: RelayUpstream) => Promise<boolean>;
     /** Receives the calls that waited for their first event on an upstream that has crashed. */
     readonly onCrash: (upstream: RelayUpstream, calls: readonly WaitingCall[], crashedMs: number) => void;
 }
@@ -14,8 +14,8 @@
 const gatherMs = 20;
 
 /**
- * Tells an engine that crashed from one that only broke a connection: after a call broke before its first event, a crashed engine accepts
- * no new connection.
+ * Tells an engine that crashed from one that only broke a connection: after a call broke before its first event, a crashed engine refuses
+ * a new connection.
  */
 export class EngineCrashDetector {
     private readonly checksInProgress = new Map<string, { readonly calls: WaitingCall[]; readonly isDown: Promise<boolean>; }>();
@@ -36,12 +36,12 @@
     }
 
     private async check(upstream: RelayUpstream, calls: readonly WaitingCall[], signal: AbortSignal): Promise<boolean> {
-        const { scheduler, canConnect, onCrash } = this.options;
+        const { scheduler, onCrash } = this.options;
         const crashedMs = scheduler.nowMs();
         await new Promise<void>(resolve => {
             scheduler.after(gatherMs, resolve, signal);
         });
-        const isDown = !await canConnect(upstream);
+        const isDown = await this.options.isDown(upstream);
         this.checksInProgress.delete(upstream.id);
         if (isDown) {
             onCrash(upstream, calls, crashedMs);
--- a/src/node/relay/PromptPartGuard.test.ts
+++ b/src/node/relay/PromptPartGuard.test.ts
@@ -29,7 +29,7 @@
             scheduler,
             membership: { members },
             probeJitter: 0,
-            canConnect: () => Promise.resolve(areEnginesUp),
+            isDown: () => Promise.resolve(!areEnginesUp),
             links: {
                 send: (to, message) => {
                     sentBy.set(vm, (sentBy.get(vm) ?? 0) + 1);
--- a/src/node/relay/PromptPartGuard.ts
+++ b/src/node/relay/PromptPartGuard.ts
@@ -23,8 +23,8 @@
     readonly scheduler: Scheduler;
     /** Share by which this VM lengthens the delays of probes, so that VMs seldom probe at the same moment. */
     readonly probeJitter: number;
-    /** Whether an upstream accepts a new connection. */
-    readonly canConnect: (upstream: RelayUpstream) => Promise<boolean>;
+    /** Whether an upstream refuses a new connection, as its process has ended. */
+    readonly isDown: (upstream: RelayUpstream) => Promise<boolean>;
 }
 
 /** Keeps calls with prompt parts that crash engines from further engines, on this VM and, by what it tells them, on the others. */
@@ -39,7 +39,7 @@
         this.quarantine = new PromptPartQuarantine(options.probeJitter);
         this.crashDetector = new EngineCrashDetector({
             scheduler: options.scheduler,
-            canConnect: options.canConnect,
+            isDown: options.isDown,
             onCrash: (upstream, calls, crashedMs) => {
                 this.reportCrash(upstream, calls, crashedMs);
             },
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -19,7 +19,7 @@
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
-import { canConnect } from "../upstream/canConnect.js";
+import { isConnectionRefused } from "../upstream/isConnectionRefused.js";
 import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
 import { KeyedLogMonitor } from "./KeyedLogMonitor.js";
@@ -141,7 +141,7 @@
             membership: this.membership,
             scheduler,
             probeJitter: Math.random() * maxProbeJitter,
-            canConnect: upstream => canConnect(`http://${upstream.address}`, this.stopController.signal),
+            isDown: upstream => isConnectionRefused(upstream.address, this.stopController.signal),
         });
         this.metrics.registerGauge(
             "quarantined_prompt_parts",
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -13,7 +13,7 @@
 import type { RelayRoute } from "../../../schema/relay/RelayRoute.js";
 import type { RequestSummary } from "../../services/RequestSummary.js";
 import { SystemScheduler } from "../../timers/SystemScheduler.js";
-import { canConnect } from "../../upstream/canConnect.js";
+import { isConnectionRefused } from "../../upstream/isConnectionRefused.js";
 import { UpstreamConnections } from "../../upstream/UpstreamConnections.js";
 import { PromptPartGuard } from "../PromptPartGuard.js";
 import { RelayServer } from "../RelayServer.js";
@@ -56,7 +56,7 @@
         membership: { members: [] },
         scheduler,
         probeJitter: 0,
-        canConnect: upstream => canConnect(`http://${upstream.address}`, signal),
+        isDown: upstream => isConnectionRefused(upstream.address, signal),
     });
     partGuard.start(signal);
     const routeTable = new RouteTable(exampleConfig({ routes: [exampleRoute(route)] }));
