Keep a VM that missed an answer from spreading its quarantine again

What callers would see: a part that was cleared is refused on all VMs again, for as long as the next probe of the VM that was cut off when it was cleared. The placement VM also passed on every report of an answer, though only the first says something new: one message for each VM and VM after the crash of a hot engine. Evidence: the new test on the code before: [false, true, true] instead of [false, false, false].

--- a/src/core/quarantine/PromptPartQuarantine.test.ts
+++ b/src/core/quarantine/PromptPartQuarantine.test.ts
@@ -124,7 +124,7 @@
         const scenario = createQuarantine();
         quarantinePart("deadly", 1_000, scenario);
         const { quarantine: restarted, crash } = createQuarantine();
-        expect(restarted.applySnapshot(scenario.quarantine.takeSnapshot())).toEqual(["deadly"]);
+        expect(restarted.applySnapshot(scenario.quarantine.takeSnapshot()).added).toEqual(["deadly"]);
         expect(restarted.admit(["deadly"], 1_500).kind).toEqual("quarantined");
         crash("probed", 6_100, call(6_000, "deadly"));
         expect(restarted.admit(["deadly"], 20_000).kind).toEqual("quarantined");
--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -123,16 +123,26 @@
         return { nextProbeMs: this.nextProbeMs, records: new Map(quarantined.slice(-maxSnapshotRecords)) };
     }
 
-    /** Quarantines the parts of another VM's snapshot that are not quarantined here. Returns these parts. */
-    applySnapshot({ nextProbeMs, records }: QuarantineSnapshot): readonly string[] {
-        const added = [...records].filter(([id]) => !this.isQuarantined(id));
+    /**
+     * Quarantines the parts of another VM's snapshot that are not quarantined here. Returns these parts, and those that the snapshot still holds
+     * although they have been answered since, with the times of these answers.
+     */
+    applySnapshot(
+        { nextProbeMs, records }: QuarantineSnapshot,
+    ): { readonly added: readonly string[]; readonly answeredMs: ReadonlyMap<string, number>; } {
+        const answeredMs = new Map(
+            [...records].map(([id, { lastCrashMs }]) => [id, this.recentAnswersMs.get(id) ?? -Infinity, lastCrashMs] as const)
+                .filter(([, begunMs, lastCrashMs]) => begunMs > lastCrashMs)
+                .map(([id, begunMs]) => [id, begunMs]),
+        );
+        const added = [...records].filter(([id]) => !this.isQuarantined(id) && !answeredMs.has(id));
         for (const [id, record] of added) {
             this.setRecord(id, { ...record });
         }
         if (added.length > 0) {
             this.nextProbeMs = Math.max(this.nextProbeMs, nextProbeMs);
         }
-        return added.map(([id]) => id);
+        return { added: added.map(([id]) => id), answeredMs };
     }
 
     private recordSuspicion(id: string, { sentMs }: WaitingCall, engineKey: string, crashedMs: number): void {
--- a/src/core/quarantine/testing/ModelVm.ts
+++ b/src/core/quarantine/testing/ModelVm.ts
@@ -61,10 +61,12 @@
                 this.quarantine.recordProbe(message.partId, nowMs);
                 return;
             case "snapshot":
-                this.onQuarantined(this.quarantine.applySnapshot({
-                    nextProbeMs: nowMs + message.nextProbeInMs,
-                    records: new Map([...message.records].map(([id, record]) => [id, shiftTimes(record, nowMs)])),
-                }));
+                this.onQuarantined(
+                    this.quarantine.applySnapshot({
+                        nextProbeMs: nowMs + message.nextProbeInMs,
+                        records: new Map([...message.records].map(([id, record]) => [id, shiftTimes(record, nowMs)])),
+                    }).added,
+                );
         }
     }
 
--- a/src/node/relay/PromptPartGuard.test.ts
+++ b/src/node/relay/PromptPartGuard.test.ts
@@ -97,6 +97,19 @@
     expect(admissions(guards)).toEqual([true, true, true]);
 });
 
+test("a VM that was cut off when a part was cleared does not have the others refuse it again", async () => {
+    const { guards, crash, openListeners, members, nowMs, advance } = await startFleet(3);
+    await crash(0, "e1");
+    await crash(1, "e2");
+    const late = members.pop();
+    await advance(100);
+    guards[0]?.recordAnswer(parts, service, nowMs(0));
+    expect(admissions(guards)).toEqual([false, false, true]);
+    members.push(late as Member);
+    openListeners.get("vm-2")?.("vm-1");
+    expect(admissions(guards)).toEqual([false, false, false]);
+});
+
 test("broken calls on engines that accept connections quarantine nothing", async () => {
     const { guards, crash } = await startFleet(3, true);
     await crash(0, "e1");
--- a/src/node/relay/PromptPartGuard.ts
+++ b/src/node/relay/PromptPartGuard.ts
@@ -50,8 +50,8 @@
         const { links } = this.options;
         this.signal = signal;
         links.onMessage("promptParts", (from, { news, isForAll }) => {
-            this.apply(news, from);
-            if (isForAll) {
+            const isNews = this.apply(news, from);
+            if (isForAll && isNews) {
                 this.sendToAll(news, from);
             }
             return undefined;
@@ -153,7 +153,8 @@
         }
     }
 
-    private apply(news: PromptPartNews, from: string): void {
+    /** Returns whether there may be other VMs that do not know this yet: not for an answer that clears nothing here. */
+    private apply(news: PromptPartNews, from: string): boolean {
         const nowMs = this.options.scheduler.nowMs();
         switch (news.kind) {
             case "crash":
@@ -168,7 +169,7 @@
                 if (cleared.length > 0) {
                     log("prompt parts cleared: another VM has seen an answer", { parts: cleared, vm: from });
                 }
-                break;
+                return cleared.length > 0;
             }
             case "probe":
                 this.quarantine.recordProbe(news.partId, nowMs);
@@ -182,11 +183,20 @@
                         lastAskedMs: nowMs,
                     }] as const
                 );
-                const added = this.quarantine.applySnapshot({ nextProbeMs: nowMs + news.nextProbeInMs, records: new Map(records) });
+                const { added, answeredMs } = this.quarantine.applySnapshot({
+                    nextProbeMs: nowMs + news.nextProbeInMs,
+                    records: new Map(records),
+                });
                 this.notify(added, { vm: from });
+                // The sender was cut off when these parts were cleared.
+                for (const [partId, begunMs] of answeredMs) {
+                    const answer: PromptPartNews = { kind: "answer", partIds: [partId], begunMsAgo: nowMs - begunMs };
+                    this.options.links.send(from, { type: "promptParts", news: answer, isForAll: false });
+                }
                 break;
             }
         }
+        return true;
     }
 
     private applyCrash(crash: EngineCrash, from: string): void {
