--- a/src/core/quarantine/PartRecord.ts
+++ b/src/core/quarantine/PartRecord.ts
@@ -9,5 +9,5 @@
     quarantinedMs: number | undefined;
     /** Crashes of calls with this part that were sent while it was quarantined. */
     failedProbes: number;
-    lastAskedMs: number;
+    lastRequestedMs: number;
 }
--- a/src/core/quarantine/PromptPartQuarantine.ts
+++ b/src/core/quarantine/PromptPartQuarantine.ts
@@ -94,7 +94,7 @@
             return { kind: "admitted" };
         }
         for (const id of quarantined) {
-            this.touch(id, nowMs);
+            this.recordRequest(id, nowMs);
         }
         const dueMs = Math.max(this.nextProbeMs, ...quarantined.map(id => this.getProbeDueMs(id)));
         if (nowMs < dueMs) {
@@ -152,7 +152,7 @@
         const record = this.records.get(id);
         if (record === undefined) {
             const first = { crashes: 1, lastCrashMs: crashedMs, lastEngineKey: engineKey, quarantinedMs: undefined, failedProbes: 0 };
-            this.setRecord(id, { ...first, lastAskedMs: crashedMs });
+            this.setRecord(id, { ...first, lastRequestedMs: crashedMs });
             return;
         }
         // Engines that crash at the same moment, for example with their rack, are no repeated evidence against what waited on them.
@@ -196,7 +196,7 @@
         const record = this.records.get(id);
         if (record !== undefined) {
             record.quarantinedMs = nowMs;
-            record.lastAskedMs = nowMs;
+            record.lastRequestedMs = nowMs;
         }
     }
 
@@ -213,10 +213,10 @@
         return [...this.records.values()].filter(record => record.quarantinedMs !== undefined);
     }
 
-    private touch(id: string, nowMs: number): void {
+    private recordRequest(id: string, nowMs: number): void {
         const record = this.records.get(id);
         if (record !== undefined) {
-            record.lastAskedMs = nowMs;
+            record.lastRequestedMs = nowMs;
             this.setRecord(id, record);
         }
     }
@@ -259,7 +259,7 @@
 
     private removeExpired(nowMs: number): void {
         for (const [id, record] of this.records) {
-            if (nowMs - Math.max(record.lastAskedMs, record.lastCrashMs) > recordRetentionMs) {
+            if (nowMs - Math.max(record.lastRequestedMs, record.lastCrashMs) > recordRetentionMs) {
                 this.records.delete(id);
             }
         }
--- a/src/core/quarantine/testing/ModelVm.ts
+++ b/src/core/quarantine/testing/ModelVm.ts
@@ -92,6 +92,6 @@
         ...record,
         lastCrashMs: record.lastCrashMs + offsetMs,
         quarantinedMs: quarantinedMs === undefined ? undefined : quarantinedMs + offsetMs,
-        lastAskedMs: record.lastAskedMs + offsetMs,
+        lastRequestedMs: record.lastRequestedMs + offsetMs,
     };
 }
--- a/src/node/relay/PromptPartGuard.ts
+++ b/src/node/relay/PromptPartGuard.ts
@@ -49,16 +49,16 @@
     start(signal: AbortSignal): void {
         const { links } = this.options;
         this.signal = signal;
-        links.onMessage("promptParts", (from, { news, isForAll }) => {
+        links.onMessage("promptParts", (from, { news, isToBeRelayed }) => {
             const isNews = this.apply(news, from);
-            if (isForAll && isNews) {
+            if (isToBeRelayed && isNews) {
                 this.sendToAll(news, from);
             }
             return undefined;
         }, signal);
         links.onLinkOpened(vm => {
             if (this.quarantine.quarantinedCount > 0) {
-                links.send(vm, { type: "promptParts", news: this.buildSnapshot(), isForAll: false });
+                links.send(vm, { type: "promptParts", news: this.buildSnapshot(), isToBeRelayed: false });
             }
         }, signal);
     }
@@ -77,7 +77,7 @@
         const admission = this.quarantine.admit(partIds, this.options.scheduler.nowMs());
         if (admission.kind === "probe") {
             log("probing whether a quarantined prompt part still crashes upstreams", { part: admission.partId, requestId });
-            this.tell(service, { kind: "probe", partId: admission.partId });
+            this.publish(service, { kind: "probe", partId: admission.partId });
         }
         return admission;
     }
@@ -104,7 +104,7 @@
         const cleared = this.quarantine.recordAnswer(partIds, begunMs);
         if (cleared.length > 0) {
             log("prompt parts cleared: an upstream has begun to answer a call with them", { parts: cleared });
-            this.tell(service, { kind: "answer", partIds: [...cleared], begunMsAgo: this.options.scheduler.nowMs() - begunMs });
+            this.publish(service, { kind: "answer", partIds: [...cleared], begunMsAgo: this.options.scheduler.nowMs() - begunMs });
         }
     }
 
@@ -132,14 +132,16 @@
             })),
         };
         this.apply(news, this.options.vm);
-        this.tell(upstream.service, news);
+        this.publish(upstream.service, news);
     }
 
     /** Tells the other VMs. In a large fleet the placement VM of the service passes the news on, as it has links to all. */
-    private tell(service: string, news: PromptPartNews): void {
+    private publish(service: string, news: PromptPartNews): void {
         const { vm, links, membership } = this.options;
         const placementVm = choosePlacementVm(service, membership.members);
-        if (placementVm === undefined || placementVm === vm || !links.send(placementVm, { type: "promptParts", news, isForAll: true })) {
+        if (
+            placementVm === undefined || placementVm === vm || !links.send(placementVm, { type: "promptParts", news, isToBeRelayed: true })
+        ) {
             this.sendToAll(news, vm);
         }
     }
@@ -148,7 +150,7 @@
         const { vm, links, membership } = this.options;
         for (const member of membership.members) {
             if (member.vm !== vm && member.vm !== origin) {
-                links.send(member.vm, { type: "promptParts", news, isForAll: false });
+                links.send(member.vm, { type: "promptParts", news, isToBeRelayed: false });
             }
         }
     }
@@ -180,7 +182,7 @@
                         ...counts,
                         lastCrashMs: nowMs - lastCrashMsAgo,
                         quarantinedMs: nowMs - quarantinedMsAgo,
-                        lastAskedMs: nowMs,
+                        lastRequestedMs: nowMs,
                     }] as const
                 );
                 const { added, answeredMs } = this.quarantine.applySnapshot({
@@ -191,7 +193,7 @@
                 // The sender was cut off when these parts were cleared.
                 for (const [partId, begunMs] of answeredMs) {
                     const answer: PromptPartNews = { kind: "answer", partIds: [partId], begunMsAgo: nowMs - begunMs };
-                    this.options.links.send(from, { type: "promptParts", news: answer, isForAll: false });
+                    this.options.links.send(from, { type: "promptParts", news: answer, isToBeRelayed: false });
                 }
                 break;
             }
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -166,7 +166,7 @@
                 continue;
             }
             const { replacement } = this;
-            if (replacement === undefined || this.endsCall(result)) {
+            if (replacement === undefined || this.isFinal(result)) {
                 this.cancelReplacement();
                 this.current = undefined;
                 return { result, running };
@@ -337,7 +337,7 @@
         if (this.replacement !== replacement) {
             return;
         }
-        if (result.kind !== "cancelled" && this.endsCall(result)) {
+        if (result.kind !== "cancelled" && this.isFinal(result)) {
             this.takeOver(replacement);
             return;
         }
@@ -365,8 +365,8 @@
         this.summary.upstreamId = this.current?.placement.upstream.id;
     }
 
-    /** Whether the call needs no other attempt after this result, or can have none. */
-    private endsCall(result: AttemptResult): boolean {
+    /** Whether no other attempt may follow this result: it is an answer, or the call has been given up. */
+    private isFinal(result: AttemptResult): boolean {
         switch (result.kind) {
             case "forwarded":
                 return this.callerResponse.framer.canEnd;
@@ -406,7 +406,7 @@
         const { upstream } = running.placement;
         if (result.kind === "forwarded" || result.kind === "held") {
             this.outcome = "ran";
-            if (this.endsCall(result) && (result.kind === "forwarded" || result.answer.status < 400)) {
+            if (this.isFinal(result) && (result.kind === "forwarded" || result.answer.status < 400)) {
                 this.recordAnswer(running);
             }
             if (health.recordSuccess(upstream.id)) {
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -34,7 +34,7 @@
     /** Responses that have not been written completely, with their connections. */
     private readonly openResponses = new Map<ServerResponse, Socket>();
     /** Connections on which a malformed request is refused once the responses before it have been written. */
-    private readonly malformedConnections = new WeakSet<Socket>();
+    private readonly pendingRefusals = new WeakSet<Socket>();
     /** Connections that end with the last response that was begun on them; what arrives after its call is not read. */
     private readonly endingConnections = new WeakSet<Socket>();
     private phase: "open" | "leaving" | "closed" = "open";
@@ -301,13 +301,13 @@
     }
 
     private refuseMalformedAfter(responseBefore: ServerResponse, error: NodeJS.ErrnoException, socket: Socket): void {
-        if (this.malformedConnections.has(socket)) {
+        if (this.pendingRefusals.has(socket)) {
             return;
         }
-        this.malformedConnections.add(socket);
+        this.pendingRefusals.add(socket);
         log("malformed HTTP request received; refusing it after the response before it", { code: error.code });
         responseBefore.once("close", () => {
-            this.malformedConnections.delete(socket);
+            this.pendingRefusals.delete(socket);
             // A call that was late may have arrived meanwhile.
             if (!this.findOpenResponses(socket).some(response => response.req.complete)) {
                 this.refuseMalformed(error, socket);
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -150,7 +150,7 @@
         type: z.literal("promptParts"),
         news: PromptPartNews,
         /** Whether the receiver passes the news on to all other VMs. */
-        isForAll: z.boolean(),
+        isToBeRelayed: z.boolean(),
     }),
     z.object({ type: z.literal("explainQuery"), query: ExplainQuery }),
     z.object({ type: z.literal("explainAnswer"), part: ExplanationPart }),
