Split the relay's call handler into its parts

Its parts are now CallAttempts (which attempt is current, silence, replacement, takeover), CallPlacer (upstreams that were not tried), CallRetries with the pure mayRepeatCall (attempts, budget), CallQuarantine (prompt parts), CallEnd (what the caller is told, by outcome) and AttemptEvidence (what an attempt shows about its upstream). What they have in common is a CallContext; none reads another's fields.

--- /dev/null
+++ b/src/node/relay/AttemptEvidence.ts
@@ -0,0 +1,96 @@
+import { createLogger } from "../logs/createLogger.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { CallContext } from "./CallContext.js";
+import { cancelReasons } from "./cancelReasons.js";
+import { computeSilenceMs } from "./computeSilenceMs.js";
+import { isFinalResult } from "./isFinalResult.js";
+import { relayLimits } from "./relayLimits.js";
+import type { RunningAttempt } from "./RunningAttempt.js";
+
+const log = createLogger("relay");
+
+/** Records what the attempts of one call show about their upstreams: health, speed, and whether prompt parts crash them. */
+export class AttemptEvidence {
+    constructor(private readonly context: CallContext) {}
+
+    /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
+    recordEvent(running: RunningAttempt): void {
+        const { dependencies, callerResponse } = this.context;
+        const nowMs = dependencies.scheduler.nowMs();
+        if (running.firstEventMs === undefined) {
+            running.recordFirstEvent(nowMs);
+            return;
+        }
+        dependencies.loadTracker.eventGaps.recordGap(running.placement.upstream.id, callerResponse.lastEventGapMs, nowMs);
+        this.recordAnswer(running);
+    }
+
+    recordResult(running: RunningAttempt, result: AttemptResult): void {
+        this.recordHealth(running, result);
+        this.reportBrokenPrompt(running, result);
+    }
+
+    private recordHealth(running: RunningAttempt, result: AttemptResult): void {
+        const { dependencies: { health, scheduler }, request: { call }, callerResponse } = this.context;
+        const { upstream } = running.placement;
+        if (result.kind === "forwarded" || result.kind === "held") {
+            if (isFinalResult(result, callerResponse) && (result.kind === "forwarded" || result.answer.status < 400)) {
+                this.recordAnswer(running);
+            }
+            if (health.recordSuccess(upstream.id)) {
+                log("upstream recovered", { upstream: upstream.id, requestId: call.requestId });
+            }
+            return;
+        }
+        if (!this.isUpstreamFailure(running, result)) {
+            return;
+        }
+        const avoidMs = health.recordFailure(upstream.id, scheduler.nowMs());
+        log("upstream failed", {
+            upstream: upstream.id,
+            requestId: call.requestId,
+            end: result.kind,
+            reason: describeFailure(result),
+            hadFirstEvent: running.firstEventMs !== undefined,
+            avoidMs,
+        });
+    }
+
+    /** An attempt aborted at the call's deadline counts against its upstream only when the upstream had sent nothing for long enough. */
+    private isUpstreamFailure(running: RunningAttempt, result: FailedResult): boolean {
+        switch (result.kind) {
+            case "cancelled":
+                return result.reason === cancelReasons.upstreamSilent || result.reason === cancelReasons.deadlineExceeded &&
+                        computeSilenceMs(running, this.context) >= relayLimits.minFailureSilenceMs;
+            case "not-run":
+                return result.isWrongUpstream || result.bodyFailure !== undefined;
+            default:
+                return true;
+        }
+    }
+
+    /** A call that broke before its first event may have crashed its upstream, and would crash the next one too. */
+    private reportBrokenPrompt(running: RunningAttempt, result: AttemptResult): void {
+        const { dependencies, request, sharedPartIds } = this.context;
+        if (result.kind === "broken" && !running.hasBegun(request.route.kind) && sharedPartIds.length > 0) {
+            const call = { partIds: sharedPartIds, sentMs: running.sentMs };
+            running.crashCheck = dependencies.partGuard.recordBrokenCall(running.placement.upstream, call);
+        }
+    }
+
+    /** Only a second event, or a whole response, shows that the upstream did not crash over the prompt. */
+    private recordAnswer(running: RunningAttempt): void {
+        if (!running.hasAnswered) {
+            running.hasAnswered = true;
+            const { dependencies, sharedPartIds, service } = this.context;
+            const begunMs = running.firstEventMs ?? dependencies.scheduler.nowMs();
+            dependencies.partGuard.recordAnswer(sharedPartIds, service, begunMs);
+        }
+    }
+}
+
+type FailedResult = Extract<AttemptResult, { kind: "not-sent" | "not-run" | "broken" | "cancelled"; }>;
+
+function describeFailure(result: FailedResult): string {
+    return result.kind === "not-run" ? result.bodyFailure ?? "its address now belongs to another upstream" : result.reason;
+}
--- a/src/node/relay/RunningAttempt.ts
+++ b/src/node/relay/RunningAttempt.ts
@@ -1,6 +1,7 @@
 import type { Placement } from "../../core/relay/Placement.js";
 import type { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { RelayRoute } from "../../schema/relay/RelayRoute.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { RelayAttempt } from "./RelayAttempt.js";
 
@@ -34,6 +35,11 @@
         return this.endController.signal;
     }
 
+    /** Whether its upstream has begun to answer: with the first event of a stream, or the head of another response. */
+    hasBegun(kind: RelayRoute["kind"]): boolean {
+        return this.firstEventMs !== undefined || kind !== "stream" && this.attempt.hasResponseHead;
+    }
+
     recordFirstEvent(nowMs: number): void {
         this.firstEventMs = nowMs;
         this.dependencies.loadTracker.recordFirstEvent(this.placement.upstream.id, this.placement);
--- /dev/null
+++ b/src/node/relay/cancelReasons.ts
@@ -0,0 +1,8 @@
+/** Reasons for which this VM aborts an attempt. */
+export const cancelReasons = {
+    deadlineExceeded: "deadline exceeded",
+    callerDisconnected: "caller disconnected",
+    upstreamSilent: "upstream was silent for too long; another one has taken the call",
+    partQuarantined: "a part of its prompt has crashed upstreams and is quarantined",
+    replacementNotNeeded: "the attempt that it was to replace went on",
+} as const;
