Send no calls to upstreams that ask for a pause or say that they are leaving

UpstreamAvailability decides in one place which upstreams of a service may be sent a call now, from the list, their health and what they say in responses that are this call's own. A pause is lengthened by a random share for each VM, and after it an upstream gets one call in 100 ms until it has answered. When all upstreams are paused, decidePausedCall lets a call wait if it can still be answered within its target, else it is refused as not run with the time at which there will be room.

--- a/src/node/relay/AttemptEvidence.ts
+++ b/src/node/relay/AttemptEvidence.ts
@@ -1,3 +1,5 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { parseRetryAfterMs } from "../../core/relay/parseRetryAfterMs.js";
 import { createLogger } from "../logs/createLogger.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { CallContext } from "./CallContext.js";
@@ -7,12 +9,42 @@
 import { relayLimits } from "./relayLimits.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 
+const serviceUnavailable = 503;
 const log = createLogger("relay");
 
 /** Records what the attempts of one call show about their upstreams: health, speed, and whether prompt parts crash them. */
 export class AttemptEvidence {
     constructor(private readonly context: CallContext) {}
 
+    /** A response says whether its upstream is leaving, and one with which it turns a call away, for how long it wants no others. */
+    recordHead({ placement: { upstream } }: RunningAttempt, status: number, headers: IncomingHttpHeaders): void {
+        const { dependencies: { availability, dialect, scheduler }, request } = this.context;
+        const { requestId } = request.call;
+        const nowMs = scheduler.nowMs();
+        if (dialect.isLeaving(headers) && availability.recordLeaving(upstream)) {
+            log("upstream is leaving; it gets no further calls", { upstream: upstream.id, requestId });
+        }
+        if (status !== serviceUnavailable) {
+            if (availability.recordAnswer(upstream, nowMs)) {
+                log("upstream has answered again after its pause", { upstream: upstream.id, requestId });
+            }
+            return;
+        }
+        const retryAfterMs = parseRetryAfterMs(headers["retry-after"]);
+        if (retryAfterMs.isErr()) {
+            log("upstream sent an unusable retry delay; ignoring it", { upstream: upstream.id, requestId, reason: retryAfterMs.error });
+        }
+        else if (retryAfterMs.value !== undefined && retryAfterMs.value > 0) {
+            const pauseMs = availability.recordPause(upstream, retryAfterMs.value, nowMs);
+            log("upstream asked for a pause; calls go elsewhere until it is over", {
+                upstream: upstream.id,
+                requestId,
+                retryAfterMs: retryAfterMs.value,
+                pauseMs: Math.round(pauseMs),
+            });
+        }
+    }
+
     /** The first event of an attempt shows that its prefill is complete; the gap before each later one shows how fast the upstream decodes. */
     recordEvent(running: RunningAttempt): void {
         const { dependencies, callerResponse } = this.context;
--- a/src/node/relay/CallAttempts.ts
+++ b/src/node/relay/CallAttempts.ts
@@ -80,6 +80,9 @@
         const { placer, retries, quarantine, evidence, end } = this.parts;
         placer.recordAttempt(placement.upstream.id);
         const running = startAttempt(this.context, placement, {
+            onOwnHead: (status, headers) => {
+                evidence.recordHead(running, status, headers);
+            },
             onHead: (status, headers, isStreamed) => this.receiveHead(running, status, headers, isStreamed),
             onBytes: bytes => this.forward(running, bytes),
         });
@@ -158,7 +161,7 @@
         }
         const { lastReceivedMs } = running;
         this.isPlacingReplacement = true;
-        const placement = await this.parts.placer.choose().catch((error: unknown) => {
+        const chosen = await this.parts.placer.choose().catch((error: unknown) => {
             log("placing a replacement failed unexpectedly; keeping the silent attempt", {
                 requestId: this.context.request.call.requestId,
                 error: String(error),
@@ -167,10 +170,10 @@
         });
         this.isPlacingReplacement = false;
         const isStillSilent = this.current === running && running.lastReceivedMs === lastReceivedMs && !running.endSignal.aborted;
-        if (placement === undefined || !isStillSilent) {
+        if (chosen?.kind !== "placed" || !isStillSilent) {
             return;
         }
-        const replacement = this.start(placement);
+        const replacement = this.start(chosen.placement);
         this.replacement = replacement;
         void replacement.result.then(result => {
             this.endReplacement(replacement, result);
--- a/src/node/relay/CallEnd.ts
+++ b/src/node/relay/CallEnd.ts
@@ -75,6 +75,21 @@
         });
     }
 
+    /** Ends a call of which all upstreams that are left want no calls for a time. */
+    endPaused(retryAfterMs: number): void {
+        if (this.knownOutcome !== "not-run" || this.failedResponse !== undefined) {
+            this.endWithoutUpstream();
+            return;
+        }
+        this.context.callerResponse.refuse({
+            status: 503,
+            reason: "upstreams_paused",
+            outcome: "not-run",
+            message: `all upstreams of service ${this.context.service} have asked for a pause; retry after it`,
+            retryAfterMs,
+        });
+    }
+
     /** Ends a call that may have run. */
     endAfterFailure(reason: string): void {
         if (this.abortOrDeliverFailed(reason)) {
--- a/src/node/relay/CallPlacer.ts
+++ b/src/node/relay/CallPlacer.ts
@@ -1,10 +1,23 @@
+import { decidePausedCall } from "../../core/relay/decidePausedCall.js";
 import type { Placement } from "../../core/relay/Placement.js";
-import type { RelayUpstream } from "../../schema/relay/RelayUpstream.js";
+import { sleepFor } from "../config/sleepFor.js";
+import { createLogger } from "../logs/createLogger.js";
 import type { CallContext } from "./CallContext.js";
 
+const log = createLogger("relay");
+/** Interval at which a call that waits for a paused upstream looks for another one that has become available. */
+const pausedCheckIntervalMs = 50;
+
+/** Where a call goes next; `paused`: all upstreams that are left want no calls for this long. */
+type PlacementResult =
+    | { readonly kind: "placed"; readonly placement: Placement; }
+    | { readonly kind: "no-upstream"; }
+    | { readonly kind: "paused"; readonly retryAfterMs: number; };
+
 /** Chooses the upstreams of one call; none of them twice. */
 export class CallPlacer {
     private readonly triedUpstreamIds = new Set<string>();
+    private hasLoggedPause = false;
 
     constructor(private readonly context: CallContext) {}
 
@@ -13,22 +26,45 @@
     }
 
     hasAlternative(): boolean {
-        return this.findUntried().length > 0;
+        return this.findAvailable().candidates.length > 0;
     }
 
-    /** Resolves with undefined when no upstream is left. */
-    async choose(): Promise<Placement | undefined> {
-        const { service, request: { call, route }, dependencies: { directory, health, placeCall, scheduler } } = this.context;
-        const nowMs = scheduler.nowMs();
-        const available = directory.available(service);
-        const untried = this.findUntried();
-        const healthy = untried.filter(upstream => !health.isAvoided(upstream.id, nowMs));
-        const candidates = healthy.length > 0 ? healthy : untried;
-        return await placeCall({ service, call, route, available, candidates, nowMs });
+    /** Chooses an upstream; waits for one that is paused if the call can then still be answered in time. */
+    async choose(): Promise<PlacementResult> {
+        const { service, request, dependencies: { directory, placeCall, scheduler } } = this.context;
+        for (;;) {
+            const nowMs = scheduler.nowMs();
+            const { candidates, firstReturnMs } = this.findAvailable();
+            if (candidates.length > 0 || firstReturnMs === undefined) {
+                const { call, route } = request;
+                const placement = await placeCall({ service, call, route, available: directory.available(service), candidates, nowMs });
+                return placement === undefined ? { kind: "no-upstream" } : { kind: "placed", placement };
+            }
+            const decision = decidePausedCall({
+                nowMs,
+                firstReturnMs,
+                arrivedMs: request.arrivedMs,
+                deadlineMs: this.context.deadlineMs,
+                targetMs: request.route.targetMs,
+                tier: request.tier,
+                random: Math.random(),
+            });
+            if (!this.hasLoggedPause) {
+                this.hasLoggedPause = true;
+                log("all upstreams that are left are paused", { requestId: request.call.requestId, service, ...decision });
+            }
+            if (decision.kind === "refuse") {
+                return { kind: "paused", retryAfterMs: decision.retryAfterMs };
+            }
+            if (request.disconnectSignal.aborted) {
+                return { kind: "no-upstream" };
+            }
+            await sleepFor(scheduler, Math.min(pausedCheckIntervalMs, Math.max(1, decision.untilMs - nowMs)));
+        }
     }
 
-    private findUntried(): readonly RelayUpstream[] {
-        const { service, dependencies } = this.context;
-        return dependencies.directory.available(service).filter(upstream => !this.triedUpstreamIds.has(upstream.id));
+    private findAvailable() {
+        const { service, dependencies: { availability, scheduler } } = this.context;
+        return availability.select(service, this.triedUpstreamIds, scheduler.nowMs());
     }
 }
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { parseRetryAfterMs } from "../../core/relay/parseRetryAfterMs.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import { timerAbortReason } from "../../core/util/timerAbortReason.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
@@ -15,7 +16,6 @@
 
 /** A larger response is forwarded while it arrives; when its upstream then fails, a retry can no longer replace it. */
 const maxBufferedBytes = 256 * 1024;
-const msPerSecond = 1_000;
 
 interface RelayAttemptOptions {
     readonly call: RelayCall;
@@ -27,6 +27,8 @@
     readonly scheduler: Scheduler;
     /** Whether a response with this head is a stream of events, which is forwarded from its first event on. */
     readonly isStreamed: (status: number, headers: IncomingHttpHeaders) => boolean;
+    /** Receives the head of each response of the upstream to this call. */
+    readonly onOwnHead: (status: number, headers: IncomingHttpHeaders) => void;
     /** Receives the head of a forwarded response; returns false when the response cannot follow what the caller has already received. */
     readonly onHead: (status: number, headers: IncomingHttpHeaders, isStreamed: boolean) => boolean;
     /** Receives bytes of a forwarded response; returns false to pause the upstream, or why the response is broken. */
@@ -140,6 +142,9 @@
             this.fail("the upstream sent a response that does not belong to this call");
             return;
         }
+        if (responseKind !== "wrong-upstream") {
+            this.options.onOwnHead(status, headers);
+        }
         if (responseKind !== "answer") {
             this.mode = "not-run";
             this.isWrongUpstream = responseKind === "wrong-upstream";
@@ -167,7 +172,8 @@
     private endRefusal(bodyFailure: string | undefined): void {
         this.refusalEnd.abort(timerAbortReason);
         const { status, isWrongUpstream } = this;
-        this.completion.resolve({ kind: "not-run", status, isWrongUpstream, retryAfterMs: parseRetryAfterMs(this.headers), bodyFailure });
+        const retryAfterMs = parseRetryAfterMs(this.headers["retry-after"]).unwrapOr(undefined);
+        this.completion.resolve({ kind: "not-run", status, isWrongUpstream, retryAfterMs, bodyFailure });
     }
 
     private stopReadingRefusal(reason: string): void {
@@ -191,8 +197,3 @@
         }
     }
 }
-
-function parseRetryAfterMs(headers: IncomingHttpHeaders): number | undefined {
-    const seconds = Number(headers["retry-after"]);
-    return Number.isFinite(seconds) && seconds >= 0 ? seconds * msPerSecond : undefined;
-}
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -80,7 +80,7 @@
                 this.end.endQuarantined(admission.partId, admission.retryAfterMs, cancelReasons.partQuarantined);
                 return;
             }
-            const placement = await this.placer.choose();
+            const chosen = await this.placer.choose();
             if (disconnectSignal.aborted) {
                 return;
             }
@@ -88,11 +88,15 @@
                 this.end.endAtDeadline();
                 return;
             }
-            if (placement === undefined) {
+            if (chosen.kind === "paused") {
+                this.end.endPaused(chosen.retryAfterMs);
+                return;
+            }
+            if (chosen.kind === "no-upstream") {
                 this.end.endWithoutUpstream();
                 return;
             }
-            const { result, running } = await this.attempts.send(placement);
+            const { result, running } = await this.attempts.send(chosen.placement);
             await running.crashCheck;
             if (!this.handleResult(result, running.placement)) {
                 return;
--- a/src/node/relay/RelayDependencies.ts
+++ b/src/node/relay/RelayDependencies.ts
@@ -1,6 +1,7 @@
 import type { Placement } from "../../core/relay/Placement.js";
 import type { PlacementRequest } from "../../core/relay/PlacementRequest.js";
 import type { RouteTable } from "../../core/relay/RouteTable.js";
+import type { UpstreamAvailability } from "../../core/relay/UpstreamAvailability.js";
 import type { UpstreamDirectory } from "../../core/relay/UpstreamDirectory.js";
 import type { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import type { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
@@ -18,6 +19,7 @@
     readonly directory: UpstreamDirectory;
     readonly loadTracker: UpstreamLoadTracker;
     readonly health: UpstreamHealth;
+    readonly availability: UpstreamAvailability;
     readonly partGuard: PromptPartGuard;
     readonly connections: UpstreamConnections;
     readonly observer: RequestObserver;
--- a/src/node/relay/RelayDialect.ts
+++ b/src/node/relay/RelayDialect.ts
@@ -26,6 +26,8 @@
     decodeCall(incoming: IncomingMessage): Result<RelayCall, string>;
     /** Builds the request headers of one attempt. */
     buildUpstreamHeaders(call: RelayCall, received: IncomingHttpHeaders, context: AttemptContext): Record<string, string | string[]>;
+    /** Whether the upstream that sent a response with these headers says that it is leaving. */
+    isLeaving(headers: IncomingHttpHeaders): boolean;
     /** Builds the response headers that contain the retry delay. */
     buildRetryAfterHeaders(delayMs: number): Record<string, string>;
     /**
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -5,6 +5,7 @@
 import { limitForwardedRead } from "../../core/relay/limitForwardedRead.js";
 import type { Placement } from "../../core/relay/Placement.js";
 import type { PlacementRequest } from "../../core/relay/PlacementRequest.js";
+import { UpstreamAvailability } from "../../core/relay/UpstreamAvailability.js";
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
@@ -89,6 +90,7 @@
     private readonly relayMetrics = new RelayMetrics(this.metrics, () => this.state.routeTable?.version);
     private readonly loadTracker = new UpstreamLoadTracker();
     private readonly health = new UpstreamHealth();
+    private readonly availability: UpstreamAvailability;
     private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs });
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private readonly membership: GossipMembership;
@@ -124,6 +126,7 @@
                 this.loadTracker.removeUpstream(id);
             },
         });
+        this.availability = new UpstreamAvailability({ directory: this.state.directory, health: this.health, random: Math.random });
         this.enginePlacer = new EnginePlacer(this.loadTracker, Math.random);
         this.plainPlacer = new LeastLoadedPlacer(this.loadTracker, availabilityZone, Math.random);
         this.placementExchange = new PlacementExchange({
@@ -155,6 +158,7 @@
             directory: this.state.directory,
             loadTracker: this.loadTracker,
             health: this.health,
+            availability: this.availability,
             partGuard: this.partGuard,
             connections: this.connections,
             observer: this.metrics,
--- a/src/node/relay/startAttempt.ts
+++ b/src/node/relay/startAttempt.ts
@@ -10,7 +10,7 @@
 
 const log = createLogger("relay");
 
-type ResponseHandlers = Pick<ConstructorParameters<typeof RelayAttempt>[0], "onHead" | "onBytes">;
+type ResponseHandlers = Pick<ConstructorParameters<typeof RelayAttempt>[0], "onOwnHead" | "onHead" | "onBytes">;
 
 /** Sends a call to the upstream that it was placed on. */
 export function startAttempt(context: CallContext, placement: Placement, handlers: ResponseHandlers): RunningAttempt {
@@ -19,6 +19,7 @@
     summary.upstreamId = placement.upstream.id;
     summary.attempts++;
     summary.queueMs ??= dependencies.scheduler.nowMs() - request.arrivedMs;
+    dependencies.availability.recordSent(placement.upstream, dependencies.scheduler.nowMs());
     logPlacement(context, placement, patienceMs);
     return new RunningAttempt(createAttempt(context, placement, patienceMs, handlers), placement, dependencies);
 }
--- a/src/node/relay/testing/exampleDialect.ts
+++ b/src/node/relay/testing/exampleDialect.ts
@@ -32,6 +32,7 @@
         "call-id": call.requestId,
         ...(context.lastEventId === undefined ? {} : { "last-event-id": context.lastEventId }),
     }),
+    isLeaving: headers => headers["leaving"] !== undefined,
     buildRetryAfterHeaders: delayMs => ({ "retry-after": String(delayMs / 1_000) }),
     classifyResponse: (status, headers, call, isFirstOnConnection) => {
         const isRefusal = headers["not-run"] !== undefined && status >= 400;
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -4,6 +4,7 @@
 import { exampleConfig } from "../../../core/relay/testing/exampleConfig.js";
 import { exampleRoute } from "../../../core/relay/testing/exampleRoute.js";
 import { exampleUpstream } from "../../../core/relay/testing/exampleUpstream.js";
+import { UpstreamAvailability } from "../../../core/relay/UpstreamAvailability.js";
 import { UpstreamDirectory } from "../../../core/relay/UpstreamDirectory.js";
 import { UpstreamHealth } from "../../../core/relay/UpstreamHealth.js";
 import { UpstreamLoadTracker } from "../../../core/relay/UpstreamLoadTracker.js";
@@ -68,6 +69,7 @@
         directory,
         loadTracker,
         health,
+        availability: new UpstreamAvailability({ directory, health, random: () => 0 }),
         partGuard,
         connections,
         observer: { requestEnded: summary => summaries.push(summary) },
