Refuse calls that may outlast a stopping VM, and answer those that do

A stopping VM passed on every call that came in the first third of its grace period, also one whose deadline lay after the exit, and cut what was unanswered at the exit without a response. Now a call that is no stream is refused as not run if its deadline lies after the exit, and 200 ms before the exit the calls that are still unanswered are told that they may have run.

--- a/src/node/relay/CallEnd.ts
+++ b/src/node/relay/CallEnd.ts
@@ -2,6 +2,7 @@
 import type { AttemptResult } from "./AttemptResult.js";
 import type { BufferedResponse } from "./BufferedResponse.js";
 import type { CallContext } from "./CallContext.js";
+import { cancelReasons } from "./cancelReasons.js";
 import { relayLimits } from "./relayLimits.js";
 
 /** Ends the response to the caller of one call, and tells it whether the call has run. */
@@ -75,6 +76,20 @@
         });
     }
 
+    /** Ends a call that is unanswered when this VM exits. */
+    endAtExit(): void {
+        if (this.knownOutcome !== "not-run") {
+            this.endAfterFailure(cancelReasons.vmStopping);
+            return;
+        }
+        this.context.callerResponse.refuse({
+            status: 503,
+            reason: "stopping",
+            outcome: "not-run",
+            message: "this VM is stopping; send the call again",
+        });
+    }
+
     /** Ends a call of which all upstreams that are left want no calls for a time. */
     endPaused(retryAfterMs: number): void {
         if (this.knownOutcome !== "not-run" || this.failedResponse !== undefined) {
--- a/src/node/relay/RelayCallHandler.ts
+++ b/src/node/relay/RelayCallHandler.ts
@@ -54,6 +54,10 @@
         scheduler.after(Math.max(0, computeRemainingMs(this.context)), () => {
             this.attempts.abortCurrent(cancelReasons.deadlineExceeded);
         }, callEnd.signal);
+        const onExit = () => {
+            this.attempts.abortCurrent(cancelReasons.vmStopping);
+        };
+        request.exitSignal.addEventListener("abort", onExit, { once: true });
         request.outgoing.on("drain", () => {
             this.attempts.resumeCurrent();
         });
@@ -64,13 +68,18 @@
         finally {
             callEnd.abort();
             request.disconnectSignal.removeEventListener("abort", onDisconnect);
+            request.exitSignal.removeEventListener("abort", onExit);
             this.reportEnd();
         }
     }
 
     private async tryUntilAnswered(): Promise<void> {
-        const { disconnectSignal } = this.context.request;
+        const { disconnectSignal, exitSignal } = this.context.request;
         while (!disconnectSignal.aborted) {
+            if (exitSignal.aborted) {
+                this.end.endAtExit();
+                return;
+            }
             if (computeRemainingMs(this.context) <= 0) {
                 this.end.endAtDeadline();
                 return;
@@ -142,6 +151,10 @@
                     this.end.endAtDeadline();
                     return false;
                 }
+                if (result.reason === cancelReasons.vmStopping) {
+                    this.end.endAtExit();
+                    return false;
+                }
                 if (result.reason === cancelReasons.partQuarantined && this.end.outcome === "not-run") {
                     return true;
                 }
--- a/src/node/relay/RelayRequest.ts
+++ b/src/node/relay/RelayRequest.ts
@@ -17,4 +17,6 @@
     readonly arrivedMs: number;
     /** Aborts when the connection closes before the complete response has been written to it. */
     readonly disconnectSignal: AbortSignal;
+    /** Aborts when this VM is about to exit and ends the calls that have not been answered. */
+    readonly exitSignal: AbortSignal;
 }
--- a/src/node/relay/RelayServer.connections.test.ts
+++ b/src/node/relay/RelayServer.connections.test.ts
@@ -142,7 +142,7 @@
 
 test("a call that follows a response with connection: close is not passed on to an upstream, where it would be cut off", async () => {
     const { upstream, relay, connection } = await start();
-    relay.server.disableKeepAlive();
+    relay.server.disableKeepAlive(Infinity);
     connection.socket.write(formatCall().repeat(2));
     const { response } = await upstream.nextCall();
     await settle();
@@ -167,7 +167,7 @@
     const { upstream, relay, connection } = await start();
     connection.socket.write(formatCall());
     const { response } = await upstream.nextCall();
-    relay.server.disableKeepAlive();
+    relay.server.disableKeepAlive(Infinity);
     response.writeHead(200, { "call-id": "r-1" }).end("whole");
     expect(await connection.receive(/whole/)).toMatchRegex(/connection: close/i);
 });
--- a/src/node/relay/RelayServer.test.ts
+++ b/src/node/relay/RelayServer.test.ts
@@ -195,7 +195,7 @@
 
 test("a server with keep-alive disabled still answers, and a drained one accepts no connection", async () => {
     const relay = await startRelay({}, [respondWith(200, "fine")]);
-    relay.server.disableKeepAlive();
+    relay.server.disableKeepAlive(Infinity);
     const leaving = await call(relay.port);
     expect([leaving.status, leaving.headers.connection]).toEqual([200, "close"]);
     await relay.server.drain();
--- a/src/node/relay/RelayServer.ts
+++ b/src/node/relay/RelayServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { admitRelayCall } from "../../core/relay/admitRelayCall.js";
+import { mayTakeCallWhileStopping } from "../../core/relay/mayTakeCallWhileStopping.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
 import { bufferRequestBody } from "../caller/bufferRequestBody.js";
 import { createLogger } from "../logs/createLogger.js";
@@ -18,6 +19,13 @@
 const callerBufferBytes = 16 * 1024;
 /** Retry delays: short on a stopping VM, whose callers then reach another VM; longer on a starting VM, which waits for its configuration. */
 const retryAfterMs = { stopping: 50, starting: 300 };
+const stoppingRefusal: RelayRefusal = {
+    status: 503,
+    reason: "stopping",
+    outcome: "not-run",
+    message: "this VM is stopping; send the call again",
+    retryAfterMs: retryAfterMs.stopping,
+};
 
 interface RelayServerOptions extends RelayDependencies {
     readonly host: string;
@@ -38,6 +46,9 @@
     /** Connections that end with the last response that was begun on them; what arrives after its call is not read. */
     private readonly endingConnections = new WeakSet<Socket>();
     private phase: "open" | "leaving" | "closed" = "open";
+    private readonly exitController = new AbortController();
+    /** When this VM exits; Infinity until it is asked to stop. */
+    private exitMs = Infinity;
 
     constructor(private readonly options: RelayServerOptions) {
         this.server = createServer({
@@ -85,15 +96,24 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
     }
 
-    /** Still accepts calls, but closes each connection after its response, so that callers open the next one to another VM. */
-    disableKeepAlive(): void {
+    /**
+     * Still accepts calls that end before this VM exits at `exitMs`, but closes each connection after its response, so that callers open the
+     * next one to another VM.
+     */
+    disableKeepAlive(exitMs: number): void {
         this.phase = "leaving";
+        this.exitMs = exitMs;
         const lastResponses = new Map([...this.openResponses].map(([response, socket]) => [socket, response]));
         for (const response of lastResponses.values()) {
             this.endConnectionAfter(response);
         }
     }
 
+    /** Ends the calls that have not been answered, and tells their callers whether they may have run. */
+    endUnfinishedCalls(): void {
+        this.exitController.abort();
+    }
+
     /** Accepts no more calls; resolves when the response to each one in flight has been written. */
     drain(): Promise<void> {
         this.phase = "closed";
@@ -240,13 +260,18 @@
             return;
         }
         const { route, customer, tier } = admitted.value;
-        await new RelayCallHandler(this.options, { ...received, call, route, customer, tier, routeTable }).run();
+        const deadlineMs = received.arrivedMs + Math.min(route.timeoutMs, call.patienceMs ?? Infinity);
+        if (!mayTakeCallWhileStopping(route.kind, deadlineMs, this.exitMs)) {
+            this.refuse(received.outgoing, call, stoppingRefusal);
+            return;
+        }
+        const exitSignal = this.exitController.signal;
+        await new RelayCallHandler(this.options, { ...received, call, route, customer, tier, routeTable, exitSignal }).run();
     }
 
     private buildUnavailableRefusal(isConfigured: boolean): RelayRefusal | undefined {
         if (this.phase === "closed") {
-            const message = "this VM is draining; send the call again";
-            return { status: 503, reason: "stopping", outcome: "not-run", message, retryAfterMs: retryAfterMs.stopping };
+            return stoppingRefusal;
         }
         if (!isConfigured) {
             const message = "this VM has no configuration yet; send the call again";
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -67,6 +67,8 @@
 const acceptWhileStoppingMs = 2_800;
 /** Part of the grace period kept back so that the last bytes are sent before the process is killed. */
 const graceMarginMs = 300;
+/** Time before the exit in which calls that are still unanswered are told so. */
+const lastAnswersMs = 200;
 const leaveMessageFlushMs = 50;
 /** Interval at which a VM that is not in the registry announces itself, and one that knows no other VM looks for others there. */
 const registryCheckIntervalMs = 3_000;
@@ -194,11 +196,14 @@
         const stopRequestedMs = scheduler.nowMs();
         this.isStopping = true;
         this.membership.updateLocalMember({ state: "draining" });
-        this.server.disableKeepAlive();
+        const exitMs = stopRequestedMs + graceMs - graceMarginMs;
+        this.server.disableKeepAlive(exitMs);
         log("stopping", { activeCalls: this.server.activeCalls });
         await sleepFor(scheduler, Math.min(acceptWhileStoppingMs, graceMs / 3));
-        const remainingMs = graceMs - graceMarginMs - (scheduler.nowMs() - stopRequestedMs);
-        await Promise.race([this.server.drain(), sleepFor(scheduler, remainingMs)]);
+        const drained = this.server.drain();
+        await Promise.race([drained, sleepFor(scheduler, exitMs - lastAnswersMs - scheduler.nowMs())]);
+        this.server.endUnfinishedCalls();
+        await Promise.race([drained, sleepFor(scheduler, lastAnswersMs)]);
         log("stopped", { unfinishedCalls: this.server.activeCalls });
         this.membership.leave();
         await sleepFor(scheduler, leaveMessageFlushMs);
--- a/src/node/relay/isFinalResult.ts
+++ b/src/node/relay/isFinalResult.ts
@@ -6,6 +6,7 @@
     cancelReasons.deadlineExceeded,
     cancelReasons.callerDisconnected,
     cancelReasons.partQuarantined,
+    cancelReasons.vmStopping,
 ];
 
 /** Whether no other attempt may follow this result: it is an answer, or the call has been given up. */
