Forward reads of the log in a large fleet through one VM of each group

The reader sent each read to every other VM itself, and a read larger than 2 MiB over the number of VMs was only announced: with 195 VMs that is a configuration of 11 kB, so that each change of the configuration made all of them read the store. Now planForwarding groups the VMs of a large fleet by zone, 24 at most, and one VM of each group passes the read on. The limit counts the copies that one VM sends, and few copies cross zones.

How often the log is read and how long a VM waits for a reader now follow from the time limit for a change in the settings (computeFollowerTiming): unchanged at 2 s, half as often at 4 s.

Each VM announced itself in the registry at its start. Only a VM that knows no other uses the registry, so now five VMs of each part of the fleet are in it (RegistryTask, cut out of RelayVm).

--- a/src/core/relay/limitForwardedRead.ts
+++ b/src/core/relay/limitForwardedRead.ts
@@ -1,5 +1,5 @@
 /**
- * Largest size of the records of one read times the number of VMs that they are sent to. Compressed to a fifth, as configurations are,
+ * Largest size of the records of one read times the number of VMs that one VM sends them to. Compressed to a fifth, as configurations are,
  * this occupies a link of 7 Mbit/s for half a second; calls of the VM wait meanwhile.
  */
 const maxBroadcastBytes = 2 * 1024 * 1024;
@@ -12,7 +12,7 @@
 }
 
 /**
- * Returns what to send of a forwarded read to each of `vmCount` VMs. Records that would occupy the link of this VM for too long are left
+ * Returns what to send of a forwarded read when a VM sends it to `vmCount` others. Records that would occupy a link for too long are left
  * out, and the range starts after them, so that the receivers see a gap and read the log themselves.
  */
 export function limitForwardedRead<Record extends { readonly value: Uint8Array | undefined; }>(
--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -50,6 +50,8 @@
         waitMs: 0,
         readPauseMs,
         startupDelayMs,
+        baseSilenceTimeoutMs: 1_100,
+        silenceTimeoutPerRankMs: 100,
         readerRank: () => rank,
         onRecords: (records, isWhole) => {
             appliedKeys.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
@@ -100,6 +102,8 @@
         waitMs: 0,
         readPauseMs,
         startupDelayMs: 0,
+        baseSilenceTimeoutMs: 1_100,
+        silenceTimeoutPerRankMs: 100,
         readerRank: () => rank,
         onRecords: (records, isWhole) => {
             state.applyConfigRecords(records);
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -28,6 +28,12 @@
      * themselves the reader.
      */
     readonly startupDelayMs: number;
+    /**
+     * A VM that is not the reader reads the log when it has heard from no reader for `baseSilenceTimeoutMs`, plus a delay for each rank, so that
+     * the next in rank takes over when the reader is silent or cut off from the platform.
+     */
+    readonly baseSilenceTimeoutMs: number;
+    readonly silenceTimeoutPerRankMs: number;
     /** Applies records and returns those to forward to other VMs; with `isWhole`, `records` holds the newest record of each key. */
     readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
@@ -46,12 +52,6 @@
 /** Delay of the next read after a failed one, doubled with each further failure up to the maximum. */
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 800;
-/**
- * A VM that is not the reader reads the log when it has heard from no reader for this long, plus a delay for each rank, so that the next in
- * rank takes over when the reader is silent or cut off from the platform. Every VM reads for itself before the time limit for a change is over.
- */
-const baseSilenceTimeoutMs = 1_100;
-const silenceTimeoutPerRankMs = 100;
 /** VMs from this rank on all read at the same time, and only for themselves: they forward nothing. */
 const firstNonForwardingRank = 4;
 /** Interval at which a VM that waits for the reader checks whether it has become the reader itself, aligned to multiples of the interval. */
@@ -97,7 +97,8 @@
 
     /** How long this VM waits to hear from a reader before it reads itself; 0 for the reader. */
     private get silenceTimeoutMs(): number {
-        const rank = this.options.readerRank();
+        const { readerRank, baseSilenceTimeoutMs, silenceTimeoutPerRankMs } = this.options;
+        const rank = readerRank();
         return rank === 0 ? 0 : baseSilenceTimeoutMs + Math.min(rank, firstNonForwardingRank) * silenceTimeoutPerRankMs;
     }
 
--- a/src/node/relay/KeyedLogMonitor.test.ts
+++ b/src/node/relay/KeyedLogMonitor.test.ts
@@ -53,6 +53,8 @@
         waitMs: 0,
         readPauseMs: 600,
         startupDelayMs: 0,
+        baseSilenceTimeoutMs: 1_100,
+        silenceTimeoutPerRankMs: 100,
         onRecords: applied => applied.slice(1),
         readerRank: () => rank,
         onRead: () => 86,
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -1,8 +1,8 @@
 import { ResultAsync } from "neverthrow";
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
+import { computeFollowerTiming } from "../../core/relay/computeFollowerTiming.js";
 import { EnginePlacer } from "../../core/relay/EnginePlacer.js";
 import { LeastLoadedPlacer } from "../../core/relay/LeastLoadedPlacer.js";
-import { limitForwardedRead } from "../../core/relay/limitForwardedRead.js";
 import type { Placement } from "../../core/relay/Placement.js";
 import type { PlacementRequest } from "../../core/relay/PlacementRequest.js";
 import { UpstreamAvailability } from "../../core/relay/UpstreamAvailability.js";
@@ -11,7 +11,6 @@
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
 import { computeRendezvousRank } from "../../core/util/computeRendezvousRank.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
-import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { VmList } from "../../schema/platform/VmList.js";
 import { sleepFor } from "../config/sleepFor.js";
 import { createLogger } from "../logs/createLogger.js";
@@ -27,6 +26,8 @@
 import { LoadExchange } from "./LoadExchange.js";
 import { PlacementExchange } from "./PlacementExchange.js";
 import { PromptPartGuard } from "./PromptPartGuard.js";
+import { ReadForwarder } from "./ReadForwarder.js";
+import { RegistryTask } from "./RegistryTask.js";
 import { RelayMetrics } from "./RelayMetrics.js";
 import { RelayServer } from "./RelayServer.js";
 import { RelayState } from "./RelayState.js";
@@ -39,13 +40,6 @@
 const connectTimeoutMs = 300;
 /** Idle connections to upstreams are closed after this, before upstreams or network faults close them unnoticed. */
 const keepAliveMs = 4_000;
-/**
- * Longest wait of a read for configuration changes. The other VMs hear from the reader at least this often, so that a reader that stops
- * sending is replaced within the two seconds that a configuration change may take.
- */
-const configReadWaitMs = 500;
-/** Pause between reads of the upstream list, which upstreams write to all the time; a change must be known within two seconds. */
-const upstreamsReadPauseMs = 600;
 /** A VM that starts does not read changes itself for this long; less than the three seconds for which a starting VM may lag behind. */
 const followerStartupDelayMs = 1_500;
 /**
@@ -70,8 +64,6 @@
 /** Time before the exit in which calls that are still unanswered are told so. */
 const lastAnswersMs = 200;
 const leaveMessageFlushMs = 50;
-/** Interval at which a VM that is not in the registry announces itself, and one that knows no other VM looks for others there. */
-const registryCheckIntervalMs = 3_000;
 /** Hash key for ranking the VMs that read the platform's log for the fleet. */
 const logReaderDuty = "log-reader";
 /** Largest share by which a VM lengthens the delays of its probes of quarantined prompt parts. */
@@ -224,32 +216,47 @@
         }).start(signal);
         this.placementExchange.start(signal);
         this.partGuard.start(signal);
+        const timing = computeFollowerTiming(dependencies.changeLimitMs);
+        const forwarder = new ReadForwarder({
+            vm: dependencies.vm,
+            links,
+            membership: this.membership,
+            onRead: (from, stream, read) => {
+                (stream === "config" ? config : upstreams).receiveFromPeer(from, read);
+            },
+        });
         const config = this.createFollower(
+            forwarder,
             "config",
             dependencies.config.source,
-            configReadWaitMs,
-            0,
+            { waitMs: timing.configReadWaitMs, readPauseMs: 0 },
             records => state.applyConfigRecords(records),
         );
         const upstreams = this.createFollower(
+            forwarder,
             "upstreams",
             dependencies.upstreams.source,
-            0,
-            upstreamsReadPauseMs,
+            { waitMs: 0, readPauseMs: timing.upstreamsReadPauseMs },
             (records, isWhole) => state.applyUpstreamRecords(records, isWhole),
         );
-        links.onMessage("keyedRecords", (from, { stream, fromOffset, records, nextOffset }) => {
-            const keyedRecords = records.map(({ offset, key, value }) => ({ offset, key, value }));
-            (stream === "config" ? config : upstreams).receiveFromPeer(from, { fromOffset, records: keyedRecords, nextOffset });
-            return undefined;
-        }, signal);
+        forwarder.start(signal);
         void config.run(signal);
         void upstreams.run(signal);
         scheduler.every(expiryCheckIntervalMs, latenessMs => {
             this.relayMetrics.recordTimerLateness(latenessMs);
             state.removeExpiredUpstreams();
         }, signal);
-        this.startRegistryTasks(signal);
+        new RegistryTask({
+            vm: dependencies.vm,
+            availabilityZone: dependencies.availabilityZone,
+            peerUrl: dependencies.peerUrl,
+            registry: dependencies.registry,
+            membership: this.membership,
+            scheduler,
+            onListed: vms => {
+                this.registeredVms = vms;
+            },
+        }).start(signal);
         signal.addEventListener("abort", () => {
             this.stopController.abort();
             void this.connections.close();
@@ -257,14 +264,15 @@
     }
 
     private createFollower(
+        forwarder: ReadForwarder,
         name: "config" | "upstreams",
         source: KeyedLog,
-        waitMs: number,
-        readPauseMs: number,
+        reads: { readonly waitMs: number; readonly readPauseMs: number; },
         onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[],
     ): KeyedLogFollower {
         const { relayMetrics } = this;
-        const { scheduler } = this.dependencies;
+        const { scheduler, changeLimitMs } = this.dependencies;
+        const { baseSilenceTimeoutMs, silenceTimeoutPerRankMs } = computeFollowerTiming(changeLimitMs);
         const monitor = new KeyedLogMonitor({
             name,
             nowMs: () => scheduler.nowMs(),
@@ -281,9 +289,10 @@
             source,
             scheduler,
             monitor,
-            waitMs,
-            readPauseMs,
+            ...reads,
             startupDelayMs: followerStartupDelayMs,
+            baseSilenceTimeoutMs,
+            silenceTimeoutPerRankMs,
             readerRank: () => this.readerRank,
             onRecords: (records, isWhole) => {
                 const forwarded = onRecords(records, isWhole);
@@ -291,11 +300,7 @@
                 return forwarded;
             },
             onRead: (read, forwarded) => {
-                const limited = limitForwardedRead({ ...read, records: forwarded }, this.membership.members.length - 1);
-                if (limited.records.length < forwarded.length) {
-                    log("read is too large to forward; other VMs read the log themselves", { stream: name, ...read });
-                }
-                const counts = this.broadcast({ type: "keyedRecords", stream: name, ...limited, records: [...limited.records] });
+                const counts = forwarder.forward(name, { ...read, records: forwarded });
                 relayMetrics.recordForwarded(name, counts);
                 return counts.sent;
             },
@@ -315,41 +320,6 @@
         return computeRendezvousRank(logReaderDuty, this.dependencies.vm, ready);
     }
 
-    /** Returns the number of VMs that the message was sent to, and of those without a link. */
-    private broadcast(message: PeerMessage): { readonly sent: number; readonly unsent: number; } {
-        const others = this.membership.members.filter(({ vm }) => vm !== this.dependencies.vm);
-        const sent = others.filter(({ vm }) => this.dependencies.links.send(vm, message)).length;
-        return { sent, unsent: others.length - sent };
-    }
-
-    /** Announces this VM's address in the platform's registry, and looks there for other VMs while none is known. */
-    private startRegistryTasks(signal: AbortSignal): void {
-        const { registry, vm, availabilityZone, peerUrl, scheduler } = this.dependencies;
-        let isAnnounced = false;
-        const announce = async () => {
-            const announced = await registry.announce({ vm, availabilityZone, peerUrl, leaving: false }, signal);
-            isAnnounced = announced.isOk();
-            if (announced.isErr()) {
-                log("announcing this VM in the registry failed; retrying", { reason: announced.error.message });
-            }
-        };
-        const check = async () => {
-            if (!isAnnounced) {
-                await announce();
-            }
-            if (this.membership.members.length === 1) {
-                const listed = await registry.list(signal);
-                this.registeredVms = listed.unwrapOr([]).filter(other => other.vm !== vm);
-                log("no other VM is known; looked for VMs in the registry", {
-                    found: this.registeredVms.length,
-                    reason: listed.isErr() ? listed.error.message : undefined,
-                });
-            }
-        };
-        scheduler.after(registryCheckIntervalMs / 10, () => void announce(), signal);
-        scheduler.every(registryCheckIntervalMs, () => void check(), signal);
-    }
-
     private announceReadiness(): void {
         const self = this.membership.members.find(member => member.vm === this.dependencies.vm);
         if (self?.state === "starting" && this.isReady) {
--- a/src/node/relay/relayLinkLimits.test.ts
+++ b/src/node/relay/relayLinkLimits.test.ts
@@ -55,6 +55,7 @@
             fromOffset: 0,
             nextOffset: 1,
             records: [{ offset: 0, key: "config", value }],
+            passOnTo: [],
         };
         await until(() => left.links.send("vm-2", { ...message, records: [] }));
         const sentBytesBefore = left.links.sentBytes;
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -1,4 +1,5 @@
 import { ok } from "neverthrow";
+import { computeFollowerTiming } from "../../../core/relay/computeFollowerTiming.js";
 import { exampleConfig } from "../../../core/relay/testing/exampleConfig.js";
 import { exampleUpstream } from "../../../core/relay/testing/exampleUpstream.js";
 import { computeRendezvousRank } from "../../../core/util/computeRendezvousRank.js";
@@ -61,10 +62,11 @@
 /** Longest time from the append of a record until every VM has applied it. */
 const boundMs = applyLimitMs + maxStallMs;
 const historyLength = 6;
+const { configReadWaitMs, upstreamsReadPauseMs, ...silenceTimeouts } = computeFollowerTiming(applyLimitMs);
 /** The waits and pauses of `RelayVm`. */
 const followerTiming = {
-    config: { waitMs: 500, readPauseMs: 0, startupDelayMs: 1_500 },
-    upstreams: { waitMs: 0, readPauseMs: 600, startupDelayMs: 1_500 },
+    config: { ...silenceTimeouts, waitMs: configReadWaitMs, readPauseMs: 0, startupDelayMs: 1_500 },
+    upstreams: { ...silenceTimeouts, waitMs: 0, readPauseMs: upstreamsReadPauseMs, startupDelayMs: 1_500 },
 };
 
 /**
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -145,6 +145,8 @@
         records: z.array(
             z.object({ offset: z.int(), key: z.string(), value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).optional() }),
         ),
+        /** VMs that the receiver sends the message on to. */
+        passOnTo: z.array(z.string()).default([]),
     }),
     z.object({
         type: z.literal("promptParts"),
