Give VMs that start or have missed records the newest ones from other VMs

Each VM read both keyed logs at its start, two or more calls for each, and each VM read them again for itself after a gap: when the reader had found its position forgotten, or a read too large to forward. With 195 VMs each of these costs hundreds of calls. Now a VM that starts asks a VM that a link leads to, 3 to 5 s long while the whole fleet starts for the first time and 0.4 to 0.8 s otherwise, and one that sees a gap asks the VM that forwarded the read. Only a VM that has heard of the log lately answers, and only with records that a link carries to its group in half a second; otherwise the VM reads the log as before. A seed reads the log at once.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -9,12 +9,13 @@
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
+import type { LogSnapshot } from "./LogSnapshot.js";
 import { RelayState } from "./RelayState.js";
 import { createTestMonitor } from "./testing/createTestMonitor.js";
 
 const readPauseMs = 600;
 
-function create(rank: number, startupDelayMs = 0) {
+function create(rank: number, startupDelayMs = 0, requestSnapshot: () => LogSnapshot | undefined = () => undefined, snapshotWaitMs = 0) {
     const log: KeyedRecord[] = [];
     const state: { failure: LogError["kind"] | undefined; reads: number; replyDelayMs: number; newestOffset: number | undefined; } = {
         failure: undefined,
@@ -52,6 +53,8 @@
         startupDelayMs,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
+        requestSnapshot: () => Promise.resolve(requestSnapshot()),
+        snapshotWaitMs,
         readerRank: () => rank,
         onRecords: (records, isWhole) => {
             appliedKeys.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
@@ -104,6 +107,8 @@
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
+        requestSnapshot: () => Promise.resolve(undefined),
+        snapshotWaitMs: 0,
         readerRank: () => rank,
         onRecords: (records, isWhole) => {
             state.applyConfigRecords(records);
@@ -376,3 +381,52 @@
     const { finishRead } = await createReaderAndReceiver({ changed: 1 }, { changed: 2, new: 2 });
     expect(await finishRead(3, "changed", "new")).toEqual([2, 2]);
 });
+
+test("a VM that starts takes the newest records from another VM and does not read the log, which follows them", async () => {
+    const snapshots: (LogSnapshot | undefined)[] = [undefined, {
+        nextOffset: 7,
+        records: [{ offset: 4, key: "a", value: Buffer.from("1") }],
+    }];
+    const { follower, start, scheduler, state, appliedKeys } = create(9, 1_500, () => snapshots.shift(), 1_000);
+    start();
+    await scheduler.advanceAsync(500);
+    expect([follower.nextOffset, appliedKeys, state.reads]).toEqual([7, ["a!"], 0]);
+    follower.receiveFromPeer("vm-2", { fromOffset: 7, nextOffset: 8, records: [{ offset: 7, key: "b", value: Buffer.from("2") }] });
+    expect(follower.getSnapshot()).toEqual({
+        nextOffset: 8,
+        records: [{ offset: 4, key: "a", value: Buffer.from("1") }, { offset: 7, key: "b", value: Buffer.from("2") }],
+    });
+    follower.receiveFromPeer("vm-2", { fromOffset: 8, nextOffset: 9, records: [{ offset: 8, key: "a", value: undefined }] });
+    expect(follower.getSnapshot()?.records.map(({ key }) => key)).toEqual(["b"]);
+});
+
+test("a VM that starts reads the log itself when no other VM has its records in time", async () => {
+    const { follower, start, scheduler, state } = create(9, 1_500, () => undefined, 1_000);
+    start();
+    await scheduler.advanceAsync(999);
+    expect([follower.nextOffset, state.reads]).toEqual([undefined, 0]);
+    await scheduler.advanceAsync(2);
+    expect([follower.nextOffset, state.reads]).toEqual([0, 1]);
+});
+
+test("after a gap a VM takes the newest records from the VM that has forwarded later ones, also if that has them only a moment later", async () => {
+    const snapshots: LogSnapshot[] = [];
+    const { follower, start, scheduler, state, appliedKeys } = create(9, 0, () => snapshots.shift());
+    start();
+    await scheduler.advanceAsync(1);
+    const readsBefore = state.reads;
+    snapshots.push({ nextOffset: 3, records: [] }, { nextOffset: 9, records: [{ offset: 8, key: "a", value: Buffer.from("1") }] });
+    follower.receiveFromPeer("vm-2", { fromOffset: 8, nextOffset: 9, records: [] });
+    await scheduler.advanceAsync(1_000);
+    expect([follower.nextOffset, appliedKeys, state.reads]).toEqual([9, ["a!"], readsBefore]);
+});
+
+test("records that a VM has heard of too long ago are not given to others", async () => {
+    const { follower, start, scheduler, state } = create(9);
+    start();
+    await scheduler.advanceAsync(1);
+    expect(follower.getSnapshot()?.nextOffset).toEqual(0);
+    state.failure = "unavailable";
+    await scheduler.advanceAsync(1_200);
+    expect(follower.getSnapshot()).toEqual(undefined);
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -5,6 +5,7 @@
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
 import type { KeyedLogMonitor } from "./KeyedLogMonitor.js";
+import type { LogSnapshot } from "./LogSnapshot.js";
 
 const log = createLogger("follow");
 
@@ -47,6 +48,10 @@
     /** Called when the log becomes reachable, and after each read that fails. */
     readonly onReachabilityChange: (isReachable: boolean) => void;
     readonly monitor: KeyedLogMonitor;
+    /** Requests the newest records from `vm`, or from any other VM; undefined when that has none. */
+    readonly requestSnapshot: (vm: string | undefined, signal: AbortSignal) => Promise<LogSnapshot | undefined>;
+    /** How long a VM that starts looks for another one that has the newest records, before it reads them itself. */
+    readonly snapshotWaitMs: number;
 }
 
 /** Delay of the next read after a failed one, doubled with each further failure up to the maximum. */
@@ -56,6 +61,9 @@
 const firstNonForwardingRank = 4;
 /** Interval at which a VM that waits for the reader checks whether it has become the reader itself, aligned to multiples of the interval. */
 const readerCheckIntervalMs = 200;
+/** Pause between requests for a snapshot, and how often one is requested after a gap. */
+const snapshotRetryMs = 100;
+const maxSnapshotTriesAfterGap = 3;
 
 /** Follows a keyed log: reads the newest record of each key first, then changes, which the reader forwards to the other VMs of the fleet. */
 export class KeyedLogFollower {
@@ -66,16 +74,25 @@
     private isReachable: boolean | undefined;
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
+    private lastReadMs = -Infinity;
     private startupDelayEndMs = -Infinity;
     private hasRead = false;
     private currentReader: string | undefined;
+    /** The VM whose forwarded read left a gap, and the offset up to which this VM lacks records. */
+    private gap: { readonly vm: string; readonly endOffset: number; } | undefined;
+    /** The newest record of each key, for other VMs. */
+    private readonly newestRecords = new Map<string, KeyedRecord>();
 
     constructor(private readonly options: KeyedLogFollowerOptions) {}
 
     /** Reads until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { scheduler, readPauseMs } = this.options;
+        await this.startFromPeer(signal);
         while (!signal.aborted) {
+            if (this.gap !== undefined) {
+                await this.closeGap(this.gap, signal);
+            }
             const nowMs = scheduler.nowMs();
             const remainingWaitMs = Math.max(this.lastHeardMs, this.startupDelayEndMs) + this.silenceTimeoutMs - nowMs;
             if (this.nextOffset !== undefined && remainingWaitMs > 0) {
@@ -106,6 +123,7 @@
     receiveFromPeer(from: string, { fromOffset, records, nextOffset }: ForwardedRead): void {
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
             this.options.monitor.recordGap(from, { fromOffset, nextOffset }, this.nextOffset);
+            this.gap = { vm: from, endOffset: fromOffset };
             this.lastHeardMs = -Infinity;
             this.startupDelayEndMs = -Infinity;
             return;
@@ -121,13 +139,83 @@
         this.applyRecords(records, nextOffset);
     }
 
+    /** The newest records, for a VM that lacks them; undefined when this VM has not heard of the log for too long. */
+    getSnapshot(): LogSnapshot | undefined {
+        const heardMs = Math.max(this.lastHeardMs, this.lastReadMs);
+        const isRecent = this.options.scheduler.nowMs() - heardMs <= this.options.baseSilenceTimeoutMs;
+        return this.nextOffset === undefined || !isRecent
+            ? undefined
+            : { nextOffset: this.nextOffset, records: [...this.newestRecords.values()] };
+    }
+
     private applyRecords(records: readonly KeyedRecord[], nextOffset: number): readonly KeyedRecord[] {
         if (this.nextOffset === undefined || nextOffset <= this.nextOffset) {
             return [];
         }
         const firstNewOffset = this.nextOffset;
         this.nextOffset = nextOffset;
-        return this.options.onRecords(records.filter(record => record.offset >= firstNewOffset), false);
+        return this.apply(records.filter(record => record.offset >= firstNewOffset), false);
+    }
+
+    /** Applies records and keeps those that say something new. Returns these. */
+    private apply(records: readonly KeyedRecord[], isWhole: boolean): readonly KeyedRecord[] {
+        if (isWhole) {
+            this.newestRecords.clear();
+        }
+        const changed = this.options.onRecords(records, isWhole);
+        for (const { key, offset, value } of isWhole ? records : changed) {
+            if (value === undefined) {
+                this.newestRecords.delete(key);
+            }
+            else {
+                // A copy, as the value may be a part of a large buffer.
+                this.newestRecords.set(key, { key, offset, value: Buffer.from(value) });
+            }
+        }
+        return changed;
+    }
+
+    /** Takes the newest records from another VM at the start, as long as one may have them. */
+    private async startFromPeer(signal: AbortSignal): Promise<void> {
+        const { scheduler, snapshotWaitMs } = this.options;
+        const endMs = scheduler.nowMs() + snapshotWaitMs;
+        while (!signal.aborted && this.nextOffset === undefined && scheduler.nowMs() < endMs) {
+            this.applySnapshot(await this.options.requestSnapshot(undefined, signal));
+            if (this.nextOffset === undefined) {
+                await sleepFor(scheduler, Math.min(snapshotRetryMs, endMs - scheduler.nowMs()));
+            }
+        }
+    }
+
+    /** Takes the missing records from the VM that has forwarded later ones; it may lack them itself for a moment. */
+    private async closeGap({ vm, endOffset }: { readonly vm: string; readonly endOffset: number; }, signal: AbortSignal): Promise<void> {
+        this.gap = undefined;
+        for (let tries = 0; tries < maxSnapshotTriesAfterGap && !signal.aborted; tries++) {
+            const snapshot = await this.options.requestSnapshot(vm, signal);
+            this.applySnapshot(snapshot);
+            if (snapshot === undefined || this.nextOffset !== undefined && this.nextOffset >= endOffset) {
+                return;
+            }
+            await sleepFor(this.options.scheduler, snapshotRetryMs);
+        }
+    }
+
+    /** Applies the newest records of another VM if they are newer than this VM's. */
+    private applySnapshot(snapshot: LogSnapshot | undefined): void {
+        if (snapshot !== undefined && snapshot.nextOffset > (this.nextOffset ?? -1)) {
+            this.takeNewest(snapshot);
+        }
+    }
+
+    private takeNewest({ nextOffset, records }: LogSnapshot): void {
+        this.nextOffset = nextOffset;
+        this.newestEndOffset = Math.max(nextOffset, ...records.map(record => record.offset + 1));
+        this.lastHeardMs = this.options.scheduler.nowMs();
+        if (!this.hasRead) {
+            this.hasRead = true;
+            this.startupDelayEndMs = this.lastHeardMs + this.options.startupDelayMs;
+        }
+        this.apply(records, true);
     }
 
     private async readNewest(signal: AbortSignal): Promise<boolean> {
@@ -138,14 +226,7 @@
         }
         this.recordSuccess();
         this.options.monitor.recordRead(read.value.records.length);
-        this.nextOffset = read.value.nextOffset;
-        this.newestEndOffset = Math.max(this.nextOffset, ...read.value.records.map(record => record.offset + 1));
-        this.lastHeardMs = this.options.scheduler.nowMs();
-        if (!this.hasRead) {
-            this.hasRead = true;
-            this.startupDelayEndMs = this.lastHeardMs + this.options.startupDelayMs;
-        }
-        this.options.onRecords(read.value.records, true);
+        this.takeNewest(read.value);
         return true;
     }
 
@@ -182,6 +263,7 @@
 
     private recordSuccess(): void {
         this.consecutiveFailures = 0;
+        this.lastReadMs = this.options.scheduler.nowMs();
         if (this.isReachable !== true) {
             this.isReachable = true;
             log("platform log is reachable", { stream: this.options.name });
--- a/src/node/relay/KeyedLogMonitor.test.ts
+++ b/src/node/relay/KeyedLogMonitor.test.ts
@@ -55,6 +55,8 @@
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
+        requestSnapshot: () => Promise.resolve(undefined),
+        snapshotWaitMs: 0,
         onRecords: applied => applied.slice(1),
         readerRank: () => rank,
         onRead: () => 86,
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -32,6 +32,7 @@
 import { RelayServer } from "./RelayServer.js";
 import { RelayState } from "./RelayState.js";
 import type { RelayVmOptions } from "./RelayVmOptions.js";
+import { SnapshotExchange } from "./SnapshotExchange.js";
 import { startProbeServer } from "./startProbeServer.js";
 
 const log = createLogger("vm");
@@ -42,6 +43,8 @@
 const keepAliveMs = 4_000;
 /** A VM that starts does not read changes itself for this long; less than the three seconds for which a starting VM may lag behind. */
 const followerStartupDelayMs = 1_500;
+/** How long a VM that starts looks for another one that has the records of the platform's log, before it reads them itself. */
+const snapshotWaits = { firstStart: { minMs: 3_000, maxMs: 5_000 }, restart: { minMs: 400, maxMs: 800 } };
 /**
  * Membership selects the VMs that read the log and place calls for others. Both duties also have their own failover when a VM stops
  * answering, so failure detection may be slow: each heartbeat and tick costs a small VM a wake-up. Neighbours are reselected at most once
@@ -94,7 +97,9 @@
     private readonly plainPlacer: LeastLoadedPlacer;
     private readonly placementExchange: PlacementExchange;
     private readonly partGuard: PromptPartGuard;
+    private readonly snapshots: SnapshotExchange;
     private readonly stopController = new AbortController();
+    private readonly followers = new Map<string, KeyedLogFollower>();
     private registeredVms: VmList["vms"] = [];
     private isStopping = false;
 
@@ -132,6 +137,12 @@
             scheduler,
             placeLocally: request => this.placeLocally(request),
         });
+        this.snapshots = new SnapshotExchange({
+            links,
+            membership: this.membership,
+            random: Math.random,
+            getSnapshot: stream => this.followers.get(stream)?.getSnapshot(),
+        });
         this.partGuard = new PromptPartGuard({
             vm,
             links,
@@ -222,7 +233,7 @@
             links,
             membership: this.membership,
             onRead: (from, stream, read) => {
-                (stream === "config" ? config : upstreams).receiveFromPeer(from, read);
+                this.followers.get(stream)?.receiveFromPeer(from, read);
             },
         });
         const config = this.createFollower(
@@ -240,6 +251,7 @@
             (records, isWhole) => state.applyUpstreamRecords(records, isWhole),
         );
         forwarder.start(signal);
+        this.snapshots.start(signal);
         void config.run(signal);
         void upstreams.run(signal);
         scheduler.every(expiryCheckIntervalMs, latenessMs => {
@@ -293,6 +305,8 @@
             startupDelayMs: followerStartupDelayMs,
             baseSilenceTimeoutMs,
             silenceTimeoutPerRankMs,
+            snapshotWaitMs: this.snapshotWaitMs,
+            requestSnapshot: (vm, signal) => this.snapshots.request(name, vm, signal),
             readerRank: () => this.readerRank,
             onRecords: (records, isWhole) => {
                 const forwarded = onRecords(records, isWhole);
@@ -310,10 +324,21 @@
                 }
             },
         });
+        this.followers.set(name, follower);
         relayMetrics.addStream({ name, nextOffset: () => follower.nextOffset, heardMsAgo: source => monitor.heardMsAgo(source) });
         return follower;
     }
 
+    /**
+     * A VM that others are told to join through reads the log at once. The others wait longer while the whole fleet starts for the first time,
+     * which needs no haste, and differ in how long, so that not all of them read the log when no VM has its records.
+     */
+    private get snapshotWaitMs(): number {
+        const { seeds, peerUrl, isFirstStart } = this.dependencies;
+        const { minMs, maxMs } = isFirstStart ? snapshotWaits.firstStart : snapshotWaits.restart;
+        return seeds.length === 0 || seeds.includes(peerUrl) ? 0 : minMs + Math.random() * (maxMs - minMs);
+    }
+
     /** One VM reads the platform's log for the fleet, and the next in rank when it does not; the ranks follow from the membership view. */
     private get readerRank(): number {
         const ready = this.membership.members.filter(member => member.state === "ready").map(member => member.vm);
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -8,6 +8,7 @@
 import type { KeyedLog } from "../../services/KeyedLog.js";
 import type { KeyedRecord } from "../../services/KeyedRecord.js";
 import { KeyedLogFollower } from "../KeyedLogFollower.js";
+import type { LogSnapshot } from "../LogSnapshot.js";
 import { RelayState } from "../RelayState.js";
 import { createTestMonitor } from "./createTestMonitor.js";
 import { SimulatedKeyedLog } from "./SimulatedKeyedLog.js";
@@ -44,6 +45,7 @@
     newUpstreamsOvertaken: number;
     changedUpstreamsOvertaken: number;
     removedUpstreamsOvertaken: number;
+    snapshots: number;
 }
 
 interface FollowersResult {
@@ -62,6 +64,8 @@
 /** Longest time from the append of a record until every VM has applied it. */
 const boundMs = applyLimitMs + maxStallMs;
 const historyLength = 6;
+const snapshotWaitMs = 500;
+const lostSnapshotShare = 0.1;
 const { configReadWaitMs, upstreamsReadPauseMs, ...silenceTimeouts } = computeFollowerTiming(applyLimitMs);
 /** The waits and pauses of `RelayVm`. */
 const followerTiming = {
@@ -97,6 +101,7 @@
         newUpstreamsOvertaken: 0,
         changedUpstreamsOvertaken: 0,
         removedUpstreamsOvertaken: 0,
+        snapshots: 0,
     };
     private readonly lastForwarder = new Map<Stream, { readonly vm: string; readonly nowMs: number; }>();
     private lastConfigVersion = 0;
@@ -206,6 +211,8 @@
             },
             onReachabilityChange: () => undefined,
             monitor: createTestMonitor(() => processor.nowMs()),
+            snapshotWaitMs,
+            requestSnapshot: vm => this.requestSnapshot(getVm(), stream, vm),
         });
     }
 
@@ -283,6 +290,35 @@
         }
     }
 
+    /** Requests a snapshot from a VM, or from any other one that has started; its answer may be lost. */
+    private async requestSnapshot(vm: SimulatedVm, stream: Stream, from: string | undefined): Promise<LogSnapshot | undefined> {
+        const candidates = this.vms.filter(other =>
+            other !== vm && other.startMs <= this.scheduler.nowMs() && (from === undefined || other.name === from)
+        );
+        const source = candidates[Math.floor(this.random() * candidates.length)];
+        if (source === undefined) {
+            return undefined;
+        }
+        const snapshot = await this.transfer(source.processor, () => source.followers[stream].getSnapshot());
+        const received = await this.transfer(vm.processor, () => this.random() < lostSnapshotShare ? undefined : snapshot);
+        if (received !== undefined) {
+            this.cases.snapshots++;
+            this.note(vm, stream, `receives the newest records of ${source.name}, nextOffset ${received.nextOffset}`);
+        }
+        return received;
+    }
+
+    /** Runs a task on a VM after the delay of a link. */
+    private transfer<T>(processor: SimulatedProcessor, task: () => T): Promise<T> {
+        return new Promise(resolve => {
+            this.schedule(this.randomDelayMs(400), () => {
+                processor.handle(() => {
+                    resolve(task());
+                });
+            });
+        });
+    }
+
     private checkPosition(vm: SimulatedVm, stream: Stream): void {
         const { nextOffset } = vm.followers[stream];
         if (nextOffset !== undefined) {
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -148,6 +148,18 @@
         /** VMs that the receiver sends the message on to. */
         passOnTo: z.array(z.string()).default([]),
     }),
+    /** Asks for the newest records of a keyed stream of the platform's log that the receiver knows. */
+    z.object({ type: z.literal("keyedSnapshotAsk"), stream: z.string() }),
+    z.object({
+        type: z.literal("keyedSnapshotAnswer"),
+        /** Omitted while the sender has no recent records, or too many to send. */
+        snapshot: z.object({
+            nextOffset: z.int(),
+            records: z.array(
+                z.object({ offset: z.int(), key: z.string(), value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array) }),
+            ),
+        }).optional(),
+    }),
     z.object({
         type: z.literal("promptParts"),
         news: PromptPartNews,
