--- /dev/null
+++ b/src/node/relay/CallPlacer.ts
@@ -0,0 +1,70 @@
+import { decidePausedCall } from "../../core/relay/decidePausedCall.js";
+import type { Placement } from "../../core/relay/Placement.js";
+import { sleepFor } from "../config/sleepFor.js";
+import { createLogger } from "../logs/createLogger.js";
+import type { CallContext } from "./CallContext.js";
+
+const log = createLogger("relay");
+/** Interval at which a call that waits for a paused upstream looks for another one that has become available. */
+const pausedCheckIntervalMs = 50;
+
+/** Where a call goes next; `paused`: all upstreams that are left want no calls for this long. */
+type PlacementResult =
+    | { readonly kind: "placed"; readonly placement: Placement; }
+    | { readonly kind: "no-upstream"; }
+    | { readonly kind: "paused"; readonly retryAfterMs: number; };
+
+/** Chooses the upstreams of one call; none of them twice. */
+export class CallPlacer {
+    private readonly triedUpstreamIds = new Set<string>();
+    private hasLoggedPause = false;
+
+    constructor(private readonly context: CallContext) {}
+
+    recordAttempt(upstreamId: string): void {
+        this.triedUpstreamIds.add(upstreamId);
+    }
+
+    hasAlternative(): boolean {
+        return this.findAvailable().candidates.length > 0;
+    }
+
+    /** Chooses an upstream; waits for one that is paused if the call can then still be answered in time. */
+    async choose(): Promise<PlacementResult> {
+        const { service, request, dependencies: { directory, placeCall, scheduler } } = this.context;
+        for (;;) {
+            const nowMs = scheduler.nowMs();
+            const { candidates, firstReturnMs } = this.findAvailable();
+            if (candidates.length > 0 || firstReturnMs === undefined) {
+                const { call, route } = request;
+                const placement = await placeCall({ service, call, route, available: directory.available(service), candidates, nowMs });
+                return placement === undefined ? { kind: "no-upstream" } : { kind: "placed", placement };
+            }
+            const decision = decidePausedCall({
+                nowMs,
+                firstReturnMs,
+                arrivedMs: request.arrivedMs,
+                deadlineMs: this.context.deadlineMs,
+                targetMs: request.route.targetMs,
+                tier: request.tier,
+                random: Math.random(),
+            });
+            if (!this.hasLoggedPause) {
+                this.hasLoggedPause = true;
+                log("all upstreams that are left are paused", { requestId: request.call.requestId, service, ...decision });
+            }
+            if (decision.kind === "refuse") {
+                return { kind: "paused", retryAfterMs: decision.retryAfterMs };
+            }
+            if (request.disconnectSignal.aborted) {
+                return { kind: "no-upstream" };
+            }
+            await sleepFor(scheduler, Math.min(pausedCheckIntervalMs, Math.max(1, decision.untilMs - nowMs)));
+        }
+    }
+
+    private findAvailable() {
+        const { service, dependencies: { availability, scheduler } } = this.context;
+        return availability.select(service, this.triedUpstreamIds, scheduler.nowMs());
+    }
+}
