Keep a VM serving after an exception that nothing has caught

An exception in a timer, a socket callback or an unawaited promise ended the whole process and cut all calls in flight, as no handler was registered. Following the log goes on too after an exception while records are applied, with the newest records read again: the position moved before the records were applied, which would have lost them.

--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,8 +1,10 @@
+import { keepServingAfterErrors } from "../../node/fleet/keepServingAfterErrors.js";
 import { startVm } from "../../node/fleet/startVm.js";
 import type { VmSecrets } from "../../node/fleet/VmSecrets.js";
 import { configureLogging } from "../../node/logs/configureLogging.js";
 import { loadSettings } from "../../node/settings/loadSettings.js";
 import { readSecret } from "../../node/settings/readSecret.js";
+import { SystemScheduler } from "../../node/timers/SystemScheduler.js";
 import type { Settings } from "../../schema/settings/Settings.js";
 import type { CommandContext } from "../CommandContext.js";
 import { ExitCode } from "../ExitCode.js";
@@ -39,9 +41,16 @@
     }
     const { id, availabilityZone, callerUrl, operatorUrl, peerUrl } = started.value;
     context.print(JSON.stringify({ vm: id, availabilityZone, callerUrl, operatorUrl, peerUrl }));
-    await waitForAbort(context.signal);
+    const faults = new AbortController();
+    const onTooMany = () => {
+        faults.abort();
+    };
+    const end = new AbortController();
+    keepServingAfterErrors({ process, clock: new SystemScheduler(), onTooMany }, end.signal);
+    await waitForAbort(AbortSignal.any([context.signal, faults.signal]));
     await started.value.drain();
-    return ExitCode.ok;
+    end.abort();
+    return faults.signal.aborted ? ExitCode.failed : ExitCode.ok;
 }
 
 /** Unwrapping is safe, as `loadSettings` has checked that both secrets can be read. */
--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -17,11 +17,18 @@
 
 function create(rank: number, startupDelayMs = 0, requestSnapshot: () => LogSnapshot | undefined = () => undefined, snapshotWaitMs = 0) {
     const log: KeyedRecord[] = [];
-    const state: { failure: LogError["kind"] | undefined; reads: number; replyDelayMs: number; newestOffset: number | undefined; } = {
+    const state: {
+        failure: LogError["kind"] | undefined;
+        reads: number;
+        replyDelayMs: number;
+        newestOffset: number | undefined;
+        throws: number;
+    } = {
         failure: undefined,
         reads: 0,
         replyDelayMs: 0,
         newestOffset: undefined,
+        throws: 0,
     };
     const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
     const scheduler = new VirtualScheduler();
@@ -57,6 +64,9 @@
         snapshotWaitMs,
         readerRank: () => rank,
         onRecords: (records, isWhole) => {
+            if (records.some(({ key }) => key === "faulty") && state.throws-- > 0) {
+                throw new Error("test");
+            }
             appliedKeys.push(...records.map(record => `${record.key}${isWhole ? "!" : ""}`));
             return records;
         },
@@ -430,3 +440,14 @@
     await scheduler.advanceAsync(1_200);
     expect(follower.getSnapshot()).toEqual(undefined);
 });
+
+test("an exception while records are applied does not end the following of the log, and no record is lost", async () => {
+    const { start, append, scheduler, state, appliedKeys } = create(0);
+    start();
+    await scheduler.advanceAsync(1);
+    state.throws = 1;
+    append("faulty");
+    append("later");
+    await scheduler.advanceAsync(3_000);
+    expect(appliedKeys).toEqual(["faulty!", "later!"]);
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -76,6 +76,7 @@
     private lastHeardMs = -Infinity;
     private lastReadMs = -Infinity;
     private startupDelayEndMs = -Infinity;
+    private hasAskedPeers = false;
     private hasRead = false;
     private currentReader: string | undefined;
     /** The VM whose forwarded read left a gap, and the offset up to which this VM lacks records. */
@@ -87,31 +88,50 @@
 
     /** Reads until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
-        const { scheduler, readPauseMs } = this.options;
-        await this.startFromPeer(signal);
         while (!signal.aborted) {
-            if (this.gap !== undefined) {
-                await this.closeGap(this.gap, signal);
-            }
-            const nowMs = scheduler.nowMs();
-            const remainingWaitMs = Math.max(this.lastHeardMs, this.startupDelayEndMs) + this.silenceTimeoutMs - nowMs;
-            if (this.nextOffset !== undefined && remainingWaitMs > 0) {
-                this.options.monitor.recordWaiting(this.nextOffset, this.options.readerRank);
-                await sleepFor(scheduler, Math.min(readerCheckIntervalMs - nowMs % readerCheckIntervalMs, remainingWaitMs));
-                continue;
+            try {
+                await this.followOnce(signal);
             }
-            const isSuccessful = this.nextOffset === undefined
-                ? await this.readNewest(signal)
-                : await this.readChanges(this.nextOffset, signal);
-            const delayMs = isSuccessful
-                ? readPauseMs
-                : Math.min(maxRetryDelayMs, initialRetryDelayMs * 2 ** Math.min(this.consecutiveFailures, 8));
-            if (delayMs > 0 && !signal.aborted) {
-                await sleepFor(scheduler, delayMs);
+            catch (error) {
+                log("applying records failed unexpectedly; reading the newest ones again", {
+                    stream: this.options.name,
+                    nextOffset: this.nextOffset,
+                    error: error instanceof Error ? error.stack : String(error),
+                });
+                this.nextOffset = undefined;
+                await sleepFor(this.options.scheduler, maxRetryDelayMs);
             }
         }
     }
 
+    /** Waits for another VM's reads for a moment, or reads once. */
+    private async followOnce(signal: AbortSignal): Promise<void> {
+        const { scheduler, readPauseMs } = this.options;
+        if (!this.hasAskedPeers) {
+            this.hasAskedPeers = true;
+            await this.startFromPeer(signal);
+        }
+        if (this.gap !== undefined) {
+            await this.closeGap(this.gap, signal);
+        }
+        const nowMs = scheduler.nowMs();
+        const remainingWaitMs = Math.max(this.lastHeardMs, this.startupDelayEndMs) + this.silenceTimeoutMs - nowMs;
+        if (this.nextOffset !== undefined && remainingWaitMs > 0) {
+            this.options.monitor.recordWaiting(this.nextOffset, this.options.readerRank);
+            await sleepFor(scheduler, Math.min(readerCheckIntervalMs - nowMs % readerCheckIntervalMs, remainingWaitMs));
+            return;
+        }
+        const isSuccessful = this.nextOffset === undefined
+            ? await this.readNewest(signal)
+            : await this.readChanges(this.nextOffset, signal);
+        const delayMs = isSuccessful
+            ? readPauseMs
+            : Math.min(maxRetryDelayMs, initialRetryDelayMs * 2 ** Math.min(this.consecutiveFailures, 8));
+        if (delayMs > 0 && !signal.aborted) {
+            await sleepFor(scheduler, delayMs);
+        }
+    }
+
     /** How long this VM waits to hear from a reader before it reads itself; 0 for the reader. */
     private get silenceTimeoutMs(): number {
         const { readerRank, baseSilenceTimeoutMs, silenceTimeoutPerRankMs } = this.options;
@@ -153,8 +173,10 @@
             return [];
         }
         const firstNewOffset = this.nextOffset;
+        const changed = this.apply(records.filter(record => record.offset >= firstNewOffset), false);
+        // Not before: if a record throws, it must be applied again.
         this.nextOffset = nextOffset;
-        return this.apply(records.filter(record => record.offset >= firstNewOffset), false);
+        return changed;
     }
 
     /** Applies records and keeps those that say something new. Returns these. */
