--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -44,7 +44,7 @@
 /** A VM that starts does not read changes itself for this long; less than the three seconds for which a starting VM may lag behind. */
 const followerStartupDelayMs = 1_500;
 /** How long a VM that starts looks for another one that has the records of the platform's log, before it reads them itself. */
-const snapshotWaits = { firstStart: { minMs: 3_000, maxMs: 5_000 }, restart: { minMs: 400, maxMs: 800 } };
+const snapshotWaits = { firstStart: { minMs: 3_000, maxMs: 5_000 }, restart: { minMs: 150, maxMs: 300 } };
 /**
  * Membership selects the VMs that read the log and place calls for others. Both duties also have their own failover when a VM stops
  * answering, so failure detection may be slow: each heartbeat and tick costs a small VM a wake-up. Neighbours are reselected at most once
