--- a/src/core/relay/UpstreamAvailability.test.ts
+++ b/src/core/relay/UpstreamAvailability.test.ts
@@ -42,6 +42,11 @@
     expect(availability.recordPause(a, 2_000, 100)).toEqual(2_000);
     health.recordFailure("b", 1_800);
     expect([select(1_900), select(2_099, ["b"]), select(2_100)]).toEqual([["b", 2_100], ["", 2_100], ["a", undefined]]);
+    expect([availability.count("paused", 2_099), availability.count("open", 2_099), availability.count("paused", 2_100)]).toEqual([
+        1,
+        1,
+        0,
+    ]);
     expect([availability.getState(a, 2_099), availability.getState(a, 2_100)]).toEqual(["paused", "resuming"]);
 });
 
--- a/src/core/relay/UpstreamAvailability.ts
+++ b/src/core/relay/UpstreamAvailability.ts
@@ -89,6 +89,11 @@
         return record.pausedUntilMs > nowMs ? "paused" : "resuming";
     }
 
+    /** Number of listed upstreams in a state. */
+    count(state: AvailabilityState, nowMs: number): number {
+        return this.options.directory.upstreams.filter(upstream => this.getState(upstream, nowMs) === state).length;
+    }
+
     /**
      * Selects the upstreams that may be sent a call now, without those whose ids are excluded. Upstreams that have failed lately are among
      * them only when there are no others.
--- a/src/core/relay/UpstreamDirectory.ts
+++ b/src/core/relay/UpstreamDirectory.ts
@@ -93,6 +93,11 @@
         return this.entries.get(id)?.expiresAtMs !== undefined;
     }
 
+    /** All upstreams, draining ones included. */
+    get upstreams(): readonly RelayUpstream[] {
+        return [...this.entries.values()].map(entry => entry.upstream);
+    }
+
     get size(): number {
         return this.entries.size;
     }
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -156,6 +156,13 @@
             "Prompt parts that have crashed upstreams and whose calls are refused.",
             () => this.partGuard.quarantinedCount,
         );
+        for (const state of ["leaving", "paused"] as const) {
+            this.metrics.registerGauge(
+                `${state}_upstreams`,
+                `Listed upstreams that get no calls of this VM, as they have said in a response that they are ${state}.`,
+                () => this.availability.count(state, scheduler.nowMs()),
+            );
+        }
         this.server = new RelayServer({
             ...dependencies.listen.caller,
             dialect: dependencies.dialect,
