Give the duties of a fleet to the VMs with the most processor time

The VM that places the calls of a service, the reader of the log and the VMs that pass reads on were picked among all ready VMs alike. The VMs of the large fleet have 0.324 or 1.35 of a core; a placement VM there answers over 100 questions a second and takes the load reports of 194 others, besides the calls of its own callers. The membership record now carries the processor share of a VM, from the platform's settings, and duties go by rendezvous among the ready VMs that have at least half of the largest share; then, for the reader, to the others. Fleets of equal VMs choose as before.

A VM of the old build sends no share and counts with 1.

--- a/bench/path/vmProgram.ts
+++ b/bench/path/vmProgram.ts
@@ -33,6 +33,7 @@
     availabilityZone: "nadi",
     region: "fiji-west",
     peerUrl: "ws://127.0.0.1:1",
+    processorShare: 1,
     state: "ready",
     configOffset: 1,
 };
--- a/bench/policy/DispatchPolicy.ts
+++ b/bench/policy/DispatchPolicy.ts
@@ -56,6 +56,7 @@
             availabilityZone: zones[index % zones.length] as string,
             region: "region",
             peerUrl: "",
+            processorShare: 1,
             state: "ready",
             configOffset: 0,
         }));
--- a/proof/fakes/FakePeers.ts
+++ b/proof/fakes/FakePeers.ts
@@ -36,7 +36,7 @@
         isReady: () => boolean,
         gate: () => Promise<void> = () => Promise.resolve(),
     ): void {
-        const member = { vm, incarnation, availabilityZone, region: "fiji-west", peerUrl: `fake:${vm}` };
+        const member = { vm, incarnation, availabilityZone, region: "fiji-west", peerUrl: `fake:${vm}`, processorShare: 1 };
         this.vms.set(vm, { member, configOffset, isReady, handlers: new Map(), gate, isUp: true });
     }
 
--- a/proof/membership/FakeFleet.ts
+++ b/proof/membership/FakeFleet.ts
@@ -47,6 +47,7 @@
             availabilityZone,
             region: "region",
             peerUrl: `ws://${vm}/peer`,
+            processorShare: 1,
         };
         const { settings } = this.options;
         const send = (to: string, message: PeerMessage) => this.send(vm, to, message);
--- a/src/core/dispatch/partitionPool.test.ts
+++ b/src/core/dispatch/partitionPool.test.ts
@@ -34,6 +34,7 @@
         availabilityZone: zones[index % zones.length] as string,
         region: "fiji-west",
         peerUrl: `ws://10.1.0.${index}:7000`,
+        processorShare: 1,
         state: "ready" as const,
         configOffset: 0,
     }));
--- a/src/core/membership/MembershipTable.test.ts
+++ b/src/core/membership/MembershipTable.test.ts
@@ -20,7 +20,7 @@
 };
 
 function createMember(vm: string) {
-    return { vm, incarnation, availabilityZone: "a", region: "region", peerUrl: `ws://${vm}/peer` };
+    return { vm, incarnation, availabilityZone: "a", region: "region", peerUrl: `ws://${vm}/peer`, processorShare: 1 };
 }
 
 function createHeartbeat(vm: string, isFirst = false): PeerMessage {
--- a/src/core/membership/listVisibleMembers.ts
+++ b/src/core/membership/listVisibleMembers.ts
@@ -11,9 +11,9 @@
         if (isGone || unreachableZones.has(record.availabilityZone)) {
             continue;
         }
-        const { vm, incarnation, availabilityZone, region, peerUrl, state } = record;
+        const { vm, incarnation, availabilityZone, region, peerUrl, processorShare, state } = record;
         const offset = availabilityZone === ownZone ? configOffset : zoneOffsets.get(availabilityZone);
-        members.push({ vm, incarnation, availabilityZone, region, peerUrl, state, configOffset: offset });
+        members.push({ vm, incarnation, availabilityZone, region, peerUrl, processorShare, state, configOffset: offset });
     }
     return members.sort((left, right) => left.vm < right.vm ? -1 : 1);
 }
--- a/src/core/relay/choosePlacementVm.test.ts
+++ b/src/core/relay/choosePlacementVm.test.ts
@@ -10,6 +10,7 @@
         availabilityZone: "z1",
         region: "r",
         peerUrl: "ws://vm",
+        processorShare: 1,
         state,
         configOffset: 0,
     }));
--- a/src/core/relay/choosePlacementVm.ts
+++ b/src/core/relay/choosePlacementVm.ts
@@ -1,4 +1,5 @@
 import type { Member } from "../membership/Member.js";
+import { selectCapableVms } from "../membership/selectCapableVms.js";
 import { selectByRendezvousHash } from "../util/selectByRendezvousHash.js";
 
 /**
@@ -26,7 +27,7 @@
     }
     let vm = byService.get(service);
     if (vm === undefined) {
-        vm = selectByRendezvousHash(`placing ${service}`, members.filter(member => member.state === "ready").map(member => member.vm));
+        vm = selectByRendezvousHash(`placing ${service}`, selectCapableVms(members));
         byService.set(service, vm);
     }
     return vm;
--- a/src/core/relay/planForwarding.test.ts
+++ b/src/core/relay/planForwarding.test.ts
@@ -10,6 +10,7 @@
         availabilityZone: `z${index % 5}`,
         region: "r",
         peerUrl: "",
+        processorShare: 1,
         state: state(index),
         configOffset: -1,
     }));
--- a/src/core/relay/planForwarding.ts
+++ b/src/core/relay/planForwarding.ts
@@ -38,7 +38,7 @@
     const keyHash = fnv1a(relayKey);
     const ranked = others
         .map(member => ({ member, score: mixHash(fnv1a(member.vm, keyHash)) }))
-        .sort((left, right) => right.score - left.score)
+        .sort((left, right) => right.member.processorShare - left.member.processorShare || right.score - left.score)
         .map(({ member }) => member);
     const zones = new Set(ranked.map(({ availabilityZone }) => availabilityZone));
     return [...zones].flatMap(zone => splitZone(ranked.filter(({ availabilityZone }) => availabilityZone === zone)));
--- a/src/node/dispatch/DispatchTask.test.ts
+++ b/src/node/dispatch/DispatchTask.test.ts
@@ -190,7 +190,7 @@
 }
 
 function createMember(vm: string, availabilityZone: string): Member {
-    return { vm, incarnation: "1", availabilityZone, region: "fiji-west", peerUrl: "", state: "ready", configOffset: 1 };
+    return { vm, incarnation: "1", availabilityZone, region: "fiji-west", peerUrl: "", processorShare: 1, state: "ready", configOffset: 1 };
 }
 
 function expectGrant(outcome: Grant | string): Grant {
--- a/src/node/dispatch/ZoneReachability.test.ts
+++ b/src/node/dispatch/ZoneReachability.test.ts
@@ -25,6 +25,7 @@
         availabilityZone,
         region: "fiji-west",
         peerUrl: "",
+        processorShare: 1,
         state: "ready",
         configOffset: 0,
     }));
--- a/src/node/explain/FleetChangeRecorder.test.ts
+++ b/src/node/explain/FleetChangeRecorder.test.ts
@@ -8,7 +8,17 @@
 import { FleetChangeRecorder } from "./FleetChangeRecorder.js";
 
 function createMember(vm: string, availabilityZone: string, change: Partial<Member> = {}): Member {
-    return { vm, incarnation: "1", availabilityZone, region: "r", peerUrl: "ws://a", state: "ready", configOffset: 0, ...change };
+    return {
+        vm,
+        incarnation: "1",
+        availabilityZone,
+        region: "r",
+        peerUrl: "ws://a",
+        processorShare: 1,
+        state: "ready",
+        configOffset: 0,
+        ...change,
+    };
 }
 
 function startRecorder(initialMembers: readonly Member[]) {
--- a/src/node/fleet/Vm.ts
+++ b/src/node/fleet/Vm.ts
@@ -199,7 +199,7 @@
         const { settings, incarnation, peerUrl, links, scheduler } = this.options;
         const { id: vm, availabilityZone, region } = settings.vm;
         return new GossipMembership({
-            self: { vm, incarnation, availabilityZone, region, peerUrl },
+            self: { vm, incarnation, availabilityZone, region, peerUrl, processorShare: 1 },
             seeds: settings.peers.seeds,
             links,
             scheduler,
--- a/src/node/limits/QuotaLimitService.test.ts
+++ b/src/node/limits/QuotaLimitService.test.ts
@@ -36,6 +36,7 @@
             availabilityZone: vm[0] as string,
             region: "region",
             peerUrl: "",
+            processorShare: 1,
             state: "ready",
             configOffset: 0,
         }));
--- a/src/node/membership/GossipMembership.test.ts
+++ b/src/node/membership/GossipMembership.test.ts
@@ -49,7 +49,7 @@
     });
     const proxy = new SwallowingProxy((await links.start(controller.signal))._unsafeUnwrap());
     const url = `ws://127.0.0.1:${await proxy.start(controller.signal)}/peer`;
-    const self = { vm, incarnation, availabilityZone: "nadi", region: "fiji", peerUrl: url };
+    const self = { vm, incarnation, availabilityZone: "nadi", region: "fiji", peerUrl: url, processorShare: 1 };
     const membership = new GossipMembership({ self, seeds, links, scheduler });
     membership.start(controller.signal);
     membership.updateLocalMember({ state: "ready" });
@@ -161,6 +161,7 @@
             availabilityZone: "mvd-a",
             region: "montevideo",
             peerUrl: "ws://self:1",
+            processorShare: 1,
         };
         const scheduler = new VirtualScheduler();
         new GossipMembership({ self, seeds, links, scheduler, maxDialsWhenAlone: 1 }).start(stop.signal);
--- a/src/node/membership/GossipMembership.ts
+++ b/src/node/membership/GossipMembership.ts
@@ -15,7 +15,7 @@
 const dialPeriodMs = 1000;
 
 interface GossipMembershipOptions {
-    readonly self: Pick<Member, "vm" | "incarnation" | "availabilityZone" | "region" | "peerUrl">;
+    readonly self: Pick<Member, "vm" | "incarnation" | "availabilityZone" | "region" | "peerUrl" | "processorShare">;
     /** Peer URLs of the seeds, from the settings. */
     readonly seeds: readonly string[];
     readonly links: MembershipLinks;
--- a/src/node/relay/LoadExchange.test.ts
+++ b/src/node/relay/LoadExchange.test.ts
@@ -24,6 +24,7 @@
         availabilityZone: "nadi",
         region: "fiji-west",
         peerUrl: "ws://127.0.0.1:1",
+        processorShare: 1,
         state: "ready",
         configOffset: 1,
     }));
--- a/src/node/relay/PlacementExchange.test.ts
+++ b/src/node/relay/PlacementExchange.test.ts
@@ -23,6 +23,7 @@
         availabilityZone: `z${index % 3}`,
         region: "r",
         peerUrl: `ws://vm-${index}`,
+        processorShare: 1,
         state: "ready",
         configOffset: 0,
     }));
--- a/src/node/relay/PromptPartGuard.test.ts
+++ b/src/node/relay/PromptPartGuard.test.ts
@@ -16,7 +16,7 @@
 
 /** Connects the guards of a fleet; clocks differ by a second from VM to VM. Engines are down unless `areEnginesUp`. */
 async function startFleet(size: number, areEnginesUp = false) {
-    const members = [...Array(size).keys()].map(index => ({ vm: `vm-${index}`, state: "ready" }) as Member);
+    const members = [...Array(size).keys()].map(index => ({ vm: `vm-${index}`, processorShare: 1, state: "ready" }) as Member);
     const schedulers = members.map(() => new VirtualScheduler());
     const handlers = new Map<string, Handler>();
     const openListeners = new Map<string, (vm: string) => void>();
--- a/src/node/relay/ReadForwarder.test.ts
+++ b/src/node/relay/ReadForwarder.test.ts
@@ -11,6 +11,7 @@
     availabilityZone: `z${index % 5}`,
     region: "r",
     peerUrl: "",
+    processorShare: 1,
     state: "ready" as const,
     configOffset: -1,
 }));
--- a/src/node/relay/RegistryTask.test.ts
+++ b/src/node/relay/RegistryTask.test.ts
@@ -25,7 +25,9 @@
                 },
                 list: () => {
                     state.lists++;
-                    return okAsync(announced.map(name => ({ vm: name, availabilityZone: "z", peerUrl: "", leaving: false })));
+                    return okAsync(
+                        announced.map(name => ({ vm: name, availabilityZone: "z", peerUrl: "", processorShare: 1, leaving: false })),
+                    );
                 },
             },
             membership: {
@@ -36,6 +38,7 @@
                         availabilityZone: "z",
                         region: "r",
                         peerUrl: "",
+                        processorShare: 1,
                         state: "ready" as const,
                         configOffset: -1,
                     }));
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -1,4 +1,5 @@
 import { ResultAsync } from "neverthrow";
+import { computeDutyRank } from "../../core/membership/computeDutyRank.js";
 import { defaultMembershipSettings } from "../../core/membership/defaultMembershipSettings.js";
 import { computeFollowerTiming } from "../../core/relay/computeFollowerTiming.js";
 import { EnginePlacer } from "../../core/relay/EnginePlacer.js";
@@ -9,7 +10,6 @@
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
-import { computeRendezvousRank } from "../../core/util/computeRendezvousRank.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { VmList } from "../../schema/platform/VmList.js";
 import { sleepFor } from "../config/sleepFor.js";
@@ -104,9 +104,9 @@
     private isStopping = false;
 
     constructor(private readonly dependencies: RelayVmDependencies) {
-        const { vm, availabilityZone, region, incarnation, peerUrl, links, scheduler, seeds } = dependencies;
+        const { vm, availabilityZone, region, incarnation, peerUrl, processorShare, links, scheduler, seeds } = dependencies;
         this.membership = new GossipMembership({
-            self: { vm, incarnation, availabilityZone, region, peerUrl },
+            self: { vm, incarnation, availabilityZone, region, peerUrl, processorShare },
             seeds,
             links,
             scheduler,
@@ -348,8 +348,7 @@
 
     /** One VM reads the platform's log for the fleet, and the next in rank when it does not; the ranks follow from the membership view. */
     private get readerRank(): number {
-        const ready = this.membership.members.filter(member => member.state === "ready").map(member => member.vm);
-        return computeRendezvousRank(logReaderDuty, this.dependencies.vm, ready);
+        return computeDutyRank(logReaderDuty, this.dependencies.vm, this.membership.members);
     }
 
     private announceReadiness(): void {
--- a/src/node/relay/RelayVmOptions.ts
+++ b/src/node/relay/RelayVmOptions.ts
@@ -21,6 +21,8 @@
         readonly peer: ListenAddress;
         readonly metrics: ListenAddress;
     };
+    /** Processor time that this VM may use, in cores. */
+    readonly processorShare: number;
     /** Path of the readiness probe, with which the platform checks whether this VM accepts callers. */
     readonly readyPath: string;
     /** Peer URLs of a few VMs, through which this one joins the fleet. */
--- a/src/node/relay/SnapshotExchange.test.ts
+++ b/src/node/relay/SnapshotExchange.test.ts
@@ -12,6 +12,7 @@
     availabilityZone: "z",
     region: "r",
     peerUrl: "",
+    processorShare: 1,
     state: vm === "vm-3" ? "ready" as const : "starting" as const,
     configOffset: -1,
 }));
--- a/src/node/report/testing/FakeFleet.ts
+++ b/src/node/report/testing/FakeFleet.ts
@@ -29,6 +29,7 @@
             availabilityZone: "nadi",
             region: "fiji-west",
             peerUrl: "ws://127.0.0.1:1",
+            processorShare: 1,
             state: "ready",
             configOffset: 3,
         }));
--- a/src/schema/peer/MemberRecord.ts
+++ b/src/schema/peer/MemberRecord.ts
@@ -8,6 +8,8 @@
     availabilityZone: z.string().max(64),
     region: z.string().max(64),
     peerUrl: z.string().max(256),
+    /** Processor time that the VM may use, in cores. */
+    processorShare: z.number().min(0).default(1),
     state: z.enum(["ready", "starting", "draining"]),
     /** Availability zones that this VM, as a representative of its own zone, has no bidirectional contact with. */
     unreachableZones: z.array(z.string().max(64)).max(64),
