Count bytes of an event that does not end as silence of its upstream

A stalled upstream that sent a byte now and then was never silent: the stream was not resumed elsewhere and ended only at its deadline. Now only complete events, or 1 KiB of one, count as progress, so that a large event that arrives slowly stays where it is. The new test of a trickling upstream failed before.

--- a/src/node/relay/CallAttempts.ts
+++ b/src/node/relay/CallAttempts.ts
@@ -112,11 +112,13 @@
     /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
     private forward(running: RunningAttempt, bytes: Buffer): Result<boolean, string> {
         const { callerResponse, dependencies } = this.context;
-        running.lastReceivedMs = dependencies.scheduler.nowMs();
+        const nowMs = dependencies.scheduler.nowMs();
         if (running !== this.current) {
+            running.recordBytes(bytes.length, true, nowMs);
             return ok(true);
         }
         const isWritable = callerResponse.forward(bytes);
+        running.recordBytes(bytes.length, isWritable !== undefined || !callerResponse.isStreamed, nowMs);
         if (isWritable !== undefined) {
             this.cancelReplacement();
             if (callerResponse.isStreamed) {
--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -119,6 +119,42 @@
     expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
 });
 
+/** Starts a resumable stream and sends parts of its second event, each `intervalMs` after the one before. */
+async function startSlowEvent(event: string, partBytes: number, partCount: number, intervalMs: number) {
+    const started = await startCall(resumableStream);
+    const { response } = started.firstCall;
+    response.writeHead(200, streamHeaders);
+    response.write(events[0]);
+    await waitFor(() => started.relay.loadTracker.streamsInFlight("u0") === 1);
+    for (let index = 0; index < partCount; index++) {
+        await started.scheduler.advanceAsync(intervalMs);
+        await new Promise(resolve => response.write(event.slice(index * partBytes, (index + 1) * partBytes), resolve));
+        for (let turns = 0; turns < 50; turns++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+    return started;
+}
+
+test("a stream whose upstream sends a byte of an event now and then is resumed on another upstream", async () => {
+    const { answer, firstCall, second, scheduler } = await startSlowEvent(events[1], 1, 8, 250);
+    await scheduler.advanceAsync(300);
+    const secondCall = await second.nextCall();
+    expect(secondCall.request.headers["last-event-id"]).toEqual("4");
+    secondCall.response.writeHead(200, streamHeaders);
+    secondCall.response.write(events[1]);
+    await firstCall.closed;
+    secondCall.response.end(events[2]);
+    expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
+});
+
+test("a stream whose large event arrives slowly stays on its upstream", async () => {
+    const event = `id: 8\ndata: ${"b".repeat(80_000)}\n\n`;
+    const { answer, firstCall, second } = await startSlowEvent(event, 10_000, 8, 300);
+    firstCall.response.end(event.slice(80_000) + events[2]);
+    expect([(await answer).body, second.untakenCalls()]).toEqual([events[0] + event + events[2], 0]);
+});
+
 test("a repeatable call is not failed when its upstream is slow and the retry budget is exhausted", async () => {
     const { answer, firstCall, scheduler } = await startCall({ kind: "repeatable", timeoutMs: 2_000 }, 0);
     await scheduler.advanceAsync(1_000);
--- a/src/node/relay/RunningAttempt.ts
+++ b/src/node/relay/RunningAttempt.ts
@@ -5,10 +5,14 @@
 import type { AttemptResult } from "./AttemptResult.js";
 import type { RelayAttempt } from "./RelayAttempt.js";
 
+/** So many bytes of one event count as progress before its end. */
+const minProgressBytes = 1_024;
+
 /** An attempt in progress on the upstream that it was placed on, counted in the upstream's load until it ends. */
 export class RunningAttempt {
-    /** When its upstream last sent something; before that, when it was started. */
+    /** When its upstream last sent something that counts as progress; before that, when it was started. */
     lastReceivedMs: number;
+    private bytesSinceProgress = 0;
     /** When the first event arrived, which shows that the prefill is complete; undefined before. */
     firstEventMs: number | undefined;
     /** Whether the upstream has sent more than its first event, or all of its response. */
@@ -40,6 +44,15 @@
         return this.firstEventMs !== undefined || kind !== "stream" && this.attempt.hasResponseHead;
     }
 
+    /** Records bytes of a response. A few bytes of an event that does not end are no progress: a stalled upstream may send one now and then. */
+    recordBytes(byteCount: number, isComplete: boolean, nowMs: number): void {
+        this.bytesSinceProgress += byteCount;
+        if (isComplete || this.bytesSinceProgress >= minProgressBytes) {
+            this.bytesSinceProgress = 0;
+            this.lastReceivedMs = nowMs;
+        }
+    }
+
     recordFirstEvent(nowMs: number): void {
         this.firstEventMs = nowMs;
         this.dependencies.loadTracker.recordFirstEvent(this.placement.upstream.id, this.placement);
