--- a/src/core/membership/computeDutyRank.test.ts
+++ b/src/core/membership/computeDutyRank.test.ts
@@ -3,17 +3,9 @@
 import { computeDutyRank } from "./computeDutyRank.js";
 import type { Member } from "./Member.js";
 import { selectCapableVms } from "./selectCapableVms.js";
+import { exampleMember } from "./testing/exampleMember.js";
 
-const createMember = (vm: string, processorShare: number, state: Member["state"] = "ready"): Member => ({
-    vm,
-    incarnation: "1",
-    availabilityZone: "z",
-    region: "r",
-    peerUrl: "",
-    processorShare,
-    state,
-    configOffset: -1,
-});
+const createMember = (vm: string, processorShare: number, state: Member["state"] = "ready") => exampleMember(vm, { processorShare, state });
 
 test("duties go to the VMs with the most processor time, in an order of their own for each duty", () => {
     const members = [...Array(40).keys()].map(index => createMember(`vm-${index}`, index % 10 === 0 ? 1.35 : 0.324));
--- a/src/core/relay/planForwarding.test.ts
+++ b/src/core/relay/planForwarding.test.ts
@@ -1,19 +1,11 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import type { Member } from "../membership/Member.js";
+import { exampleMember } from "../membership/testing/exampleMember.js";
 import { planForwarding } from "./planForwarding.js";
 
 function createMembers(count: number, state: (index: number) => Member["state"] = () => "ready"): readonly Member[] {
-    return [...Array(count).keys()].map(index => ({
-        vm: `vm-${index}`,
-        incarnation: "1",
-        availabilityZone: `z${index % 5}`,
-        region: "r",
-        peerUrl: "",
-        processorShare: 1,
-        state: state(index),
-        configOffset: -1,
-    }));
+    return [...Array(count).keys()].map(index => exampleMember(`vm-${index}`, { availabilityZone: `z${index % 5}`, state: state(index) }));
 }
 
 test("a VM of a small fleet sends to each other VM itself", () => {
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -4,17 +4,12 @@
 import type { KeyedLog } from "../services/KeyedLog.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { LogError } from "../services/LogError.js";
+import type { ForwardedRead } from "./ForwardedRead.js";
 import type { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 import type { LogSnapshot } from "./LogSnapshot.js";
 
 const log = createLogger("follow");
 
-interface ForwardedRead {
-    readonly fromOffset: number;
-    readonly nextOffset: number;
-    readonly records: readonly KeyedRecord[];
-}
-
 interface KeyedLogFollowerOptions {
     /** Name of the keyed log in log lines. */
     readonly name: string;
--- a/src/node/relay/ReadForwarder.test.ts
+++ b/src/node/relay/ReadForwarder.test.ts
@@ -1,20 +1,12 @@
 import { expect } from "earl";
 import { errAsync } from "neverthrow";
 import { test } from "node:test";
+import { exampleMember } from "../../core/membership/testing/exampleMember.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
 import { ReadForwarder } from "./ReadForwarder.js";
 
-const members = [...Array(195).keys()].map(index => ({
-    vm: `vm-${index}`,
-    incarnation: "1",
-    availabilityZone: `z${index % 5}`,
-    region: "r",
-    peerUrl: "",
-    processorShare: 1,
-    state: "ready" as const,
-    configOffset: -1,
-}));
+const members = [...Array(195).keys()].map(index => exampleMember(`vm-${index}`, { availabilityZone: `z${index % 5}` }));
 
 /** A fleet in which messages arrive at once, except at VMs without a link. */
 function createFleet(unlinkedVms: readonly string[] = []) {
--- a/src/node/relay/ReadForwarder.ts
+++ b/src/node/relay/ReadForwarder.ts
@@ -2,18 +2,12 @@
 import { planForwarding } from "../../core/relay/planForwarding.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import { createLogger } from "../logs/createLogger.js";
-import type { KeyedRecord } from "../services/KeyedRecord.js";
 import type { MembershipService } from "../services/MembershipService.js";
 import type { PeerLinks } from "../services/PeerLinks.js";
+import type { ForwardedRead } from "./ForwardedRead.js";
 
 const log = createLogger("follow");
 
-interface ForwardedRead {
-    readonly fromOffset: number;
-    readonly nextOffset: number;
-    readonly records: readonly KeyedRecord[];
-}
-
 interface ReadForwarderOptions {
     readonly vm: string;
     readonly links: PeerLinks;
--- a/src/node/relay/RegistryTask.test.ts
+++ b/src/node/relay/RegistryTask.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { errAsync, okAsync } from "neverthrow";
 import { test } from "node:test";
+import { exampleMember } from "../../core/membership/testing/exampleMember.js";
 import { VirtualScheduler } from "../../core/util/VirtualScheduler.js";
 import { RegistryTask } from "./RegistryTask.js";
 
@@ -32,16 +33,7 @@
             },
             membership: {
                 get members() {
-                    return known(vms, vm).map(name => ({
-                        vm: name,
-                        incarnation: "1",
-                        availabilityZone: "z",
-                        region: "r",
-                        peerUrl: "",
-                        processorShare: 1,
-                        state: "ready" as const,
-                        configOffset: -1,
-                    }));
+                    return known(vms, vm).map(name => exampleMember(name));
                 },
             },
             scheduler,
--- a/src/node/relay/SnapshotExchange.test.ts
+++ b/src/node/relay/SnapshotExchange.test.ts
@@ -1,21 +1,13 @@
 import { expect } from "earl";
 import { errAsync, okAsync } from "neverthrow";
 import { test } from "node:test";
+import { exampleMember } from "../../core/membership/testing/exampleMember.js";
 import type { PeerMessage } from "../../schema/peer/PeerMessage.js";
 import type { LogSnapshot } from "./LogSnapshot.js";
 import { SnapshotExchange } from "./SnapshotExchange.js";
 
 const record = (valueBytes: number) => ({ offset: 3, key: "a", value: Buffer.alloc(valueBytes) });
-const members = (["vm-1", "vm-2", "vm-3"] as const).map(vm => ({
-    vm,
-    incarnation: "1",
-    availabilityZone: "z",
-    region: "r",
-    peerUrl: "",
-    processorShare: 1,
-    state: vm === "vm-3" ? "ready" as const : "starting" as const,
-    configOffset: -1,
-}));
+const members = ["vm-1", "vm-2", "vm-3"].map(vm => exampleMember(vm, { state: vm === "vm-3" ? "ready" : "starting" }));
 
 /** A VM to whose requests the others answer with `replies`; a VM without one cannot be reached. */
 function createExchange(replies: Record<string, LogSnapshot | "none">, own?: LogSnapshot) {
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -7,6 +7,7 @@
 import { VirtualScheduler } from "../../../core/util/VirtualScheduler.js";
 import type { KeyedLog } from "../../services/KeyedLog.js";
 import type { KeyedRecord } from "../../services/KeyedRecord.js";
+import type { ForwardedRead } from "../ForwardedRead.js";
 import { KeyedLogFollower } from "../KeyedLogFollower.js";
 import type { LogSnapshot } from "../LogSnapshot.js";
 import { RelayState } from "../RelayState.js";
@@ -17,12 +18,6 @@
 const streams = ["config", "upstreams"] as const;
 type Stream = typeof streams[number];
 
-interface ForwardedRead {
-    readonly fromOffset: number;
-    readonly nextOffset: number;
-    readonly records: readonly KeyedRecord[];
-}
-
 interface SimulatedVm {
     readonly name: string;
     readonly startMs: number;
