Soak upstreams that ask for a pause and that say they are leaving

The soak's upstreams can turn calls away with a Retry-After, and say in their responses that they are leaving; one that has left comes back as another incarnation. The checker finds calls of a VM in a pause that it was told of (pause), and calls to an upstream long after a VM passed on that it was leaving (leaving). These faults are drawn apart, so that the plans of earlier seeds only gain faults.

--- a/proof/soak/SoakFault.ts
+++ b/proof/soak/SoakFault.ts
@@ -16,6 +16,7 @@
         | "upstream-resets"
         | "upstream-slow"
         | "upstream-leaves"
+        | "upstream-busy"
         | "configure";
     readonly atMs: number;
     readonly durationMs: number;
--- a/proof/soak/SoakFleet.ts
+++ b/proof/soak/SoakFleet.ts
@@ -65,6 +65,7 @@
         return {
             calls: this.calls,
             runs: this.upstreams.flatMap(upstream => upstream.runs),
+            arrivals: this.upstreams.flatMap(upstream => upstream.arrivals),
             faults: scheduledFaults,
             unexpectedExits: this.unexpectedExits,
             vms: this.vms.map(vm => vm.name),
@@ -166,6 +167,11 @@
                 this.store.forget("keyed.op");
                 this.store.forget("keyed.servers");
                 break;
+            case "upstream-busy":
+                upstream?.setBusy(true);
+                await delay(durationMs);
+                upstream?.setBusy(false);
+                break;
             case "upstream-leaves":
                 upstream?.setDraining(true);
                 await delay(durationMs + graceMs);
--- a/proof/soak/SoakHistory.ts
+++ b/proof/soak/SoakHistory.ts
@@ -1,3 +1,4 @@
+import type { SoakArrival } from "./SoakArrival.js";
 import type { SoakCall } from "./SoakCall.js";
 import type { SoakFault } from "./SoakFault.js";
 import type { SoakRun } from "./SoakRun.js";
@@ -6,6 +7,7 @@
 export interface SoakHistory {
     readonly calls: readonly SoakCall[];
     readonly runs: readonly SoakRun[];
+    readonly arrivals: readonly SoakArrival[];
     readonly faults: readonly SoakFault[];
     /** VMs whose process exited although the soak had not signalled it. */
     readonly unexpectedExits: readonly string[];
--- a/proof/soak/checkSoak.test.ts
+++ b/proof/soak/checkSoak.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { checkSoak } from "./checkSoak.js";
 import { planSoak } from "./planSoak.js";
+import type { SoakArrival } from "./SoakArrival.js";
 import type { SoakCall } from "./SoakCall.js";
 import { soakEvents } from "./soakEvents.js";
 import type { SoakFault } from "./SoakFault.js";
@@ -28,12 +29,22 @@
     drainingSinceMs: undefined,
     ...fields,
 });
+const arrival = (fields: Partial<SoakArrival> = {}): SoakArrival => ({
+    id: "c-1",
+    upstream: "i-0",
+    born: 1,
+    atMs: 1_020,
+    pauseMs: undefined,
+    isLeaving: false,
+    ...fields,
+});
 const stream = (text: string, error?: string) => call({ route: "stream", text, error });
 
 function violatedGuarantees(fields: Partial<SoakHistory>): readonly string[] {
     const history = {
         calls: [call({})],
         runs: [run()],
+        arrivals: [],
         faults: [],
         unexpectedExits: [],
         vms: ["front-0", "front-1"],
@@ -80,6 +91,14 @@
             { calls: [call({ status: 503 })], runs: [], faultsEndedMs: -20_000 },
             "recover",
         ],
+        ["calls sent to an upstream in the pause that it asked for", {
+            arrivals: [arrival({ pauseMs: 2_000 }), arrival({ atMs: 1_700 }), arrival({ atMs: 2_200 }), arrival({ atMs: 2_900 })],
+        }, "pause"],
+        ["a call sent to an upstream that had said that it was leaving", {
+            calls: [call({}), call({ id: "c-2", sentMs: 3_200, endedMs: 3_300, seal: soakSeal("c-2"), text: "done c-2" })],
+            runs: [run(), run({ id: "c-2" })],
+            arrivals: [arrival({ isLeaving: true }), arrival({ id: "c-2", atMs: 3_220 })],
+        }, "leaving"],
         ["a process that exited without a signal", { unexpectedExits: ["front-0"] }, "exit"],
     ] as const
 ) {
--- a/proof/soak/checkSoak.ts
+++ b/proof/soak/checkSoak.ts
@@ -13,6 +13,9 @@
 const minServedShare = 0.95;
 /** A VM may take calls for this long after SIGTERM, until it is killed: its 8 s grace period and 1 s. */
 const graceMs = 9_000;
+/** An upstream that has turned a call away gets at most two of that VM from half a second after it until its pause ends. */
+const pauseSlackMs = 500;
+const maxCallsInPause = 2;
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Checks a history against the product's guarantees; each entry describes one violation as `guarantee: details`. */
@@ -21,6 +24,8 @@
         ...history.calls.flatMap(call => checkAnswer(call)),
         ...checkRuns(history),
         ...checkDrains(history),
+        ...checkPauses(history),
+        ...checkLeaving(history),
         ...checkStops(history),
         ...checkRecovery(history),
         ...history.unexpectedExits.map(vm => `exit: ${vm} exited without a signal from the soak`),
@@ -78,6 +83,44 @@
         );
 }
 
+/** Finds more than two calls of a VM that reached an upstream in the pause that the upstream had asked that VM for. */
+function checkPauses(history: SoakHistory): readonly string[] {
+    const vmOf = new Map(history.calls.map(call => [call.id, call.vm]));
+    return history.arrivals.flatMap(({ id, upstream, atMs, pauseMs = 0 }) => {
+        const vm = vmOf.get(id);
+        const during = history.arrivals.filter(other =>
+            other.upstream === upstream && vmOf.get(other.id) === vm && other.atMs > atMs + pauseSlackMs && other.atMs < atMs + pauseMs
+        );
+        return during.length <= maxCallsInPause || isNoticeLost(history, vm, atMs, atMs + pauseMs)
+            ? []
+            : [`pause: ${upstream} got ${during.length} calls of ${vm} within ${pauseMs} ms after it turned ${id} away`];
+    });
+}
+
+/** Finds calls that reached an upstream long after the VM that sent them had passed on a response saying that it is leaving. */
+function checkLeaving(history: SoakHistory): readonly string[] {
+    const calls = new Map(history.calls.map(call => [call.id, call]));
+    return history.arrivals.flatMap(({ id, upstream, born, atMs }) => {
+        const call = calls.get(id);
+        const told = history.arrivals.find(other => {
+            const earlier = calls.get(other.id);
+            return other.isLeaving && other.upstream === upstream && other.born === born && earlier?.vm === call?.vm
+                && earlier?.seal !== undefined && (call?.sentMs ?? 0) > earlier.endedMs + drainLimitMs;
+        });
+        return told === undefined || isNoticeLost(history, call?.vm, told.atMs, atMs)
+            ? []
+            : [`leaving: ${upstream} got ${id} long after it had told ${call?.vm} in its response to ${told.id} that it was leaving`];
+    });
+}
+
+/** Whether a VM may not know what an upstream told it: it was restarted or paused since, or the connections of upstreams were disturbed. */
+function isNoticeLost({ faults, vms }: SoakHistory, vm: string | undefined, fromMs: number, toMs: number): boolean {
+    const excuses = ({ kind, target }: SoakFault) =>
+        ["upstream-silent", "upstream-one-way", "upstream-resets", "upstream-slow"].includes(kind)
+        || ["kill", "stop", "pause"].includes(kind) && vms[target] === vm;
+    return faults.some(fault => excuses(fault) && overlaps(fault, fromMs, toMs));
+}
+
 /**
  * Finds calls that a VM cut off, or forwarded but never answered, while it was stopping. Only faults of upstreams and of that VM itself are an
  * excuse: the store and other VMs have no part in a call that has been forwarded.
--- a/proof/soak/planSoak.ts
+++ b/proof/soak/planSoak.ts
@@ -21,6 +21,10 @@
     ["upstream-leaves", 3_500],
     ["configure", 0],
 ];
+/** Faults that are drawn apart from the others, so that the plans of earlier seeds stay as they were. */
+const laterFaultKinds: typeof faultKinds = [["upstream-busy", 3_000], ["upstream-leaves", 3_500]];
+const maxLaterFaults = 3;
+const laterSeedOffset = 1_000_000;
 /** Probability that a fault is followed by another of its kind, so that signals and changes come in bursts. */
 const repeatProbability = 0.4;
 const repeatDelayMs = 400;
@@ -49,5 +53,12 @@
             faults.push({ ...fault, atMs: fault.atMs + repeatDelayMs, target: drawBelow(options.targets) });
         }
     }
+    const laterRandom = createSeededRandom(seed + laterSeedOffset);
+    const drawLaterBelow = (limit: number) => Math.floor(laterRandom() * limit);
+    for (let index = drawLaterBelow(maxLaterFaults + 1); index > 0; index--) {
+        const [kind, maxMs] = laterFaultKinds[drawLaterBelow(laterFaultKinds.length)] ?? ["upstream-busy", 3_000];
+        const durationMs = 300 + drawLaterBelow(maxMs - 300);
+        faults.push({ kind, atMs: drawLaterBelow(options.lengthMs), durationMs, target: drawLaterBelow(options.targets) });
+    }
     return faults.sort((left, right) => left.atMs - right.atMs);
 }
