--- a/src/core/relay/planForwarding.test.ts
+++ b/src/core/relay/planForwarding.test.ts
@@ -24,6 +24,13 @@
     });
 }
 
+test("two VMs with one membership view do not send to themselves", () => {
+    const members = createMembers(60);
+    for (const self of ["vm-1", "vm-2"]) {
+        expect(planForwarding(self, members).flatMap(({ vms }) => vms).includes(self)).toEqual(false);
+    }
+});
+
 test("only ready VMs pass a message on, as long as there are any", () => {
     const members = createMembers(100, index => index % 10 < 5 ? "ready" : "starting");
     for (const { relays } of planForwarding("vm-3", members)) {
--- a/src/core/relay/planForwarding.ts
+++ b/src/core/relay/planForwarding.ts
@@ -16,18 +16,18 @@
 const maxGroupVms = 24;
 const relayKey = "forwarding";
 
-const plansByView = new WeakMap<readonly Member[], readonly ForwardingGroup[]>();
+/** Groups by the VM that sends, for each membership view. */
+const plansByView = new WeakMap<readonly Member[], Map<string, readonly ForwardingGroup[]>>();
 
 /**
  * Groups the other VMs of a fleet for a message to all of them: in a large fleet by availability zone, so that the sender's link carries few
  * copies and few cross zones. `members` is a membership view; a changed view is a new array.
  */
 export function planForwarding(self: string, members: readonly Member[]): readonly ForwardingGroup[] {
-    let groups = plansByView.get(members);
-    if (groups === undefined) {
-        groups = groupMembers(members.filter(({ vm }) => vm !== self));
-        plansByView.set(members, groups);
-    }
+    const plans = plansByView.get(members) ?? new Map<string, readonly ForwardingGroup[]>();
+    plansByView.set(members, plans);
+    const groups = plans.get(self) ?? groupMembers(members.filter(({ vm }) => vm !== self));
+    plans.set(self, groups);
     return groups;
 }
 
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -197,7 +197,7 @@
         const { scheduler, snapshotWaitMs } = this.options;
         const endMs = scheduler.nowMs() + snapshotWaitMs;
         while (!signal.aborted && this.nextOffset === undefined && scheduler.nowMs() < endMs) {
-            this.applySnapshot(await this.options.requestSnapshot(undefined, signal));
+            this.applySnapshot(await this.options.requestSnapshot(this.gap?.vm, signal));
             if (this.nextOffset === undefined) {
                 await sleepFor(scheduler, Math.min(snapshotRetryMs, endMs - scheduler.nowMs()));
             }
@@ -207,10 +207,10 @@
     /** Takes the missing records from the VM that has forwarded later ones; it may lack them itself for a moment. */
     private async closeGap({ vm, endOffset }: { readonly vm: string; readonly endOffset: number; }, signal: AbortSignal): Promise<void> {
         this.gap = undefined;
-        for (let tries = 0; tries < maxSnapshotTriesAfterGap && !signal.aborted; tries++) {
+        for (let tries = 0; tries < maxSnapshotTriesAfterGap && !signal.aborted && (this.nextOffset ?? -1) < endOffset; tries++) {
             const snapshot = await this.options.requestSnapshot(vm, signal);
             this.applySnapshot(snapshot);
-            if (snapshot === undefined || this.nextOffset !== undefined && this.nextOffset >= endOffset) {
+            if (snapshot === undefined) {
                 return;
             }
             await sleepFor(this.options.scheduler, snapshotRetryMs);
