--- a/src/node/relay/RelayCallHandler.availability.test.ts
+++ b/src/node/relay/RelayCallHandler.availability.test.ts
@@ -109,6 +109,7 @@
         expect(elapsedMs <= 400).toEqual(true);
         await scheduler.advanceAsync(10);
     }
+    expect(scheduler.nowMs() >= 100).toEqual(true);
     await answerNext(first);
     expect((await answer).status).toEqual(200);
 });
