--- /dev/null
+++ b/review/standins/Worker.mjs
@@ -0,0 +1,60 @@
+import { createServer } from "node:http";
+
+/**
+ * A worker of a plain service. It answers 421 to a request that names another worker, runs every other request, and answers with its digest
+ * and the id of the request.
+ */
+export class Worker {
+    /** `onArrival` is called with the id of each request that reaches this worker and is run. */
+    constructor({ id, service, zone, slots, workMs, onArrival }) {
+        Object.assign(this, { id, service, zone, slots, workMs, onArrival, bornMs: Date.now(), sequence: 0, address: "" });
+        this.server = createServer((request, response) => this.#answer(request, response));
+    }
+
+    /** Listens on a free port of this address. */
+    async start(host) {
+        await new Promise(resolve => this.server.listen(0, host, resolve));
+        this.address = `${host}:${this.server.address().port}`;
+    }
+
+    stop() {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    /** The entry that this worker writes in the store. */
+    entry(state = "ready") {
+        const { service, address, zone, slots, bornMs } = this;
+        return JSON.stringify({
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots,
+            state,
+            cold_left_ms: 0,
+            sequence: ++this.sequence,
+            born: bornMs,
+        });
+    }
+
+    #answer(request, response) {
+        const requestId = request.headers["x-attempt-id"];
+        if (request.headers["x-expect-instance"] !== this.id) {
+            request.resume();
+            response.writeHead(421, { "x-attempt-id": requestId, "x-instance-id": this.id, "x-not-executed": "1" }).end();
+            return;
+        }
+        request.resume().once("end", () => {
+            this.onArrival(requestId);
+            setTimeout(() => {
+                const body = `${this.id} ${requestId}`;
+                response.writeHead(200, {
+                    "x-attempt-id": requestId,
+                    "x-server-seal": `seal.${requestId}`,
+                    "content-length": Buffer.byteLength(body),
+                }).end(body);
+            }, this.workMs);
+        });
+    }
+}
