--- a/review/standins/Worker.mjs
+++ b/review/standins/Worker.mjs
@@ -5,7 +5,10 @@
  * and the id of the request.
  */
 export class Worker {
-    /** `onArrival` is called with the id of each request that reaches this worker and is run. */
+    /**
+     * `onArrival` is called with the id of each request that reaches this worker. When it returns a number, the worker does not run the request
+     * but turns it away with 503 and asks for a pause of so many seconds.
+     */
     constructor({ id, service, zone, slots, workMs, onArrival }) {
         Object.assign(this, { id, service, zone, slots, workMs, onArrival, bornMs: Date.now(), sequence: 0, address: "" });
         this.server = createServer((request, response) => this.#answer(request, response));
@@ -46,7 +49,16 @@
             return;
         }
         request.resume().once("end", () => {
-            this.onArrival(requestId);
+            const pauseSeconds = this.onArrival(requestId);
+            if (pauseSeconds !== undefined) {
+                response.writeHead(503, {
+                    "x-attempt-id": requestId,
+                    "x-not-executed": "1",
+                    "retry-after": String(pauseSeconds),
+                    "content-length": "0",
+                }).end();
+                return;
+            }
             setTimeout(() => {
                 const body = `${this.id} ${requestId}`;
                 response.writeHead(200, {
