--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -59,7 +59,9 @@
         zone: "z1",
         slots: 6,
         workMs: 60,
-        onArrival: requestId => receive(worker, requestId),
+        onArrival: requestId => {
+            receive(worker, requestId);
+        },
     });
     await worker.start(address(20));
     workers.set(id, worker);
