Count the grace period of upstreams from the end of a list outage

Cause: UpstreamDirectory kept each upstream that left the list within 1.8 s after the last failed read for 1.8 s from its removal, whatever the reason of the removal. Evidence: the removal was logged 0.13 s after the store's confirmation, and the upstream left the directory 1.88 s later, with lines "placed" in between. That rules out a late read and calls sent long after their placement.

Change: the period ends after a read that begins two seconds after the first one that succeeds, and at stable_window_ms after the start of the last failed read at the latest. An entry that was written after the outage, or too lately to have expired, was deleted: its upstream is removed at once. A VM to which others forward their reads has no outage. VMs that read for the fleet repeat a failed read 0.4 s after its start. Why this keeps both promises: a VM that was cut off counts as connected stable_window_ms after the cut, which is not before the last failed read began; a live upstream is listed again two seconds after the store's return, which the last read still sees.

The tests of the directory and of RelayState that named the old period check the new one to the millisecond.

--- a/src/core/relay/UpstreamDirectory.ts
+++ b/src/core/relay/UpstreamDirectory.ts
@@ -2,29 +2,75 @@
 
 interface DirectoryEntry {
     readonly upstream: RelayUpstream;
-    /** End of the grace period of an upstream that left the list during or shortly after an outage; undefined while it is listed. */
-    expiresAtMs: number | undefined;
+    /** The upstream wrote its entry at this time or later. */
+    readonly writtenAfterMs: number;
+    /** Whether the entry is missing from the list, but may only have expired during an outage. */
+    isMissing: boolean;
 }
 
-/**
- * After an outage of the upstream list, live upstreams are listed again within this time (the platform promises about two seconds).
- * An upstream that is still missing then is gone.
- */
-const removalGraceMs = 1_800;
+/** The last time for which the list could not be read. */
+interface ListOutage {
+    /** Start of the last read that failed; the outage ended after that. */
+    readonly lastFailureMs: number;
+    /** Start and end of the first read after the outage; undefined while it lasts. */
+    firstRead: { readonly startedMs: number; readonly endedMs: number; } | undefined;
+}
+
+interface UpstreamDirectoryOptions {
+    /** An entry that its upstream has written within this time was deleted, and has not expired, when it leaves the list. */
+    readonly minExpiryMs: number;
+    /** Longest time after an outage for which upstreams that have left the list are kept. */
+    readonly maxGraceMs: number;
+}
+
+/** Upstreams write the entries that expired during an outage of the list again within this time after it. */
+const relistingMs = 2_000;
+/** Time for a read that begins at the end of `relistingMs` to arrive, also when another VM forwards it. */
+const lastReadMs = 100;
 
 /** The upstreams that may be sent calls, as reported by the platform's upstream list. */
 export class UpstreamDirectory {
     private readonly entries = new Map<string, DirectoryEntry>();
     private readonly availableByService = new Map<string, readonly RelayUpstream[]>();
-    private listOutageUntilMs = -Infinity;
+    private outage: ListOutage | undefined;
+
+    constructor(private readonly options: UpstreamDirectoryOptions = { minExpiryMs: 0, maxGraceMs: Infinity }) {}
 
-    /** Records an outage of the list at `nowMs`. Entries that disappear soon after it may have expired only because of the outage. */
-    recordListOutage(nowMs: number): void {
-        this.listOutageUntilMs = nowMs + removalGraceMs;
+    /**
+     * Records that a read of the list that began at `startedMs` has failed. Entries that disappear soon after the outage may have expired only
+     * because of it.
+     */
+    recordListOutage(startedMs: number): void {
+        this.outage = { lastFailureMs: startedMs, firstRead: undefined };
+    }
+
+    /** Records a read of the list. Returns whether it is the first one after an outage. */
+    recordListRead(startedMs: number, endedMs: number): boolean {
+        if (this.outage === undefined || this.outage.firstRead !== undefined) {
+            return false;
+        }
+        this.outage.firstRead = { startedMs, endedMs };
+        return true;
+    }
+
+    /** When upstreams that are missing since an outage are removed; undefined during the outage and when none need be awaited. */
+    get graceEndMs(): number | undefined {
+        if (this.outage?.firstRead === undefined) {
+            return undefined;
+        }
+        const { lastFailureMs, firstRead } = this.outage;
+        return Math.min(firstRead.endedMs + relistingMs + lastReadMs, lastFailureMs + this.options.maxGraceMs);
     }
 
-    set(upstream: RelayUpstream): void {
-        this.entries.set(upstream.id, { upstream, expiresAtMs: undefined });
+    /** When to read the list to see whether upstreams that are missing since an outage are back; undefined when none need be awaited. */
+    get lastReadDueMs(): number | undefined {
+        return this.graceEndMs === undefined ? undefined : this.graceEndMs - lastReadMs;
+    }
+
+    /** Lists an upstream. `writtenAfterMs` is a time before which its entry was not written. */
+    set(upstream: RelayUpstream, writtenAfterMs = -Infinity): void {
+        const before = this.entries.get(upstream.id)?.writtenAfterMs ?? -Infinity;
+        this.entries.set(upstream.id, { upstream, writtenAfterMs: Math.max(before, writtenAfterMs), isMissing: false });
         this.availableByService.clear();
     }
 
@@ -33,14 +79,17 @@
         return this.entries.get(id)?.upstream.service;
     }
 
-    /** Removes an upstream that is no longer listed. After an outage of the list, one that is not draining is kept for a grace period. */
+    /**
+     * Removes an upstream that is no longer listed. One whose entry may have expired during an outage of the list is kept until it has had the
+     * time to write it again.
+     */
     remove(id: string, nowMs: number): void {
         const entry = this.entries.get(id);
         if (entry === undefined) {
             return;
         }
-        if (nowMs < this.listOutageUntilMs && !entry.upstream.isDraining) {
-            entry.expiresAtMs ??= nowMs + removalGraceMs;
+        if (!entry.upstream.isDraining && this.mayHaveExpired(entry, nowMs)) {
+            entry.isMissing = true;
             return;
         }
         this.entries.delete(id);
@@ -56,11 +105,13 @@
         }
     }
 
-    /** Removes upstreams whose grace period is over and returns their ids. */
+    /** Removes the upstreams that are still missing at the end of the grace period, and returns their ids. */
     removeExpired(nowMs: number): readonly string[] {
-        const expired = [...this.entries].filter(([, entry]) => entry.expiresAtMs !== undefined && entry.expiresAtMs <= nowMs).map(([id]) =>
-            id
-        );
+        if (!this.isGraceOver(nowMs)) {
+            return [];
+        }
+        this.outage = undefined;
+        const expired = [...this.entries].filter(([, { isMissing }]) => isMissing).map(([id]) => id);
         for (const id of expired) {
             this.entries.delete(id);
         }
@@ -90,7 +141,12 @@
 
     /** Whether an upstream that is no longer listed is kept for its grace period. */
     isInGracePeriod(id: string): boolean {
-        return this.entries.get(id)?.expiresAtMs !== undefined;
+        return this.entries.get(id)?.isMissing === true;
+    }
+
+    /** Number of upstreams that are no longer listed and are kept for their grace period. */
+    get missingCount(): number {
+        return [...this.entries.values()].filter(({ isMissing }) => isMissing).length;
     }
 
     /** All upstreams, draining ones included. */
@@ -101,4 +157,17 @@
     get size(): number {
         return this.entries.size;
     }
+
+    private isGraceOver(nowMs: number): boolean {
+        return this.graceEndMs !== undefined && nowMs >= this.graceEndMs;
+    }
+
+    /** Whether an entry that has left the list may have expired because of an outage, and its upstream may still write it again. */
+    private mayHaveExpired({ writtenAfterMs }: DirectoryEntry, nowMs: number): boolean {
+        if (this.outage === undefined || this.isGraceOver(nowMs) || nowMs - writtenAfterMs < this.options.minExpiryMs) {
+            return false;
+        }
+        const { firstRead } = this.outage;
+        return firstRead === undefined || writtenAfterMs < firstRead.startedMs;
+    }
 }
--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -21,17 +21,22 @@
         failure: LogError["kind"] | undefined;
         reads: number;
         replyDelayMs: number;
+        failureDelayMs: number;
         newestOffset: number | undefined;
         throws: number;
     } = {
         failure: undefined,
         reads: 0,
         replyDelayMs: 0,
+        failureDelayMs: 0,
         newestOffset: undefined,
         throws: 0,
     };
-    const fail = () => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" });
     const scheduler = new VirtualScheduler();
+    const reads: { readonly startsMs: number[]; nextDueMs: number | undefined; } = { startsMs: [], nextDueMs: undefined };
+    const fail = () =>
+        ResultAsync.fromSafePromise(state.failureDelayMs > 0 ? sleepFor(scheduler, state.failureDelayMs) : Promise.resolve())
+            .andThen(() => errAsync({ kind: state.failure ?? "unavailable", firstOffset: undefined, message: "test" } as const));
     const reply = (records: KeyedRecord[]) => {
         const read = { records, nextOffset: log.length };
         return ResultAsync.fromSafePromise(sleepFor(scheduler, state.replyDelayMs)).map(() => read);
@@ -43,6 +48,7 @@
         },
         readChanges: offset => {
             state.reads++;
+            reads.startsMs.push(scheduler.nowMs());
             return state.failure === undefined ? reply(log.slice(offset)) : fail();
         },
     };
@@ -50,13 +56,15 @@
     const appliedKeys: string[] = [];
     const forwardedOffsets: number[] = [];
     const forwardedReads: string[] = [];
-    const reachability: boolean[] = [];
+    const reachability: ("outage" | "readable")[] = [];
     const follower = new KeyedLogFollower({
         name: "test",
         source,
         scheduler,
         waitMs: 0,
         readPauseMs,
+        nextReadDueMs: () => reads.nextDueMs,
+        maxRetryIntervalMs: 800,
         startupDelayMs,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
@@ -75,7 +83,8 @@
             forwardedReads.push(`${fromOffset}-${nextOffset}: ${records.map(record => record.key).join()}`);
             return 1;
         },
-        onReachabilityChange: isReachable => reachability.push(isReachable),
+        onOutage: () => reachability.push("outage"),
+        onReadable: () => reachability.push("readable"),
         monitor: createTestMonitor(() => scheduler.nowMs()),
     });
     const start = () => void follower.run(controller.signal);
@@ -88,6 +97,7 @@
         append,
         log,
         state,
+        reads,
         scheduler,
         appliedKeys,
         forwardedOffsets,
@@ -103,8 +113,14 @@
     const unusedSource = undefined as never;
     const state = new RelayState({
         scheduler,
+        signal: new AbortController().signal,
         config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
-        upstreams: { source: unusedSource, decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })) },
+        upstreams: {
+            source: unusedSource,
+            decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })),
+            minExpiryMs: 0,
+            maxGraceMs: Infinity,
+        },
         onConfig: () => undefined,
         onUpstreamRemoved: () => undefined,
     });
@@ -114,21 +130,24 @@
         scheduler,
         waitMs: 0,
         readPauseMs,
+        nextReadDueMs: () => undefined,
+        maxRetryIntervalMs: 800,
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
         requestSnapshot: () => Promise.resolve(undefined),
         snapshotWaitMs: 0,
         readerRank: () => rank,
-        onRecords: (records, isWhole) => {
+        onRecords: (records, isWhole, writtenAfterMs) => {
             state.applyConfigRecords(records);
-            return state.applyUpstreamRecords(records, isWhole);
+            return state.applyUpstreamRecords(records, isWhole, writtenAfterMs);
         },
         onRead: (read, records) => {
             onForward({ ...read, records });
             return 1;
         },
-        onReachabilityChange: () => undefined,
+        onOutage: () => undefined,
+        onReadable: () => undefined,
         monitor: createTestMonitor(() => scheduler.nowMs()),
     });
     void follower.run(new AbortController().signal);
@@ -288,7 +307,38 @@
     await scheduler.advanceAsync(1_000);
     state.failure = undefined;
     await scheduler.advanceAsync(1_000);
-    expect([appliedKeys, reachability[0], reachability.at(-1)]).toEqual([["a!"], false, true]);
+    expect([appliedKeys, reachability[0], reachability.at(-1)]).toEqual([["a!"], "outage", "readable"]);
+    stop();
+});
+
+test("a VM that cannot read the log has no outage of it while another VM forwards its reads", async () => {
+    const { start, follower, append, state, scheduler, reachability, stop } = create(0);
+    append("a");
+    start();
+    await scheduler.advanceAsync(2_000);
+    state.failure = "unavailable";
+    for (let read = 0; read < 10; read++) {
+        follower.receiveFromPeer("vm-1", { fromOffset: 1, records: [], nextOffset: 1 });
+        await scheduler.advanceAsync(500);
+    }
+    expect([...new Set(reachability)]).toEqual(["readable"]);
+    await scheduler.advanceAsync(2_000);
+    expect(reachability.at(-1)).toEqual("outage");
+    stop();
+});
+
+test("a failed read that took long is repeated soon by a VM that forwards its reads, and a due read does not wait for the pause", async () => {
+    const { start, append, state, scheduler, reads, stop } = create(0);
+    append("a");
+    start();
+    reads.nextDueMs = 1_500;
+    await scheduler.advanceAsync(2_000);
+    expect(reads.startsMs).toEqual([600, 1_200, 1_500]);
+    state.failure = "unavailable";
+    state.failureDelayMs = 1_000;
+    await scheduler.advanceAsync(10_000);
+    const intervalsMs = reads.startsMs.slice(4).map((startMs, index) => startMs - (reads.startsMs[index + 3] ?? 0));
+    expect(new Set(intervalsMs)).toEqual(new Set([1_100]));
     stop();
 });
 
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -19,6 +19,10 @@
     readonly waitMs: number;
     /** Pause between the end of one read and the start of the next. */
     readonly readPauseMs: number;
+    /** When a read should begin even if the pause is not over; undefined for none. */
+    readonly nextReadDueMs: () => number | undefined;
+    /** Longest time from the start of a failed read to the next one, for the VMs that forward their reads; a read that takes longer is repeated soon. */
+    readonly maxRetryIntervalMs: number;
     /**
      * After its first read a VM relies on other VMs for changes for this long: VMs that start together would otherwise all consider
      * themselves the reader.
@@ -30,8 +34,11 @@
      */
     readonly baseSilenceTimeoutMs: number;
     readonly silenceTimeoutPerRankMs: number;
-    /** Applies records and returns those to forward to other VMs; with `isWhole`, `records` holds the newest record of each key. */
-    readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[];
+    /**
+     * Applies records and returns those to forward to other VMs; with `isWhole`, `records` holds the newest record of each key.
+     * `writtenAfterMs` is a time before which none of them was written.
+     */
+    readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean, writtenAfterMs: number) => readonly KeyedRecord[];
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
     readonly readerRank: () => number;
     /**
@@ -40,8 +47,13 @@
      * sent to.
      */
     readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => number;
-    /** Called when the log becomes reachable, and after each read that fails. */
-    readonly onReachabilityChange: (isReachable: boolean) => void;
+    /** Called after each read that fails while no other VM forwards its reads, with the time at which it began. */
+    readonly onOutage: (startedMs: number) => void;
+    /**
+     * Called when the log is known to be readable, before the records of a read are applied. `startedMs` is when this VM began the read, or
+     * when it received the read of another VM.
+     */
+    readonly onReadable: (startedMs: number) => void;
     readonly monitor: KeyedLogMonitor;
     /** Requests the newest records from `vm`, or from any other VM; undefined when that has none. */
     readonly requestSnapshot: (vm: string | undefined, signal: AbortSignal) => Promise<LogSnapshot | undefined>;
@@ -49,8 +61,9 @@
     readonly snapshotWaitMs: number;
 }
 
-/** Delay of the next read after a failed one, doubled with each further failure up to the maximum. */
+/** Delay of the next read after a failed one, doubled with each further failure up to a maximum. */
 const initialRetryDelayMs = 100;
+/** The maximum for VMs that do not forward their reads, and after an unexpected error. */
 const maxRetryDelayMs = 800;
 /** VMs from this rank on all read at the same time, and only for themselves: they forward nothing. */
 const firstNonForwardingRank = 4;
@@ -70,6 +83,8 @@
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
     private lastReadMs = -Infinity;
+    /** Start of the last read of this VM that ended at `nextOffset`: later records were written after this time. */
+    private positionReadMs = -Infinity;
     private startupDelayEndMs = -Infinity;
     private hasAskedPeers = false;
     private hasRead = false;
@@ -101,7 +116,7 @@
 
     /** Waits for another VM's reads for a moment, or reads once. */
     private async followOnce(signal: AbortSignal): Promise<void> {
-        const { scheduler, readPauseMs } = this.options;
+        const { scheduler } = this.options;
         if (!this.hasAskedPeers) {
             this.hasAskedPeers = true;
             await this.startFromPeer(signal);
@@ -116,17 +131,30 @@
             await sleepFor(scheduler, Math.min(readerCheckIntervalMs - nowMs % readerCheckIntervalMs, remainingWaitMs));
             return;
         }
+        const startedMs = scheduler.nowMs();
         const isSuccessful = this.nextOffset === undefined
             ? await this.readNewest(signal)
             : await this.readChanges(this.nextOffset, signal);
-        const delayMs = isSuccessful
-            ? readPauseMs
-            : Math.min(maxRetryDelayMs, initialRetryDelayMs * 2 ** Math.min(this.consecutiveFailures, 8));
+        const delayMs = isSuccessful ? this.computeReadPauseMs() : this.computeRetryDelayMs(startedMs);
         if (delayMs > 0 && !signal.aborted) {
             await sleepFor(scheduler, delayMs);
         }
     }
 
+    private computeReadPauseMs(): number {
+        const { scheduler, readPauseMs, nextReadDueMs } = this.options;
+        const remainingMs = (nextReadDueMs() ?? Infinity) - scheduler.nowMs();
+        return remainingMs > 0 ? Math.min(readPauseMs, remainingMs) : readPauseMs;
+    }
+
+    private computeRetryDelayMs(startedMs: number): number {
+        const { scheduler, readerRank, maxRetryIntervalMs } = this.options;
+        const delayMs = initialRetryDelayMs * 2 ** Math.min(this.consecutiveFailures, 8);
+        return readerRank() < firstNonForwardingRank
+            ? Math.max(initialRetryDelayMs, Math.min(delayMs, startedMs + maxRetryIntervalMs - scheduler.nowMs()))
+            : Math.min(delayMs, maxRetryDelayMs);
+    }
+
     /** How long this VM waits to hear from a reader before it reads itself; 0 for the reader. */
     private get silenceTimeoutMs(): number {
         const { readerRank, baseSilenceTimeoutMs, silenceTimeoutPerRankMs } = this.options;
@@ -150,6 +178,7 @@
         }
         if (nextOffset >= this.nextOffset) {
             this.lastHeardMs = this.options.scheduler.nowMs();
+            this.options.onReadable(this.lastHeardMs);
         }
         this.applyRecords(records, nextOffset);
     }
@@ -179,7 +208,7 @@
         if (isWhole) {
             this.newestRecords.clear();
         }
-        const changed = this.options.onRecords(records, isWhole);
+        const changed = this.options.onRecords(records, isWhole, isWhole ? -Infinity : this.positionReadMs);
         for (const { key, offset, value } of isWhole ? records : changed) {
             if (value === undefined) {
                 this.newestRecords.delete(key);
@@ -236,19 +265,22 @@
     }
 
     private async readNewest(signal: AbortSignal): Promise<boolean> {
+        const startedMs = this.options.scheduler.nowMs();
         const read = await this.options.source.readNewest(signal);
         if (read.isErr()) {
-            this.recordFailure(read.error);
+            this.recordFailure(read.error, startedMs);
             return false;
         }
-        this.recordSuccess();
+        this.recordSuccess(startedMs);
         this.options.monitor.recordRead(read.value.records.length);
         this.takeNewest(read.value);
+        this.positionReadMs = startedMs;
         return true;
     }
 
     private async readChanges(offset: number, signal: AbortSignal): Promise<boolean> {
         this.options.monitor.recordReading(offset, this.options.readerRank);
+        const startedMs = this.options.scheduler.nowMs();
         const read = await this.options.source.readChanges(offset, this.options.waitMs, signal);
         if (read.isErr()) {
             if (read.error.kind === "forgotten") {
@@ -261,15 +293,18 @@
                 this.nextOffset = undefined;
                 return true;
             }
-            this.recordFailure(read.error);
+            this.recordFailure(read.error, startedMs);
             return false;
         }
-        this.recordSuccess();
+        this.recordSuccess(startedMs);
         this.options.monitor.recordRead(read.value.records.length);
         // Messages of other VMs may have advanced the position during the read, and the newest records may have reached beyond it.
         const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.newestEndOffset);
         const { nextOffset, records } = read.value;
         const forwarded = this.applyRecords(records, nextOffset);
+        if (this.nextOffset === nextOffset) {
+            this.positionReadMs = startedMs;
+        }
         const hasNothingNew = fromOffset > offset && nextOffset <= fromOffset;
         if (!hasNothingNew && this.options.readerRank() < firstNonForwardingRank) {
             const vms = this.options.onRead({ fromOffset, nextOffset }, forwarded);
@@ -278,23 +313,25 @@
         return true;
     }
 
-    private recordSuccess(): void {
+    private recordSuccess(startedMs: number): void {
         this.consecutiveFailures = 0;
         this.lastReadMs = this.options.scheduler.nowMs();
         if (this.isReachable !== true) {
             this.isReachable = true;
             log("platform log is reachable", { stream: this.options.name });
-            this.options.onReachabilityChange(true);
         }
+        this.options.onReadable(startedMs);
     }
 
-    private recordFailure(error: LogError): void {
+    private recordFailure(error: LogError, startedMs: number): void {
         this.consecutiveFailures++;
         this.options.monitor.recordFailedRead(error.kind);
         if (this.isReachable !== false) {
             log("platform log is unreachable; retrying", { stream: this.options.name, kind: error.kind, reason: error.message });
         }
         this.isReachable = false;
-        this.options.onReachabilityChange(false);
+        if (this.options.scheduler.nowMs() - this.lastHeardMs > this.options.baseSilenceTimeoutMs) {
+            this.options.onOutage(startedMs);
+        }
     }
 }
--- a/src/node/relay/KeyedLogMonitor.test.ts
+++ b/src/node/relay/KeyedLogMonitor.test.ts
@@ -52,6 +52,8 @@
         scheduler,
         waitMs: 0,
         readPauseMs: 600,
+        nextReadDueMs: () => undefined,
+        maxRetryIntervalMs: 800,
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
@@ -60,7 +62,8 @@
         onRecords: applied => applied.slice(1),
         readerRank: () => rank,
         onRead: () => 86,
-        onReachabilityChange: () => undefined,
+        onOutage: () => undefined,
+        onReadable: () => undefined,
         monitor,
     });
     void follower.run(controller.signal);
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -22,6 +22,7 @@
     const scheduler = new VirtualScheduler();
     const state = new RelayState({
         scheduler,
+        signal: new AbortController().signal,
         config: {
             source: unusedSource,
             key: "config",
@@ -31,6 +32,8 @@
             source: unusedSource,
             decode: (id, value) =>
                 String(value) === "broken" ? err("broken") : ok(exampleUpstream(id, { isDraining: String(value) === "draining" })),
+            minExpiryMs: 0,
+            maxGraceMs: Infinity,
         },
         onConfig: () => undefined,
         onUpstreamRemoved: id => removedIds.push(id),
@@ -100,12 +103,13 @@
 test("an upstream whose entry is removed shortly after a list outage is removed only when the entry stays missing", () => {
     const { state, removedIds, scheduler } = createState();
     state.applyUpstreamRecords([record("a", "ready"), record("b", "ready")], true);
-    state.recordListOutage();
+    state.recordListOutage(scheduler.nowMs());
+    state.recordListRead(scheduler.nowMs());
     state.applyUpstreamRecords([record("a", undefined), record("b", undefined)], false);
+    scheduler.advance(2_000);
     expect(available(state)).toEqual(["a", "b"]);
     state.applyUpstreamRecords([record("b", "ready")], false);
-    scheduler.advance(2_000);
-    state.removeExpiredUpstreams();
+    scheduler.advance(100);
     expect([available(state), removedIds]).toEqual([["b"], ["a"]]);
 });
 
@@ -119,7 +123,7 @@
     // A VM that started after the entry that cannot be decoded does not know the one before it.
     expect(applyChanges(record("b", "ready"))).toEqual(["b"]);
     expect(applyChanges(record("b", "ready"))).toEqual([]);
-    state.recordListOutage();
+    state.recordListOutage(0);
     expect(applyChanges(record("b", undefined))).toEqual(["b"]);
     // The upstream is kept here, but was removed on VMs that did not see the outage.
     expect(applyChanges(record("b", "ready"))).toEqual(["b"]);
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -10,19 +10,23 @@
 
 interface RelayStateOptions extends Pick<RelayVmOptions, "config" | "upstreams"> {
     readonly scheduler: Scheduler;
+    /** Ends the timers of this state. */
+    readonly signal: AbortSignal;
     readonly onConfig: (table: RouteTable) => void;
     readonly onUpstreamRemoved: (id: string) => void;
 }
 
 /** Configuration and upstreams in force on this VM. The version of the configuration never decreases. */
 export class RelayState {
-    readonly directory = new UpstreamDirectory();
+    readonly directory: UpstreamDirectory;
     routeTable: RouteTable | undefined;
     private isUpstreamListKnown = false;
     /** Ids of upstreams whose newest entry cannot be decoded. */
     private readonly undecodableUpstreamIds = new Set<string>();
 
-    constructor(private readonly options: RelayStateOptions) {}
+    constructor(private readonly options: RelayStateOptions) {
+        this.directory = new UpstreamDirectory(options.upstreams);
+    }
 
     /** Whether a configuration and the list of upstreams are known. */
     get isReady(): boolean {
@@ -41,25 +45,39 @@
     }
 
     /**
-     * Applies records of the upstream list; with `isWhole`, `records` is the complete list. Returns the records to forward to other VMs,
-     * without unchanged entries, as upstreams rewrite theirs all the time.
+     * Applies records of the upstream list; with `isWhole`, `records` is the complete list. `writtenAfterMs` is a time before which none of
+     * them was written. Returns the records to forward to other VMs, without unchanged entries, as upstreams rewrite theirs all the time.
      */
-    applyUpstreamRecords(records: readonly KeyedRecord[], isWhole: boolean): readonly KeyedRecord[] {
+    applyUpstreamRecords(records: readonly KeyedRecord[], isWhole: boolean, writtenAfterMs = -Infinity): readonly KeyedRecord[] {
         const nowMs = this.options.scheduler.nowMs();
         if (isWhole) {
             this.isUpstreamListKnown = true;
             this.directory.retain(new Set(records.map(record => record.key)), nowMs);
         }
-        return records.filter(record => this.applyUpstreamRecord(record, nowMs));
+        return records.filter(record => this.applyUpstreamRecord(record, { nowMs, writtenAfterMs }));
+    }
+
+    /** Records that a read of the platform's list that began at `startedMs` has failed. */
+    recordListOutage(startedMs: number): void {
+        this.directory.recordListOutage(startedMs);
     }
 
-    /** Records that the platform's list cannot be read at the moment. */
-    recordListOutage(): void {
-        this.directory.recordListOutage(this.options.scheduler.nowMs());
+    /** Records a read of the platform's list that began at `startedMs` and has succeeded. */
+    recordListRead(startedMs: number): void {
+        const { scheduler, signal } = this.options;
+        const nowMs = scheduler.nowMs();
+        if (!this.directory.recordListRead(startedMs, nowMs)) {
+            return;
+        }
+        const graceMs = (this.directory.graceEndMs ?? nowMs) - nowMs;
+        log("upstream list can be read again; keeping upstreams whose entries may have expired meanwhile", { graceMs });
+        scheduler.after(graceMs, () => {
+            this.removeExpiredUpstreams();
+        }, signal);
     }
 
-    /** Removes upstreams that were kept through an outage of the list and are still missing after the grace period. */
-    removeExpiredUpstreams(): void {
+    /** Removes upstreams that were kept after an outage of the list and are still missing at the end of the grace period. */
+    private removeExpiredUpstreams(): void {
         for (const id of this.directory.removeExpired(this.options.scheduler.nowMs())) {
             log("upstream removed", { upstream: id, reason: "still missing after the list outage" });
             this.options.onUpstreamRemoved(id);
@@ -85,7 +103,10 @@
     }
 
     /** Applies a record. Returns whether to forward it; other VMs may lack an entry that has not changed here. */
-    private applyUpstreamRecord({ key: id, value, offset }: KeyedRecord, nowMs: number): boolean {
+    private applyUpstreamRecord(
+        { key: id, value, offset }: KeyedRecord,
+        { nowMs, writtenAfterMs }: { readonly nowMs: number; readonly writtenAfterMs: number; },
+    ): boolean {
         const before = this.directory.get(id);
         if (value === undefined) {
             this.undecodableUpstreamIds.delete(id);
@@ -95,6 +116,7 @@
                 log(isKept ? "upstream is missing from the list after an outage; keeping it for a grace period" : "upstream removed", {
                     upstream: id,
                     offset,
+                    graceMs: isKept && this.directory.graceEndMs !== undefined ? this.directory.graceEndMs - nowMs : undefined,
                 });
                 if (!isKept) {
                     this.options.onUpstreamRemoved(id);
@@ -119,7 +141,7 @@
         }
         // VMs that removed the entry during the outage, or started while it could not be decoded, lack an entry that is unchanged here.
         const isForwarded = !isSame || this.directory.isInGracePeriod(id) || this.undecodableUpstreamIds.delete(id);
-        this.directory.set(upstream.value);
+        this.directory.set(upstream.value, writtenAfterMs);
         return isForwarded;
     }
 }
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -18,7 +18,6 @@
 import { Metrics } from "../metrics/Metrics.js";
 import type { WebSocketPeerLinks } from "../peer/WebSocketPeerLinks.js";
 import type { KeyedLog } from "../services/KeyedLog.js";
-import type { KeyedRecord } from "../services/KeyedRecord.js";
 import { isConnectionRefused } from "../upstream/isConnectionRefused.js";
 import { UpstreamConnections } from "../upstream/UpstreamConnections.js";
 import { KeyedLogFollower } from "./KeyedLogFollower.js";
@@ -59,7 +58,9 @@
     maxTrustedTombstoneAgeMs: 2_000,
     minNeighbourSelectionIntervalMs: 1_000,
 };
-const expiryCheckIntervalMs = 200;
+const latenessCheckIntervalMs = 200;
+/** Longest time from the start of a failed read to the next one. How exactly the end of an outage of the upstream list is known depends on it. */
+const maxRetryIntervalsMs = { config: 800, upstreams: 400 };
 /** How long a stopping VM still accepts calls: the platform stops sending callers after two failed probes, a second apart. */
 const acceptWhileStoppingMs = 2_800;
 /** Part of the grace period kept back so that the last bytes are sent before the process is killed. */
@@ -81,6 +82,8 @@
     readonly peerUrl: string;
 }
 
+type FollowerOptions = ConstructorParameters<typeof KeyedLogFollower>[0];
+
 /** A VM that relays calls: its servers, membership and background tasks. */
 export class RelayVm {
     private readonly metrics = new Metrics();
@@ -118,6 +121,7 @@
             config: dependencies.config,
             upstreams: dependencies.upstreams,
             scheduler,
+            signal: this.stopController.signal,
             onConfig: table => {
                 this.server.setLimits(table.config.limits);
             },
@@ -163,6 +167,11 @@
                 () => this.availability.count(state, scheduler.nowMs()),
             );
         }
+        this.metrics.registerGauge(
+            "missing_upstreams",
+            "Upstreams that are missing from the list after an outage and still get calls, as their entries may only have expired.",
+            () => this.state.directory.missingCount,
+        );
         this.server = new RelayServer({
             ...dependencies.listen.caller,
             dialect: dependencies.dialect,
@@ -247,23 +256,32 @@
             forwarder,
             "config",
             dependencies.config.source,
-            { waitMs: timing.configReadWaitMs, readPauseMs: 0 },
+            {
+                waitMs: timing.configReadWaitMs,
+                readPauseMs: 0,
+                nextReadDueMs: () => undefined,
+                maxRetryIntervalMs: maxRetryIntervalsMs.config,
+            },
             records => state.applyConfigRecords(records),
         );
         const upstreams = this.createFollower(
             forwarder,
             "upstreams",
             dependencies.upstreams.source,
-            { waitMs: 0, readPauseMs: timing.upstreamsReadPauseMs },
-            (records, isWhole) => state.applyUpstreamRecords(records, isWhole),
+            {
+                waitMs: 0,
+                readPauseMs: timing.upstreamsReadPauseMs,
+                nextReadDueMs: () => state.directory.lastReadDueMs,
+                maxRetryIntervalMs: maxRetryIntervalsMs.upstreams,
+            },
+            (records, isWhole, writtenAfterMs) => state.applyUpstreamRecords(records, isWhole, writtenAfterMs),
         );
         forwarder.start(signal);
         this.snapshots.start(signal);
         void config.run(signal);
         void upstreams.run(signal);
-        scheduler.every(expiryCheckIntervalMs, latenessMs => {
+        scheduler.every(latenessCheckIntervalMs, latenessMs => {
             this.relayMetrics.recordTimerLateness(latenessMs);
-            state.removeExpiredUpstreams();
         }, signal);
         new RegistryTask({
             vm: dependencies.vm,
@@ -286,8 +304,8 @@
         forwarder: ReadForwarder,
         name: "config" | "upstreams",
         source: KeyedLog,
-        reads: { readonly waitMs: number; readonly readPauseMs: number; },
-        onRecords: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[],
+        reads: Pick<FollowerOptions, "waitMs" | "readPauseMs" | "nextReadDueMs" | "maxRetryIntervalMs">,
+        onRecords: FollowerOptions["onRecords"],
     ): KeyedLogFollower {
         const { relayMetrics } = this;
         const { scheduler, changeLimitMs } = this.dependencies;
@@ -315,8 +333,8 @@
             snapshotWaitMs: this.snapshotWaitMs,
             requestSnapshot: (vm, signal) => this.snapshots.request(name, vm, signal),
             readerRank: () => this.readerRank,
-            onRecords: (records, isWhole) => {
-                const forwarded = onRecords(records, isWhole);
+            onRecords: (...read) => {
+                const forwarded = onRecords(...read);
                 this.announceReadiness();
                 return forwarded;
             },
@@ -325,9 +343,14 @@
                 relayMetrics.recordForwarded(name, counts);
                 return counts.sent;
             },
-            onReachabilityChange: isReachable => {
-                if (!isReachable && name === "upstreams") {
-                    this.state.recordListOutage();
+            onOutage: startedMs => {
+                if (name === "upstreams") {
+                    this.state.recordListOutage(startedMs);
+                }
+            },
+            onReadable: startedMs => {
+                if (name === "upstreams") {
+                    this.state.recordListRead(startedMs);
                 }
             },
         });
--- a/src/node/relay/RelayVmOptions.ts
+++ b/src/node/relay/RelayVmOptions.ts
@@ -39,6 +39,10 @@
     readonly upstreams: {
         readonly source: KeyedLog;
         readonly decode: (id: string, value: Uint8Array) => Result<RelayUpstream, string>;
+        /** An entry that its upstream has written within this time was deleted, and has not expired, when it leaves the list. */
+        readonly minExpiryMs: number;
+        /** Time after an outage of the list from which on the VM must send no calls to upstreams that have left it. */
+        readonly maxGraceMs: number;
     };
     readonly registry: VmRegistry;
     /** Limit on retries by all VMs together to one service: `perCall` for each call, plus `slack` in each `windowMs`. */
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -63,9 +63,10 @@
 const lostSnapshotShare = 0.1;
 const { configReadWaitMs, upstreamsReadPauseMs, ...silenceTimeouts } = computeFollowerTiming(applyLimitMs);
 /** The waits and pauses of `RelayVm`. */
+const retries = { nextReadDueMs: () => undefined, maxRetryIntervalMs: 800 };
 const followerTiming = {
-    config: { ...silenceTimeouts, waitMs: configReadWaitMs, readPauseMs: 0, startupDelayMs: 1_500 },
-    upstreams: { ...silenceTimeouts, waitMs: 0, readPauseMs: upstreamsReadPauseMs, startupDelayMs: 1_500 },
+    config: { ...silenceTimeouts, waitMs: configReadWaitMs, readPauseMs: 0, startupDelayMs: 1_500, ...retries },
+    upstreams: { ...silenceTimeouts, waitMs: 0, readPauseMs: upstreamsReadPauseMs, startupDelayMs: 1_500, ...retries },
 };
 
 /**
@@ -156,8 +157,14 @@
         const unusedSource = undefined as never;
         const state = new RelayState({
             scheduler: processor,
+            signal: this.controller.signal,
             config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
-            upstreams: { source: unusedSource, decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })) },
+            upstreams: {
+                source: unusedSource,
+                decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })),
+                minExpiryMs: 0,
+                maxGraceMs: Infinity,
+            },
             onConfig: () => undefined,
             onUpstreamRemoved: () => undefined,
         });
@@ -175,7 +182,7 @@
                     "upstreams",
                     processor,
                     () => vm,
-                    (records, isWhole) => state.applyUpstreamRecords(records, isWhole),
+                    (...read) => state.applyUpstreamRecords(...read),
                 ),
             },
         };
@@ -186,7 +193,7 @@
         stream: Stream,
         processor: SimulatedProcessor,
         getVm: () => SimulatedVm,
-        apply: (records: readonly KeyedRecord[], isWhole: boolean) => readonly KeyedRecord[],
+        apply: ConstructorParameters<typeof KeyedLogFollower>[0]["onRecords"],
     ): KeyedLogFollower {
         return new KeyedLogFollower({
             ...followerTiming[stream],
@@ -194,8 +201,8 @@
             source: this.createSource(stream, processor, getVm),
             scheduler: processor,
             readerRank: () => this.computeRank(getVm()),
-            onRecords: (records, isWhole) => {
-                const forwarded = apply(records, isWhole);
+            onRecords: (...read) => {
+                const forwarded = apply(...read);
                 this.announceReadiness(getVm());
                 this.checkPosition(getVm(), stream);
                 return forwarded;
@@ -204,7 +211,8 @@
                 this.forward(getVm(), stream, { ...read, records: forwarded });
                 return this.vms.length - 1;
             },
-            onReachabilityChange: () => undefined,
+            onOutage: () => undefined,
+            onReadable: () => undefined,
             monitor: createTestMonitor(() => processor.nowMs()),
             snapshotWaitMs,
             requestSnapshot: vm => this.requestSnapshot(getVm(), stream, vm),
