Bound what a response with far more framing than data keeps in memory

Callers saw (report of another operator; here in a test relay): a chunked response that is held, in chunks of one byte with an extension of 8,000 bytes, grew the process by 1,167 MB in 4 s with four calls.

Cause: each byte of data restarted the count of bytes outside a body, and the attempt kept each byte as a view of the whole buffer in which it had arrived, while it counted the length of the views.

--- a/src/core/util/GrowingBuffer.ts
+++ b/src/core/util/GrowingBuffer.ts
@@ -10,6 +10,11 @@
         return this.sizeBytes;
     }
 
+    /** Size of the memory in use, at least `length`. */
+    get capacityBytes(): number {
+        return this.memory.length;
+    }
+
     /** The bytes collected so far. */
     get bytes(): Buffer {
         return this.memory.subarray(0, this.sizeBytes);
--- a/src/node/relay/RelayAttempt.ts
+++ b/src/node/relay/RelayAttempt.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { parseRetryAfterMs } from "../../core/relay/parseRetryAfterMs.js";
+import { GrowingBuffer } from "../../core/util/GrowingBuffer.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import { timerAbortReason } from "../../core/util/timerAbortReason.js";
 import type { RelayCall } from "../../schema/relay/RelayCall.js";
@@ -39,8 +40,8 @@
 export class RelayAttempt implements ResponseSink {
     private readonly exchange: UpstreamExchange;
     private readonly completion: PromiseWithResolvers<AttemptResult> = Promise.withResolvers();
-    private readonly bufferedChunks: Buffer[] = [];
-    private receivedBytes = 0;
+    private readonly heldBody = new GrowingBuffer();
+    private refusalBytes = 0;
     private readonly refusalEnd = new AbortController();
     private mode: "held" | "forwarded" | "not-run" = "held";
     private status = 0;
@@ -98,15 +99,15 @@
             this.forward(bytes);
             return;
         }
-        this.receivedBytes += bytes.length;
         if (this.mode === "not-run") {
-            if (this.receivedBytes > relayLimits.refusalBodyBytes) {
+            this.refusalBytes += bytes.length;
+            if (this.refusalBytes > relayLimits.refusalBodyBytes) {
                 this.stopReadingRefusal(`the upstream sent a refusal larger than ${relayLimits.refusalBodyBytes} bytes`);
             }
             return;
         }
-        this.bufferedChunks.push(bytes);
-        if (this.receivedBytes > maxBufferedBytes) {
+        this.heldBody.append(bytes);
+        if (this.heldBody.length > maxBufferedBytes) {
             this.startForwarding(false);
         }
     }
@@ -122,7 +123,7 @@
         }
         this.completion.resolve({
             kind: "held",
-            answer: { status: this.status, headers: this.headers, body: Buffer.concat(this.bufferedChunks) },
+            answer: { status: this.status, headers: this.headers, body: this.heldBody.bytes },
         });
     }
 
@@ -164,8 +165,10 @@
             this.fail("the upstream did not resume the stream but sent a separate response");
             return;
         }
-        for (const bytes of this.bufferedChunks.splice(0)) {
-            this.forward(bytes);
+        const heldBytes = this.heldBody.bytes;
+        this.heldBody.clear();
+        if (heldBytes.length > 0) {
+            this.forward(heldBytes);
         }
     }
 
--- a/src/node/upstream/BodyCollector.ts
+++ b/src/node/upstream/BodyCollector.ts
@@ -1,10 +1,10 @@
+import { GrowingBuffer } from "../../core/util/GrowingBuffer.js";
 import type { ResponseSink } from "./ResponseSink.js";
 import type { ThrownUpstreamError } from "./ThrownUpstreamError.js";
 
 /** Collects a short response body, such as that of an error. A chunk that would exceed `maxBytes` is dropped. */
 export class BodyCollector implements ResponseSink {
-    private readonly parts: Buffer[] = [];
-    private sizeBytes = 0;
+    private readonly body = new GrowingBuffer();
     private readonly completion: PromiseWithResolvers<string> = Promise.withResolvers();
 
     constructor(private readonly maxBytes: number) {
@@ -17,14 +17,13 @@
     }
 
     onData(bytes: Buffer): void {
-        if (this.sizeBytes + bytes.length <= this.maxBytes) {
-            this.parts.push(bytes);
-            this.sizeBytes += bytes.length;
+        if (this.body.length + bytes.length <= this.maxBytes) {
+            this.body.append(bytes);
         }
     }
 
     onEnd(): void {
-        this.completion.resolve(Buffer.concat(this.parts).toString("utf8"));
+        this.completion.resolve(this.body.bytes.toString("utf8"));
     }
 
     onError(failure: ThrownUpstreamError): void {
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -63,7 +63,7 @@
             return;
         }
         this.isSent = true;
-        this.connection?.framingLimiter?.reset();
+        this.connection?.framingLimiter?.startRequest();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
@@ -80,7 +80,7 @@
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        this.connection?.framingLimiter?.reset();
+        this.connection?.framingLimiter?.recordData(chunk.length);
         if (!controller.aborted) {
             this.sink?.onData(chunk);
         }
