--- a/src/node/caller/PlainCall.ts
+++ b/src/node/caller/PlainCall.ts
@@ -5,6 +5,7 @@
 import { hasSingleDeduplicatingPool } from "../../core/booking/hasSingleDeduplicatingPool.js";
 import { choosePool } from "../../core/paths/choosePool.js";
 import { admitRetry } from "../../core/retry/admitRetry.js";
+import { GrowingBuffer } from "../../core/util/GrowingBuffer.js";
 import type { Pool } from "../../schema/config/Pool.js";
 import type { Outcome } from "../../schema/Outcome.js";
 import { BookingSendError } from "../booking/BookingSendError.js";
@@ -359,12 +360,12 @@
 
 /** Reads a complete response body; undefined if it was truncated. */
 async function readResponseBody(body: Readable): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
+    const collected = new GrowingBuffer();
     try {
         for await (const chunk of body as AsyncIterable<Buffer>) {
-            chunks.push(chunk);
+            collected.append(chunk);
         }
-        return Buffer.concat(chunks);
+        return collected.bytes;
     }
     catch {
         return undefined;
--- a/src/node/caller/bufferRequestBody.ts
+++ b/src/node/caller/bufferRequestBody.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "../../core/util/GrowingBuffer.js";
 import { CallerError } from "./CallerError.js";
 
 /**
@@ -11,15 +12,15 @@
         incoming.resume();
         return err(createBodyTooLargeError(maxBytes));
     }
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const body = new GrowingBuffer();
+    let isTooLarge = false;
     try {
         for await (const chunk of incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-            sizeBytes += chunk.length;
-            if (sizeBytes > maxBytes) {
+            isTooLarge = body.length + chunk.length > maxBytes;
+            if (isTooLarge) {
                 break;
             }
-            chunks.push(chunk);
+            body.append(chunk);
         }
     }
     catch {
@@ -30,11 +31,11 @@
             ),
         );
     }
-    if (sizeBytes > maxBytes) {
+    if (isTooLarge) {
         incoming.resume();
         return err(createBodyTooLargeError(maxBytes));
     }
-    return ok(Buffer.concat(chunks));
+    return ok(body.bytes);
 }
 
 function createBodyTooLargeError(maxBytes: number): CallerError {
