Repeat failed reads of the platform's log by the same interval on all VMs

Change: a failed read is repeated within 0.8 s of its start, or 0.1 s after its end, on all VMs; the shorter interval of some is gone, as 0.8 s suffices for both promises.

RelayState.outage.test.ts passes with reads that fail at once, after 0.4 s and after 1 s.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -64,7 +64,6 @@
         waitMs: 0,
         readPauseMs,
         nextReadDueMs: () => reads.nextDueMs,
-        maxRetryIntervalMs: 800,
         startupDelayMs,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
@@ -131,7 +130,6 @@
         waitMs: 0,
         readPauseMs,
         nextReadDueMs: () => undefined,
-        maxRetryIntervalMs: 800,
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
@@ -327,7 +325,7 @@
     stop();
 });
 
-test("a failed read that took long is repeated soon by a VM that forwards its reads, and a due read does not wait for the pause", async () => {
+test("a failed read that took long is repeated soon, and a due read does not wait for the pause", async () => {
     const { start, append, state, scheduler, reads, stop } = create(0);
     append("a");
     start();
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -21,8 +21,6 @@
     readonly readPauseMs: number;
     /** When a read should begin even if the pause is not over; undefined for none. */
     readonly nextReadDueMs: () => number | undefined;
-    /** Longest time from the start of a failed read to the next one, for the VMs that forward their reads; a read that takes longer is repeated soon. */
-    readonly maxRetryIntervalMs: number;
     /**
      * After its first read a VM relies on other VMs for changes for this long: VMs that start together would otherwise all consider
      * themselves the reader.
@@ -61,10 +59,10 @@
     readonly snapshotWaitMs: number;
 }
 
-/** Delay of the next read after a failed one, doubled with each further failure up to a maximum. */
+/** Delay of the next read after a failed one, doubled with each further failure. */
 const initialRetryDelayMs = 100;
-/** The maximum for VMs that do not forward their reads, and after an unexpected error. */
-const maxRetryDelayMs = 800;
+/** Longest time from the start of a failed read to the next one, except that a read that took longer is repeated after the initial delay. */
+const maxRetryIntervalMs = 800;
 /** VMs from this rank on all read at the same time, and only for themselves: they forward nothing. */
 const firstNonForwardingRank = 4;
 /** Interval at which a VM that waits for the reader checks whether it has become the reader itself, aligned to multiples of the interval. */
@@ -109,7 +107,7 @@
                     error: error instanceof Error ? error.stack : String(error),
                 });
                 this.nextOffset = undefined;
-                await sleepFor(this.options.scheduler, maxRetryDelayMs);
+                await sleepFor(this.options.scheduler, maxRetryIntervalMs);
             }
         }
     }
@@ -148,11 +146,9 @@
     }
 
     private computeRetryDelayMs(startedMs: number): number {
-        const { scheduler, readerRank, maxRetryIntervalMs } = this.options;
         const delayMs = initialRetryDelayMs * 2 ** Math.min(this.consecutiveFailures, 8);
-        return readerRank() < firstNonForwardingRank
-            ? Math.max(initialRetryDelayMs, Math.min(delayMs, startedMs + maxRetryIntervalMs - scheduler.nowMs()))
-            : Math.min(delayMs, maxRetryDelayMs);
+        const remainingMs = startedMs + maxRetryIntervalMs - this.options.scheduler.nowMs();
+        return Math.max(initialRetryDelayMs, Math.min(delayMs, remainingMs));
     }
 
     /** How long this VM waits to hear from a reader before it reads itself; 0 for the reader. */
--- a/src/node/relay/KeyedLogMonitor.test.ts
+++ b/src/node/relay/KeyedLogMonitor.test.ts
@@ -53,7 +53,6 @@
         waitMs: 0,
         readPauseMs: 600,
         nextReadDueMs: () => undefined,
-        maxRetryIntervalMs: 800,
         startupDelayMs: 0,
         baseSilenceTimeoutMs: 1_100,
         silenceTimeoutPerRankMs: 100,
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -59,8 +59,6 @@
     minNeighbourSelectionIntervalMs: 1_000,
 };
 const latenessCheckIntervalMs = 200;
-/** Longest time from the start of a failed read to the next one. How exactly the end of an outage of the upstream list is known depends on it. */
-const maxRetryIntervalsMs = { config: 800, upstreams: 400 };
 /** How long a stopping VM still accepts calls: the platform stops sending callers after two failed probes, a second apart. */
 const acceptWhileStoppingMs = 2_800;
 /** Part of the grace period kept back so that the last bytes are sent before the process is killed. */
@@ -256,12 +254,7 @@
             forwarder,
             "config",
             dependencies.config.source,
-            {
-                waitMs: timing.configReadWaitMs,
-                readPauseMs: 0,
-                nextReadDueMs: () => undefined,
-                maxRetryIntervalMs: maxRetryIntervalsMs.config,
-            },
+            { waitMs: timing.configReadWaitMs, readPauseMs: 0, nextReadDueMs: () => undefined },
             records => state.applyConfigRecords(records),
         );
         const upstreams = this.createFollower(
@@ -272,7 +265,6 @@
                 waitMs: 0,
                 readPauseMs: timing.upstreamsReadPauseMs,
                 nextReadDueMs: () => state.directory.lastReadDueMs,
-                maxRetryIntervalMs: maxRetryIntervalsMs.upstreams,
             },
             (records, isWhole, writtenAfterMs) => state.applyUpstreamRecords(records, isWhole, writtenAfterMs),
         );
@@ -304,7 +296,7 @@
         forwarder: ReadForwarder,
         name: "config" | "upstreams",
         source: KeyedLog,
-        reads: Pick<FollowerOptions, "waitMs" | "readPauseMs" | "nextReadDueMs" | "maxRetryIntervalMs">,
+        reads: Pick<FollowerOptions, "waitMs" | "readPauseMs" | "nextReadDueMs">,
         onRecords: FollowerOptions["onRecords"],
     ): KeyedLogFollower {
         const { relayMetrics } = this;
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -63,10 +63,9 @@
 const lostSnapshotShare = 0.1;
 const { configReadWaitMs, upstreamsReadPauseMs, ...silenceTimeouts } = computeFollowerTiming(applyLimitMs);
 /** The waits and pauses of `RelayVm`. */
-const retries = { nextReadDueMs: () => undefined, maxRetryIntervalMs: 800 };
 const followerTiming = {
-    config: { ...silenceTimeouts, waitMs: configReadWaitMs, readPauseMs: 0, startupDelayMs: 1_500, ...retries },
-    upstreams: { ...silenceTimeouts, waitMs: 0, readPauseMs: upstreamsReadPauseMs, startupDelayMs: 1_500, ...retries },
+    config: { ...silenceTimeouts, waitMs: configReadWaitMs, readPauseMs: 0, startupDelayMs: 1_500 },
+    upstreams: { ...silenceTimeouts, waitMs: 0, readPauseMs: upstreamsReadPauseMs, startupDelayMs: 1_500 },
 };
 
 /**
@@ -200,6 +199,7 @@
             name: stream,
             source: this.createSource(stream, processor, getVm),
             scheduler: processor,
+            nextReadDueMs: () => undefined,
             readerRank: () => this.computeRank(getVm()),
             onRecords: (...read) => {
                 const forwarded = apply(...read);
--- a/src/node/relay/testing/simulateListOutage.ts
+++ b/src/node/relay/testing/simulateListOutage.ts
@@ -136,7 +136,6 @@
         waitMs: 0,
         readPauseMs: timing.upstreamsReadPauseMs,
         nextReadDueMs: () => state.directory.lastReadDueMs,
-        maxRetryIntervalMs: 400,
         startupDelayMs: 0,
         requestSnapshot: () => Promise.resolve(undefined),
         snapshotWaitMs: 0,
