Reset the connection of a call that was given up

Cause: UpstreamExchange.abort destroys the socket through undici, which closes it in order; the system goes on sending what is in its buffers.

Change: the socket is reset where undici destroys it (addReset), for each exchange that ends before its response is complete. Nothing is lost by that: the result of the attempt is decided when abort is called, and what arrives later was not read before either.

--- a/src/node/upstream/ConnectionState.ts
+++ b/src/node/upstream/ConnectionState.ts
@@ -8,4 +8,6 @@
     hasResponded: boolean;
     /** Limits what the upstream sends outside bodies; undefined until the connection is open. */
     framingLimiter: FramingLimiter | undefined;
+    /** Lets the connection be reset when it is closed, so that what is still to be sent on it never arrives. */
+    resetOnClose: () => void;
 }
--- a/src/node/upstream/TrackedClient.ts
+++ b/src/node/upstream/TrackedClient.ts
@@ -1,4 +1,5 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { addReset } from "./addReset.js";
 import type { ConnectionState } from "./ConnectionState.js";
 import { FramingLimiter } from "./FramingLimiter.js";
 import type { TrackedDispatchOptions } from "./TrackedDispatchOptions.js";
@@ -16,7 +17,7 @@
     private readonly state: ConnectionState;
 
     constructor(origin: string | URL, { connectTimeoutMs, keepAliveMs }: TrackedClientOptions) {
-        const state: ConnectionState = { hasFailed: false, hasResponded: false, framingLimiter: undefined };
+        const state: ConnectionState = { hasFailed: false, hasResponded: false, framingLimiter: undefined, resetOnClose: () => undefined };
         const connect = buildConnector({ timeout: connectTimeoutMs, keepAlive: true });
         super(origin, {
             connect: (options, callback) => {
@@ -25,6 +26,7 @@
                     state.hasFailed = false;
                     state.hasResponded = false;
                     state.framingLimiter = socket ? new FramingLimiter(socket) : undefined;
+                    state.resetOnClose = socket ? addReset(socket) : () => undefined;
                     socket?.once("error", () => {
                         state.hasFailed = true;
                     });
--- a/src/node/upstream/UpstreamExchange.test.ts
+++ b/src/node/upstream/UpstreamExchange.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
-import { createServer, type Server, type Socket } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import type { ThrownUpstreamError } from "./ThrownUpstreamError.js";
+import { ThrownUpstreamError } from "./ThrownUpstreamError.js";
 import { UpstreamConnections } from "./UpstreamConnections.js";
 import { UpstreamExchange } from "./UpstreamExchange.js";
 
@@ -57,3 +57,47 @@
     });
     expect(end).toEqual("broken");
 });
+
+/** More than the socket buffers of the system hold, so that they are full when the request is given up. */
+const heldBody = Buffer.alloc(32 * 1024 * 1024);
+
+/** Starts a server that stops reading after the first bytes of a request, gives the request up, and resolves with the bytes that arrive in all. */
+async function giveUpWhileHeld(send: (port: number) => () => void): Promise<number> {
+    const held = Promise.withResolvers<Socket>();
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.pause();
+            held.resolve(socket);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const giveUp = send((server.address() as AddressInfo).port);
+    const socket = await held.promise;
+    giveUp();
+    socket.resume();
+    await new Promise(resolve => socket.once("close", resolve));
+    server.close();
+    return socket.bytesRead;
+}
+
+// Guards against requests that reach an upstream seconds after they were given up, because a network partition held them up.
+for (const kind of ["cancelled", "broken"] as const) {
+    test(`what is left to be sent of a ${kind} request does not reach its upstream, as it would after an orderly close`, async () => {
+        const closedBytes = await giveUpWhileHeld(port => {
+            const socket = connect(port, "127.0.0.1");
+            socket.write(heldBody);
+            return () => socket.destroy();
+        });
+        const connections = new UpstreamConnections();
+        const abortedBytes = await giveUpWhileHeld(port => {
+            const exchange = new UpstreamExchange(() => ({ onData: () => undefined, onEnd: () => undefined, onError: () => undefined }));
+            connections.dispatch({ origin: `http://127.0.0.1:${port}`, path: "/", method: "POST", body: heldBody }, exchange);
+            return () => {
+                exchange.abort(new ThrownUpstreamError(kind, undefined, "test"));
+            };
+        });
+        await connections.close();
+        expect(abortedBytes < closedBytes / 2).toEqual(true);
+    });
+}
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -46,12 +46,18 @@
         this.controller?.resume();
     }
 
-    /** Closes the connection and fails the response with `failure`. */
+    /**
+     * Resets the connection and fails the response with `failure`. After an orderly close the system would still send the rest of the request, and
+     * after a network partition all of it, to an upstream that might run a call that has been given up.
+     */
     abort(failure: ThrownUpstreamError): void {
         if (this.isFinished || this.abortFailure !== undefined) {
             return;
         }
         this.abortFailure = failure;
+        if (this.isSent) {
+            this.connection?.resetOnClose();
+        }
         this.controller?.abort(failure);
         this.settle(this.isSent ? failure : toNotSentFailure(failure));
     }
