Remove upstreams at the end of the grace period also when the timer fires early

Cause: the commit on the grace period replaced a periodic check by one timer. Timers of Node.js drop fractions of a millisecond; the timer fired before the end of the period, removed nothing and was not set again. In the log the line "upstream removed" is missing on front-ba-2 after "list can be read again" with a grace period of 1989.87 ms; on front-ba-1, with 1448.15 ms, it fired late enough.

Change: the timer is set again until the period is over.

--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -64,19 +64,31 @@
 
     /** Records a read of the platform's list that began at `startedMs` and has succeeded. */
     recordListRead(startedMs: number): void {
-        const { scheduler, signal } = this.options;
-        const nowMs = scheduler.nowMs();
+        const nowMs = this.options.scheduler.nowMs();
         if (!this.directory.recordListRead(startedMs, nowMs)) {
             return;
         }
         const graceMs = (this.directory.graceEndMs ?? nowMs) - nowMs;
-        log("upstream list can be read again; keeping upstreams whose entries may have expired meanwhile", { graceMs });
-        scheduler.after(graceMs, () => {
+        log("upstream list can be read again; keeping upstreams whose entries may have expired meanwhile", {
+            graceMs: Math.round(graceMs),
+        });
+        this.scheduleRemoval();
+    }
+
+    /** Removes upstreams that were kept after an outage of the list and are still missing at the end of the grace period. */
+    private scheduleRemoval(): void {
+        const { scheduler, signal } = this.options;
+        const { graceEndMs } = this.directory;
+        if (graceEndMs === undefined) {
+            return;
+        }
+        // A timer may fire up to a millisecond early.
+        scheduler.after(Math.max(1, graceEndMs - scheduler.nowMs()), () => {
             this.removeExpiredUpstreams();
+            this.scheduleRemoval();
         }, signal);
     }
 
-    /** Removes upstreams that were kept after an outage of the list and are still missing at the end of the grace period. */
     private removeExpiredUpstreams(): void {
         for (const id of this.directory.removeExpired(this.options.scheduler.nowMs())) {
             log("upstream removed", { upstream: id, reason: "still missing after the list outage" });
@@ -116,7 +128,7 @@
                 log(isKept ? "upstream is missing from the list after an outage; keeping it for a grace period" : "upstream removed", {
                     upstream: id,
                     offset,
-                    graceMs: isKept && this.directory.graceEndMs !== undefined ? this.directory.graceEndMs - nowMs : undefined,
+                    graceMs: isKept && this.directory.graceEndMs !== undefined ? Math.round(this.directory.graceEndMs - nowMs) : undefined,
                 });
                 if (!isKept) {
                     this.options.onUpstreamRemoved(id);
--- a/src/node/relay/testing/simulateListOutage.ts
+++ b/src/node/relay/testing/simulateListOutage.ts
@@ -2,6 +2,7 @@
 import { computeFollowerTiming } from "../../../core/relay/computeFollowerTiming.js";
 import { exampleUpstream } from "../../../core/relay/testing/exampleUpstream.js";
 import { createSeededRandom } from "../../../core/util/createSeededRandom.js";
+import type { Scheduler } from "../../../core/util/Scheduler.js";
 import { VirtualScheduler } from "../../../core/util/VirtualScheduler.js";
 import { sleepFor } from "../../config/sleepFor.js";
 import type { KeyedRecord } from "../../services/KeyedRecord.js";
@@ -40,6 +41,20 @@
 const outageStartMs = 10_000;
 const checkIntervalMs = 10;
 
+/** Fires timers up to a millisecond early, as Node.js does. */
+function createNodeTimers(scheduler: VirtualScheduler): Scheduler {
+    return {
+        nowMs: () => scheduler.nowMs(),
+        wallMs: () => scheduler.wallMs(),
+        after: (delayMs, callback, signal) => {
+            scheduler.after(Math.trunc(delayMs), callback, signal);
+        },
+        every: (periodMs, callback, signal) => {
+            scheduler.every(Math.trunc(periodMs), callback, signal);
+        },
+    };
+}
+
 /** Simulates a VM that follows the list of upstreams through an outage of the store, or of its own connection to the store. */
 export async function simulateListOutage({ seed, kind, knowsHeartbeat }: ListOutageOptions): Promise<ListOutageResult> {
     const random = createSeededRandom(seed);
@@ -99,7 +114,7 @@
     const failureMs = [1, 400, 1_000][Math.floor(random() * 3)] ?? 1;
     const read = (fromOffset: number, isWhole: boolean) => {
         const answer = async (): Promise<ListRead> => {
-            await sleepFor(scheduler, 2);
+            await sleepFor(scheduler, between(1, 3));
             if (isOut()) {
                 await sleepFor(scheduler, failureMs);
                 return err({ kind: "unavailable", firstOffset: undefined, message: "test" });
@@ -107,7 +122,7 @@
             const newest = new Map(records.map(record => [record.key, record]));
             const whole = [...newest.values()].filter(({ value }) => value !== undefined);
             const reply = { records: isWhole ? whole : records.slice(fromOffset), nextOffset: records.length };
-            await sleepFor(scheduler, 2);
+            await sleepFor(scheduler, between(1, 3));
             return ok(reply);
         };
         return ResultAsync.fromSafePromise(answer()).andThen(result => result);
@@ -115,7 +130,7 @@
 
     const unusedSource = undefined as never;
     const state = new RelayState({
-        scheduler,
+        scheduler: createNodeTimers(scheduler),
         signal,
         config: { source: unusedSource, key: "config", decode: () => err("unused") },
         upstreams: {
