Take a read that was held up into account when an outage of the list ends

Cause: the grace period is limited by the start of the last read that failed. A read that was under way when the outage ended, or when another VM's read arrived, had begun during the outage as well, up to 1.1 s later, and did not count.

Change: a first read that took 300 ms or more counts as the last failed one, also one that is still under way when another VM forwards its read.

--- a/src/core/relay/UpstreamDirectory.test.ts
+++ b/src/core/relay/UpstreamDirectory.test.ts
@@ -105,3 +105,12 @@
     directory.remove("a", 2_200);
     expect([directory.graceEndMs, directory.lastReadDueMs, directory.removeExpired(4_000)]).toEqual([4_000, 3_900, ["a"]]);
 });
+
+test("a read that was held up until the end of an outage shows that the outage lasted longer", () => {
+    const directory = new UpstreamDirectory({ minExpiryMs: 0, maxGraceMs: 3_000 });
+    directory.set(exampleUpstream("a"));
+    directory.recordListOutage(1_000);
+    directory.recordListRead(2_100, 3_000);
+    directory.remove("a", 3_000);
+    expect([directory.graceEndMs, directory.removeExpired(5_099), directory.removeExpired(5_100)]).toEqual([5_100, [], ["a"]]);
+});
--- a/src/core/relay/UpstreamDirectory.ts
+++ b/src/core/relay/UpstreamDirectory.ts
@@ -10,8 +10,8 @@
 
 /** The last time for which the list could not be read. */
 interface ListOutage {
-    /** Start of the last read that failed; the outage ended after that. */
-    readonly lastFailureMs: number;
+    /** Start of the last read that failed, or was held up until the end of the outage, which came after that. */
+    lastFailureMs: number;
     /** Start and end of the first read after the outage; undefined while it lasts. */
     firstRead: { readonly startedMs: number; readonly endedMs: number; } | undefined;
 }
@@ -25,6 +25,8 @@
 
 /** Upstreams write the entries that expired during an outage of the list again within this time after it. */
 const relistingMs = 2_000;
+/** A read that takes this long was held up: the list is read in a few milliseconds. */
+const heldUpMs = 300;
 /** Time for a read that begins at the end of `relistingMs` to arrive, also when another VM forwards it. */
 const lastReadMs = 100;
 
@@ -44,12 +46,18 @@
         this.outage = { lastFailureMs: startedMs, firstRead: undefined };
     }
 
-    /** Records a read of the list. Returns whether it is the first one after an outage. */
+    /**
+     * Records that the list is known at `endedMs`, by a read that began at `startedMs` or, while that is held up, from another VM. Returns
+     * whether this ends an outage.
+     */
     recordListRead(startedMs: number, endedMs: number): boolean {
         if (this.outage === undefined || this.outage.firstRead !== undefined) {
             return false;
         }
         this.outage.firstRead = { startedMs, endedMs };
+        if (endedMs - startedMs >= heldUpMs) {
+            this.outage.lastFailureMs = startedMs;
+        }
         return true;
     }
 
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -48,8 +48,8 @@
     /** Called after each read that fails while no other VM forwards its reads, with the time at which it began. */
     readonly onOutage: (startedMs: number) => void;
     /**
-     * Called when the log is known to be readable, before the records of a read are applied. `startedMs` is when this VM began the read, or
-     * when it received the read of another VM.
+     * Called when the log is known to be readable, before the records of a read are applied. `startedMs` is when this VM began its read, or received
+     * the read of another VM while it had none under way.
      */
     readonly onReadable: (startedMs: number) => void;
     readonly monitor: KeyedLogMonitor;
@@ -81,6 +81,8 @@
     private consecutiveFailures = 0;
     private lastHeardMs = -Infinity;
     private lastReadMs = -Infinity;
+    /** Start of the read that is under way. */
+    private readStartedMs: number | undefined;
     /** Start of the last read of this VM that ended at `nextOffset`: later records were written after this time. */
     private positionReadMs = -Infinity;
     private startupDelayEndMs = -Infinity;
@@ -130,15 +132,25 @@
             return;
         }
         const startedMs = scheduler.nowMs();
-        const isSuccessful = this.nextOffset === undefined
-            ? await this.readNewest(signal)
-            : await this.readChanges(this.nextOffset, signal);
+        const isSuccessful = await this.readOnce(startedMs, signal);
         const delayMs = isSuccessful ? this.computeReadPauseMs() : this.computeRetryDelayMs(startedMs);
         if (delayMs > 0 && !signal.aborted) {
             await sleepFor(scheduler, delayMs);
         }
     }
 
+    private async readOnce(startedMs: number, signal: AbortSignal): Promise<boolean> {
+        this.readStartedMs = startedMs;
+        try {
+            return this.nextOffset === undefined
+                ? await this.readNewest(signal, startedMs)
+                : await this.readChanges(this.nextOffset, signal, startedMs);
+        }
+        finally {
+            this.readStartedMs = undefined;
+        }
+    }
+
     private computeReadPauseMs(): number {
         const { scheduler, readPauseMs, nextReadDueMs } = this.options;
         const remainingMs = (nextReadDueMs() ?? Infinity) - scheduler.nowMs();
@@ -174,7 +186,7 @@
         }
         if (nextOffset >= this.nextOffset) {
             this.lastHeardMs = this.options.scheduler.nowMs();
-            this.options.onReadable(this.lastHeardMs);
+            this.options.onReadable(this.readStartedMs ?? this.lastHeardMs);
         }
         this.applyRecords(records, nextOffset);
     }
@@ -260,8 +272,7 @@
         this.apply(records, true);
     }
 
-    private async readNewest(signal: AbortSignal): Promise<boolean> {
-        const startedMs = this.options.scheduler.nowMs();
+    private async readNewest(signal: AbortSignal, startedMs: number): Promise<boolean> {
         const read = await this.options.source.readNewest(signal);
         if (read.isErr()) {
             this.recordFailure(read.error, startedMs);
@@ -274,9 +285,8 @@
         return true;
     }
 
-    private async readChanges(offset: number, signal: AbortSignal): Promise<boolean> {
+    private async readChanges(offset: number, signal: AbortSignal, startedMs: number): Promise<boolean> {
         this.options.monitor.recordReading(offset, this.options.readerRank);
-        const startedMs = this.options.scheduler.nowMs();
         const read = await this.options.source.readChanges(offset, this.options.waitMs, signal);
         if (read.isErr()) {
             if (read.error.kind === "forgotten") {
--- a/src/node/relay/testing/simulateListOutage.ts
+++ b/src/node/relay/testing/simulateListOutage.ts
@@ -110,14 +110,19 @@
         }, signal);
     }
 
-    // A connection may be refused or time out, and an established one may be silent until the read times out.
+    // A connection may be refused or time out, and an established one may be silent until the read times out, or until the end of the outage.
     const failureMs = [1, 400, 1_000][Math.floor(random() * 3)] ?? 1;
+    const isAnsweredAfterOutage = random() < 0.5;
     const read = (fromOffset: number, isWhole: boolean) => {
         const answer = async (): Promise<ListRead> => {
             await sleepFor(scheduler, between(1, 3));
             if (isOut()) {
-                await sleepFor(scheduler, failureMs);
-                return err({ kind: "unavailable", firstOffset: undefined, message: "test" });
+                const remainingMs = outageEndMs - scheduler.nowMs();
+                const isAnswered = isAnsweredAfterOutage && remainingMs < failureMs;
+                await sleepFor(scheduler, isAnswered ? remainingMs : failureMs);
+                if (!isAnswered) {
+                    return err({ kind: "unavailable", firstOffset: undefined, message: "test" });
+                }
             }
             const newest = new Map(records.map(record => [record.key, record]));
             const whole = [...newest.values()].filter(({ value }) => value !== undefined);
@@ -128,6 +133,9 @@
         return ResultAsync.fromSafePromise(answer()).andThen(result => result);
     };
 
+    // Another VM that reads the log for this one, when neither the store nor this VM is cut off.
+    const hasReader = random() < 0.5;
+    const readerDelayMs = between(0, 600);
     const unusedSource = undefined as never;
     const state = new RelayState({
         scheduler: createNodeTimers(scheduler),
@@ -154,7 +162,7 @@
         startupDelayMs: 0,
         requestSnapshot: () => Promise.resolve(undefined),
         snapshotWaitMs: 0,
-        readerRank: () => 0,
+        readerRank: () => hasReader ? 5 : 0,
         onRecords: (...listRead) => state.applyUpstreamRecords(...listRead),
         onRead: () => 0,
         onOutage: startedMs => {
@@ -167,6 +175,21 @@
     });
     scheduler.after(2 * heartbeatMs, () => void follower.run(signal), signal);
 
+    if (hasReader) {
+        let fromOffset = 0;
+        let nextReadMs = 0;
+        scheduler.every(10, () => {
+            if (!isOut() && scheduler.nowMs() >= nextReadMs) {
+                nextReadMs = scheduler.nowMs() + timing.upstreamsReadPauseMs;
+                follower.receiveFromPeer("reader", { fromOffset, nextOffset: records.length, records: records.slice(fromOffset) });
+                fromOffset = records.length;
+            }
+            else if (isOut()) {
+                nextReadMs = outageEndMs + readerDelayMs;
+            }
+        }, signal);
+    }
+
     const lateMs: number[] = [];
     const lostIds = new Set<string>();
     await scheduler.advanceAsync(outageStartMs);
