Share the retry budget by an estimate of the size of the fleet

Cause: a VM computed its share of the fleet's slack once, at the first call to a service, from the members that it knew then; after a restart that is itself and few others.

--- a/src/core/retry/RetryBudget.test.ts
+++ b/src/core/retry/RetryBudget.test.ts
@@ -5,7 +5,8 @@
 import { admitRetry } from "./admitRetry.js";
 import { RetryBudget } from "./RetryBudget.js";
 
-const options = { retriesPerRequest: 0.2, minRetriesPerSecond: 5, maxSavedRetries: 10 };
+const share = { retriesPerSecond: 5, maxSavedRetries: 10 };
+const options = { retriesPerRequest: 0.2, initialSavedRetries: 10, getShare: () => share };
 
 test("retries never exceed the initial budget plus what requests and elapsed time have earned", () => {
     const arbitraryStep = fc.oneof(fc.constant("earn" as const), fc.constant("spend" as const), fc.integer({ min: 1, max: 500 }));
@@ -27,8 +28,8 @@
                     clock.advance(step);
                 }
             }
-            const maxRetries = options.maxSavedRetries + requests * options.retriesPerRequest +
-                clock.nowMs() / 1000 * options.minRetriesPerSecond;
+            const maxRetries = share.maxSavedRetries + requests * options.retriesPerRequest +
+                clock.nowMs() / 1000 * share.retriesPerSecond;
             expect(retries).toSatisfy(count => count <= maxRetries + 1e-6);
         }),
         { seed: 41 },
--- a/src/core/retry/RetryBudget.ts
+++ b/src/core/retry/RetryBudget.ts
@@ -1,12 +1,12 @@
 import type { Clock } from "../util/Clock.js";
+import type { computeRetryShare } from "./computeRetryShare.js";
 
 interface RetryBudgetOptions {
     /** Retries earned by each first attempt, for example 0.2. */
     readonly retriesPerRequest: number;
-    /** Retries earned per second regardless of traffic, so that a VM with few requests can retry too. */
-    readonly minRetriesPerSecond: number;
-    /** Largest number of retries that can be saved up. */
-    readonly maxSavedRetries: number;
+    readonly initialSavedRetries: number;
+    /** What this VM may use regardless of traffic at the moment, so that a VM with few requests can retry too. */
+    readonly getShare: () => ReturnType<typeof computeRetryShare>;
 }
 
 /** Limits retries to a fraction of the requests, so that retries cannot amplify an overload. */
@@ -15,19 +15,18 @@
     private refilledAtMs: number;
 
     constructor(private readonly clock: Clock, private readonly options: RetryBudgetOptions) {
-        this.savedRetries = options.maxSavedRetries;
+        this.savedRetries = options.initialSavedRetries;
         this.refilledAtMs = clock.nowMs();
     }
 
     /** Earns a fraction of a retry for a first attempt. */
     recordFirstAttempt(): void {
-        this.refill();
-        this.addRetries(this.options.retriesPerRequest);
+        this.refill(this.options.retriesPerRequest);
     }
 
     /** Takes one retry out of the budget; false when the budget is exhausted. */
     trySpend(): boolean {
-        this.refill();
+        this.refill(0);
         if (this.savedRetries < 1) {
             return false;
         }
@@ -35,13 +34,12 @@
         return true;
     }
 
-    private refill(): void {
+    /** Adds what has been earned by a request and as time has passed. A share that has become smaller takes saved retries with it. */
+    private refill(earnedRetries: number): void {
         const nowMs = this.clock.nowMs();
-        this.addRetries((nowMs - this.refilledAtMs) / 1000 * this.options.minRetriesPerSecond);
+        const { retriesPerSecond, maxSavedRetries } = this.options.getShare();
+        const elapsedMs = nowMs - this.refilledAtMs;
+        this.savedRetries = Math.min(maxSavedRetries, this.savedRetries + earnedRetries + elapsedMs / 1_000 * retriesPerSecond);
         this.refilledAtMs = nowMs;
     }
-
-    private addRetries(retries: number): void {
-        this.savedRetries = Math.min(this.options.maxSavedRetries, this.savedRetries + retries);
-    }
 }
--- a/src/node/caller/CallerServer.ts
+++ b/src/node/caller/CallerServer.ts
@@ -35,7 +35,8 @@
 const responseBufferBytes = 8 * 1024;
 const keepAliveTimeoutMs = 65_000;
 const keepAliveProbeDelayMs = 15_000;
-const retryBudgetOptions = { retriesPerRequest: 0.2, minRetriesPerSecond: 5, maxSavedRetries: 50 };
+const retryShare = { retriesPerSecond: 5, maxSavedRetries: 50 };
+const retryBudgetOptions = { retriesPerRequest: 0.2, initialSavedRetries: retryShare.maxSavedRetries, getShare: () => retryShare };
 const notReadyRetryAfterMs = 1_000;
 
 type Bindings = { Bindings: HttpBindings; };
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -9,6 +9,8 @@
 import { UpstreamAvailability } from "../../core/relay/UpstreamAvailability.js";
 import { UpstreamHealth } from "../../core/relay/UpstreamHealth.js";
 import { UpstreamLoadTracker } from "../../core/relay/UpstreamLoadTracker.js";
+import { computeRetryShare } from "../../core/retry/computeRetryShare.js";
+import { FleetSizeEstimate } from "../../core/retry/FleetSizeEstimate.js";
 import { RetryBudget } from "../../core/retry/RetryBudget.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
 import type { VmList } from "../../schema/platform/VmList.js";
@@ -92,6 +94,7 @@
     private readonly connections = new UpstreamConnections({ connectTimeoutMs, keepAliveMs });
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private readonly membership: GossipMembership;
+    private readonly fleetSize: FleetSizeEstimate;
     private readonly state: RelayState;
     private readonly server: RelayServer;
     private readonly enginePlacer: EnginePlacer;
@@ -115,6 +118,12 @@
             settings: { ...defaultMembershipSettings, ...membershipTiming },
             maxDialsWhenAlone: 1,
         });
+        this.fleetSize = new FleetSizeEstimate({
+            clock: scheduler,
+            countMembers: () => this.membership.members.length,
+            hasPeers: seeds.some(seed => seed !== peerUrl),
+            settleMs: dependencies.retryBudget.windowMs,
+        });
         this.state = new RelayState({
             config: dependencies.config,
             upstreams: dependencies.upstreams,
@@ -382,11 +391,10 @@
         let budget = this.retryBudgets.get(service);
         if (budget === undefined) {
             const { perCall, slack, windowMs } = this.dependencies.retryBudget;
-            const vms = Math.max(1, this.membership.members.length);
             budget = new RetryBudget(this.dependencies.scheduler, {
                 retriesPerRequest: perCall * retryBudgetShare,
-                minRetriesPerSecond: slack * retryBudgetShare / 2 / vms / (windowMs / 1_000),
-                maxSavedRetries: Math.max(1, slack * retryBudgetShare / 2 / vms),
+                initialSavedRetries: 0,
+                getShare: () => computeRetryShare(slack * retryBudgetShare, windowMs, this.fleetSize.vms),
             });
             this.retryBudgets.set(service, budget);
         }
--- a/src/node/relay/testing/startTestRelay.ts
+++ b/src/node/relay/testing/startTestRelay.ts
@@ -75,7 +75,12 @@
         observer: { requestEnded: summary => summaries.push(summary) },
         onRefusal: ({ status, reason }) => refusals.push(`${status} ${reason}`),
         routeTable: () => routeTable,
-        retryBudget: () => new RetryBudget(scheduler, { retriesPerRequest: 1, minRetriesPerSecond: 0, maxSavedRetries: maxRetries }),
+        retryBudget: () =>
+            new RetryBudget(scheduler, {
+                retriesPerRequest: 1,
+                initialSavedRetries: maxRetries,
+                getShare: () => ({ retriesPerSecond: 0, maxSavedRetries: maxRetries }),
+            }),
         placeCall: async request => {
             await beforePlacement();
             return placer.place(request);
