Follow a pause that an upstream asks for up to an hour

Cause: parseRetryAfterMs cut the delay to 60 s, a bound that the rule does not have.

Change: the bound is an hour, against one bad header only. A pause still ends with a new incarnation of the upstream.

--- a/src/core/relay/UpstreamAvailability.test.ts
+++ b/src/core/relay/UpstreamAvailability.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { parseRetryAfterMs } from "./parseRetryAfterMs.js";
 import { exampleUpstream } from "./testing/exampleUpstream.js";
 import { UpstreamAvailability } from "./UpstreamAvailability.js";
 import { UpstreamDirectory } from "./UpstreamDirectory.js";
@@ -50,6 +51,16 @@
     expect([availability.getState(a, 2_099), availability.getState(a, 2_100)]).toEqual(["paused", "resuming"]);
 });
 
+// Guards against calls to an upstream before the end of a long pause that it has asked for.
+test("a pause of minutes is kept to its end, unless another incarnation of the upstream is listed", () => {
+    const { directory, availability, select } = createAvailability();
+    const pauseMs = parseRetryAfterMs("600")._unsafeUnwrap() ?? 0;
+    expect(availability.recordPause(a, pauseMs, 0)).toEqual(600_000);
+    expect([select(599_999), select(599_999, ["b"])]).toEqual([["b", 600_000], ["", 600_000]]);
+    directory.set({ ...a, startedWallMs: 5 });
+    expect(select(1_000)).toEqual(["a,b", undefined]);
+});
+
 test("a shorter pause does not end a longer one, and VMs lengthen pauses by shares of their own", () => {
     const { availability, select } = createAvailability(1);
     expect(Math.round(availability.recordPause(a, 2_000, 0))).toEqual(2_300);
--- a/src/core/relay/parseRetryAfterMs.ts
+++ b/src/core/relay/parseRetryAfterMs.ts
@@ -1,8 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 
 const msPerSecond = 1_000;
-/** Longest retry delay that is followed; a larger one is taken for a mistake of its sender. */
-const maxRetryAfterMs = 60_000;
+/** Longest retry delay that is followed, so that an upstream with a faulty clock or header is not lost for good. */
+const maxRetryAfterMs = 3_600_000;
 
 /**
  * Decodes a `Retry-After` header in seconds, which may have a fraction; of several values the longest counts. Returns undefined without
