review: case 8, a booking that has run is answered with a worker's 503

Shown with review/8/run.sh: one worker of three fails a third of its calls after it has run them, without X-Not-Executed.

--- a/review/standins-2/Site.mjs
+++ b/review/standins-2/Site.mjs
@@ -7,6 +7,8 @@
 const zones = ["z1", "z2", "z3"];
 const startTimeoutMs = 20_000;
 const key = "key-ana-1";
+/** Statuses that promise that a call has not run and never will. */
+const promises = [408, 421, 429, 503];
 
 /** A route of the operator's configuration for plain calls. */
 export function createRoute({ name, prefix, kind, service, timeoutMs = 1_500 }) {
@@ -88,17 +90,27 @@
         return !ready.includes(false);
     }
 
-    /** Sends calls at a steady rate to the VMs in turn for `forMs`; resolves when all have ended. */
-    async load({ path, method, perSecond, forMs, body = "please", deadlineMs = 3_000 }) {
+    /**
+     * Sends calls at a steady rate to the VMs in turn for `forMs`; resolves when all have ended. Each call has a body of its own unless `body` is
+     * given. With `isRetried`, a call that is answered with the promise that it has not run is sent once more, to the next VM.
+     */
+    async load({ path, method, perSecond, forMs, body, deadlineMs = 3_000, isRetried = false }) {
         const calls = [];
         const endMs = performance.now() + forMs;
         for (let count = 0; performance.now() < endMs; count++) {
-            calls.push(this.call(count % this.vms.length, { path, method, body, deadlineMs }));
+            calls.push(this.callAndRetry(count % this.vms.length, { path, method, body: body ?? `work ${count}`, deadlineMs }, isRetried));
             await new Promise(resolve => setTimeout(resolve, 1_000 / perSecond));
         }
         await Promise.all(calls);
     }
 
+    async callAndRetry(vmIndex, call, isRetried) {
+        const { status } = await this.call(vmIndex, call);
+        if (isRetried && promises.includes(status)) {
+            await this.call((vmIndex + 1) % this.vms.length, call);
+        }
+    }
+
     async call(vmIndex, { path, method, body, deadlineMs }) {
         const id = (this.nextId++).toString(16).padStart(16, "0");
         const result = await sendCall({
--- a/review/standins-2/Worker.mjs
+++ b/review/standins-2/Worker.mjs
@@ -11,6 +11,8 @@
     sequence = 0;
     born = Date.now();
     runs = [];
+    /** Returns the status of a call that has run and failed; undefined for one that succeeds. */
+    failAfterRun = undefined;
     isUp = true;
 
     constructor({ id, service, zone, slots, workMs, heartbeatMs, record }) {
@@ -84,8 +86,8 @@
         const id = incoming.headers["x-attempt-id"];
         const expected = incoming.headers["x-expect-instance"];
         const echo = id === undefined ? {} : { "x-attempt-id": id };
-        let size = 0;
-        incoming.on("data", chunk => size += chunk.length).on("end", () => {
+        let body = "";
+        incoming.on("data", chunk => body += chunk).on("end", () => {
             if (id === undefined) {
                 outgoing.writeHead(400, { "x-not-executed": "1", ...leaving }).end();
                 return;
@@ -94,10 +96,18 @@
                 outgoing.writeHead(421, { ...echo, "x-instance-id": this.id, ...leaving }).end();
                 return;
             }
-            this.runs.push({ id, path: incoming.url, atMs: this.record.nowMs() });
-            this.record.add("run", { worker: this.id, service: this.service, state: this.state, id, path: incoming.url, bytes: size });
+            this.runs.push({ id, path: incoming.url, body, atMs: this.record.nowMs() });
+            this.record.add("run", {
+                worker: this.id,
+                service: this.service,
+                state: this.state,
+                id,
+                path: incoming.url,
+                body: JSON.stringify(body),
+            });
+            const status = this.failAfterRun?.() ?? 200;
             setTimeout(() => {
-                outgoing.writeHead(200, { ...echo, "x-server-seal": `${this.id}.${id}`, ...leaving });
+                outgoing.writeHead(status, { ...echo, "x-server-seal": `${this.id}.${id}`, ...leaving });
                 outgoing.end(`${this.service} answers ${id}`);
             }, this.workMs);
         });
