--- a/review/7/main.mjs
+++ b/review/7/main.mjs
@@ -30,7 +30,7 @@
     const confirmedMs = record.nowMs();
     record.add("draining confirmed", { id: leaving.id, sequence: leaving.sequence });
     await sleep(drainMs);
-    await site.load({ path: "/book/1", method: "POST", perSecond: 30, forMs: lingerMs });
+    await site.load({ path: "/book/1", method: "POST", perSecond: 60, forMs: lingerMs });
     leaving.stop();
     return leaving.runs.filter(({ atMs }) => atMs > confirmedMs + drainMs)
         .map(run =>
