relay: answer 502 where an upstream ran a booking and answered with a status that says that it did not

Cause: CallEnd.deliver and CallAttempts.receiveHead pass on each response that belongs to the call, whatever its status says to the caller. Evidence: the VMs' logs of the case have `ended` with status 503, outcome ran, no error and one attempt for these calls. Ruled out by the same line: a refusal of the VM's own (it would have an error), a response taken for not run (outcome not-run), a second attempt of the VM (attempts 2).

Change: mayForwardStatus in core. 408, 421, 429 and 503 of an upstream that has run a call reach the caller only if the call may run again; otherwise the caller gets 502 without the upstream's seal, which promises nothing. Also for responses over 256 KiB, which are forwarded while they arrive, streams that cannot be resumed, and second attempts.

--- a/src/node/relay/CallAttempts.ts
+++ b/src/node/relay/CallAttempts.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
+import { mayForwardStatus } from "../../core/relay/mayForwardStatus.js";
 import type { Placement } from "../../core/relay/Placement.js";
 import { createLogger } from "../logs/createLogger.js";
 import type { AttemptEvidence } from "./AttemptEvidence.js";
@@ -17,6 +18,7 @@
 import { startAttempt } from "./startAttempt.js";
 
 const log = createLogger("relay");
+const separateResponseReason = "the upstream did not resume the stream but sent a separate response";
 
 /** The result with which a call is left after an attempt and its replacements. */
 interface EndedAttempt {
@@ -96,17 +98,20 @@
         return running;
     }
 
-    /** Receives the head of a response that is to be forwarded. Returns false when that response is not forwarded after all. */
-    private receiveHead(running: RunningAttempt, status: number, headers: IncomingHttpHeaders, isStreamed: boolean): boolean {
-        const { callerResponse, dependencies } = this.context;
+    /** Receives the head of a response that is to be forwarded. The error says why that response is not forwarded after all. */
+    private receiveHead(running: RunningAttempt, status: number, headers: IncomingHttpHeaders, isStreamed: boolean): Result<void, string> {
+        const { callerResponse, dependencies, request } = this.context;
         running.lastReceivedMs = dependencies.scheduler.nowMs();
+        if (!mayForwardStatus(status, request.route)) {
+            return err(`the upstream ran the call but answered with status ${status}, which says that it did not`);
+        }
         if (running === this.replacement) {
             if (status >= 500 || !callerResponse.canFollow(isStreamed)) {
-                return false;
+                return err(separateResponseReason);
             }
             this.takeOver(running);
         }
-        return callerResponse.sendHead(status, headers, isStreamed);
+        return callerResponse.sendHead(status, headers, isStreamed) ? ok() : err(separateResponseReason);
     }
 
     /** Forwards bytes of a response. Returns false on backpressure from the caller; the error says why the response is broken. */
--- a/src/node/relay/CallEnd.ts
+++ b/src/node/relay/CallEnd.ts
@@ -1,10 +1,14 @@
+import { mayForwardStatus } from "../../core/relay/mayForwardStatus.js";
 import type { Outcome } from "../../schema/Outcome.js";
+import { createLogger } from "../logs/createLogger.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { BufferedResponse } from "./BufferedResponse.js";
 import type { CallContext } from "./CallContext.js";
 import { cancelReasons } from "./cancelReasons.js";
 import { relayLimits } from "./relayLimits.js";
 
+const log = createLogger("relay");
+
 /** Ends the response to the caller of one call, and tells it whether the call has run. */
 export class CallEnd {
     /** Whether an upstream has run the call, as far as this VM knows. */
@@ -39,9 +43,26 @@
         this.knownOutcome = "ran";
     }
 
+    /** Ends a call with the response of an upstream that has run it. */
     deliver(response: BufferedResponse): void {
-        this.context.callerResponse.sendBuffered(response);
+        const { callerResponse, request, summary } = this.context;
         this.knownOutcome = "ran";
+        if (mayForwardStatus(response.status, request.route)) {
+            callerResponse.sendBuffered(response);
+            return;
+        }
+        const { status } = response;
+        log("upstream ran the call but answered with a status that says that it did not; the caller gets 502", {
+            requestId: request.call.requestId,
+            upstream: summary.upstreamId,
+            status,
+        });
+        callerResponse.refuse({
+            status: 502,
+            reason: "upstream_failed",
+            outcome: "ran",
+            message: `the upstream ran the call and answered with status ${status}; look at what it did before sending the call again`,
+        });
     }
 
     endAtDeadline(): void {
