--- a/src/core/relay/testing/exampleUpstream.ts
+++ b/src/core/relay/testing/exampleUpstream.ts
@@ -10,6 +10,7 @@
         slots: 6,
         isDraining: false,
         startedWallMs: 0,
+        revision: 0,
         ...fields,
     };
 }
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -145,11 +145,22 @@
             this.undecodableUpstreamIds.add(id);
             return true;
         }
-        const isSame = before !== undefined && isDeepStrictEqual(before, upstream.value);
+        const { service, address, isDraining, startedWallMs, revision } = upstream.value;
+        // Upstreams rewrite their entries all the time, and then only the revision changes.
+        const isSame = before !== undefined && isDeepStrictEqual({ ...before, revision }, upstream.value);
         if (!isSame) {
-            const { service, address, isDraining, startedWallMs } = upstream.value;
             const isNew = before?.startedWallMs !== startedWallMs || before.address !== address;
-            log("upstream changed", { upstream: id, offset, service, address, isDraining, isNew });
+            log("upstream changed", {
+                upstream: id,
+                offset,
+                service,
+                address,
+                isDraining,
+                isNew,
+                startedWallMs,
+                revision,
+                revisionBefore: before?.revision,
+            });
         }
         // VMs that removed the entry during the outage, or started while it could not be decoded, lack an entry that is unchanged here.
         const isForwarded = !isSame || this.directory.isInGracePeriod(id) || this.undecodableUpstreamIds.delete(id);
--- a/src/schema/relay/RelayUpstream.ts
+++ b/src/schema/relay/RelayUpstream.ts
@@ -10,4 +10,6 @@
     readonly isDraining: boolean;
     /** Start time in milliseconds since the epoch, on the upstream's clock; detects a restart under the same id. */
     readonly startedWallMs: number;
+    /** Counts the entries that the upstream has written since its start: of two entries, the one with the higher revision is newer. */
+    readonly revision: number;
 }
