relay: an upstream entry that arrives after a newer one changes nothing

A heartbeat (`ready`) of that worker had been held up and was carried out after the drain.

Cause: RelayState.applyUpstreamRecord takes the order of the log for that in which the upstream wrote. Evidence: the reader's line `upstream changed` has the same start with revision 7 (draining), then revision 5 (ready) with revisionBefore 9. Ruled out by the same line: the upstream took its leaving back (higher revision), it restarted (another start), a record of another VM that is behind (lower offset), calls placed before the drain (they are placed after it).

An older entry is not applied, not forwarded and not given to VMs that start. A restart under the same id counts at once, also with a clock that was set back.

--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -70,7 +70,7 @@
         requestSnapshot: () => Promise.resolve(requestSnapshot()),
         snapshotWaitMs,
         readerRank: () => rank,
-        onRecords: (records, isWhole) => {
+        onRecords: (records, { isWhole }) => {
             if (records.some(({ key }) => key === "faulty") && state.throws-- > 0) {
                 throw new Error("test");
             }
@@ -122,6 +122,7 @@
         },
         onConfig: () => undefined,
         onUpstreamRemoved: () => undefined,
+        onEntryIgnored: () => undefined,
     });
     const follower = new KeyedLogFollower({
         name: "test",
@@ -136,9 +137,9 @@
         requestSnapshot: () => Promise.resolve(undefined),
         snapshotWaitMs: 0,
         readerRank: () => rank,
-        onRecords: (records, isWhole, writtenAfterMs) => {
+        onRecords: (records, read) => {
             state.applyConfigRecords(records);
-            return state.applyUpstreamRecords(records, isWhole, writtenAfterMs);
+            return state.applyUpstreamRecords(records, read);
         },
         onRead: (read, records) => {
             onForward({ ...read, records });
@@ -499,3 +500,34 @@
     await scheduler.advanceAsync(3_000);
     expect(appliedKeys).toEqual(["faulty!", "later!"]);
 });
+
+test("a VM that starts is given the entry in force, not an older one that the log holds as the newest", async () => {
+    const lists = [{ u1: 5 }, { u1: 6, u2: 1 }, { u1: 5, u2: 1 }, { u1: 5 }];
+    let offset = 0;
+    const { follower, scheduler, valueOf } = createVm(
+        {
+            readNewest: () => {
+                const records = Object.entries(lists.shift() ?? {}).map(([key, value]) => ({
+                    offset: offset++,
+                    key,
+                    value: Buffer.from(String(value)),
+                }));
+                return okAsync({ records, nextOffset: offset });
+            },
+            readChanges: () => errAsync({ kind: "forgotten", firstOffset: offset, message: "test" }),
+        },
+        0,
+        () => undefined,
+    );
+    const snapshots = new Set<string>();
+    while (lists.length > 0) {
+        await scheduler.advanceAsync(readPauseMs / 2);
+        // There is none while a list is being read.
+        const snapshot = follower.getSnapshot();
+        if (snapshot !== undefined) {
+            snapshots.add(snapshot.records.map(({ key, value }) => `${key} ${String(value)}`).join());
+        }
+    }
+    expect([...snapshots]).toEqual(["u1 5", "u1 6,u2 1", "u1 6"]);
+    expect(valueOf("u1")).toEqual(6);
+});
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -7,6 +7,7 @@
 import type { ForwardedRead } from "./ForwardedRead.js";
 import type { KeyedLogMonitor } from "./KeyedLogMonitor.js";
 import type { LogSnapshot } from "./LogSnapshot.js";
+import type { RecordsRead } from "./RecordsRead.js";
 
 const log = createLogger("follow");
 
@@ -32,11 +33,8 @@
      */
     readonly baseSilenceTimeoutMs: number;
     readonly silenceTimeoutPerRankMs: number;
-    /**
-     * Applies records and returns those to forward to other VMs; with `isWhole`, `records` holds the newest record of each key.
-     * `writtenAfterMs` is a time before which none of them was written.
-     */
-    readonly onRecords: (records: readonly KeyedRecord[], isWhole: boolean, writtenAfterMs: number) => readonly KeyedRecord[];
+    /** Applies records. Returns those to forward to other VMs; of the newest records of all keys, those that are in force. */
+    readonly onRecords: (records: readonly KeyedRecord[], read: RecordsRead) => readonly KeyedRecord[];
     /** Number of VMs that precede this one as reader for the fleet; 0 for the reader. */
     readonly readerRank: () => number;
     /**
@@ -188,7 +186,7 @@
             this.lastHeardMs = this.options.scheduler.nowMs();
             this.options.onReadable(this.readStartedMs ?? this.lastHeardMs);
         }
-        this.applyRecords(records, nextOffset);
+        this.applyRecords(records, nextOffset, true);
     }
 
     /** The newest records, for a VM that lacks them; undefined when this VM has not heard of the log for too long. */
@@ -200,24 +198,34 @@
             : { nextOffset: this.nextOffset, records: [...this.newestRecords.values()] };
     }
 
-    private applyRecords(records: readonly KeyedRecord[], nextOffset: number): readonly KeyedRecord[] {
+    private applyRecords(records: readonly KeyedRecord[], nextOffset: number, isForwarded: boolean): readonly KeyedRecord[] {
         if (this.nextOffset === undefined || nextOffset <= this.nextOffset) {
             return [];
         }
         const firstNewOffset = this.nextOffset;
-        const changed = this.apply(records.filter(record => record.offset >= firstNewOffset), false);
+        const changed = this.options.onRecords(records.filter(record => record.offset >= firstNewOffset), {
+            isWhole: false,
+            isForwarded,
+            writtenAfterMs: this.positionReadMs,
+        });
+        this.keepNewest(changed);
         // Not before: if a record throws, it must be applied again.
         this.nextOffset = nextOffset;
         return changed;
     }
 
-    /** Applies records and keeps those that say something new. Returns these. */
-    private apply(records: readonly KeyedRecord[], isWhole: boolean): readonly KeyedRecord[] {
-        if (isWhole) {
-            this.newestRecords.clear();
+    /** Applies the newest records of all keys. Those that are not in force leave the ones that are for other VMs. */
+    private applyWhole(records: readonly KeyedRecord[], isForwarded: boolean): void {
+        const inForce = this.options.onRecords(records, { isWhole: true, isForwarded, writtenAfterMs: -Infinity });
+        const keys = new Set(records.map(({ key }) => key));
+        for (const key of [...this.newestRecords.keys()].filter(key => !keys.has(key))) {
+            this.newestRecords.delete(key);
         }
-        const changed = this.options.onRecords(records, isWhole, isWhole ? -Infinity : this.positionReadMs);
-        for (const { key, offset, value } of isWhole ? records : changed) {
+        this.keepNewest(inForce);
+    }
+
+    private keepNewest(records: readonly KeyedRecord[]): void {
+        for (const { key, offset, value } of records) {
             if (value === undefined) {
                 this.newestRecords.delete(key);
             }
@@ -226,7 +234,6 @@
                 this.newestRecords.set(key, { key, offset, value: Buffer.from(value) });
             }
         }
-        return changed;
     }
 
     /** Takes the newest records from another VM at the start, as long as one may have them. */
@@ -257,11 +264,11 @@
     /** Applies the newest records of another VM if they are newer than this VM's. */
     private applySnapshot(snapshot: LogSnapshot | undefined): void {
         if (snapshot !== undefined && snapshot.nextOffset > (this.nextOffset ?? -1)) {
-            this.takeNewest(snapshot);
+            this.takeNewest(snapshot, true);
         }
     }
 
-    private takeNewest({ nextOffset, records }: LogSnapshot): void {
+    private takeNewest({ nextOffset, records }: LogSnapshot, isForwarded: boolean): void {
         this.nextOffset = nextOffset;
         this.newestEndOffset = Math.max(nextOffset, ...records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
@@ -269,7 +276,7 @@
             this.hasRead = true;
             this.startupDelayEndMs = this.lastHeardMs + this.options.startupDelayMs;
         }
-        this.apply(records, true);
+        this.applyWhole(records, isForwarded);
     }
 
     private async readNewest(signal: AbortSignal, startedMs: number): Promise<boolean> {
@@ -280,7 +287,7 @@
         }
         this.recordSuccess(startedMs);
         this.options.monitor.recordRead(read.value.records.length);
-        this.takeNewest(read.value);
+        this.takeNewest(read.value, false);
         this.positionReadMs = startedMs;
         return true;
     }
@@ -307,7 +314,7 @@
         // Messages of other VMs may have advanced the position during the read, and the newest records may have reached beyond it.
         const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.newestEndOffset);
         const { nextOffset, records } = read.value;
-        const forwarded = this.applyRecords(records, nextOffset);
+        const forwarded = this.applyRecords(records, nextOffset, false);
         if (this.nextOffset === nextOffset) {
             this.positionReadMs = startedMs;
         }
--- a/src/node/relay/RelayMetrics.ts
+++ b/src/node/relay/RelayMetrics.ts
@@ -19,6 +19,7 @@
     private readonly reads: Counter;
     private readonly sentReads: Counter;
     private readonly receivedReads: Counter;
+    private readonly ignoredEntries: Counter;
     private readonly refusals: Counter;
     private readonly timerLateness: Histogram;
 
@@ -48,6 +49,13 @@
             "stream",
             "result",
         ]);
+        this.ignoredEntries = metrics.createCounter(
+            "upstream_entries_ignored_total",
+            "Entries of the upstream list that were not applied.",
+            [
+                "reason",
+            ],
+        );
         this.refusals = metrics.createCounter("refusals_total", "Calls that were refused before an upstream was chosen.", [
             "status",
             "reason",
@@ -78,6 +86,10 @@
         this.receivedReads.inc({ stream, result });
     }
 
+    recordIgnoredEntry(reason: string): void {
+        this.ignoredEntries.inc({ reason });
+    }
+
     recordRefusal({ status, reason }: { readonly status: number; readonly reason: string; }): void {
         this.refusals.inc({ status: String(status), reason });
     }
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -10,15 +10,24 @@
 import { RelayState } from "./RelayState.js";
 
 const unusedSource = undefined as never;
+let nextOffset = 0;
 const record = (key: string, value: string | undefined): KeyedRecord => ({
-    offset: 0,
+    offset: nextOffset++,
     key,
     value: value === undefined ? undefined : Buffer.from(value),
 });
 
-/** The value of a configuration record is its version, that of an upstream record its state. */
+const wholeList = { isWhole: true, isForwarded: false, writtenAfterMs: -Infinity };
+const changes = { ...wholeList, isWhole: false };
+
+/**
+ * The value of a configuration record is its version, that of an upstream record its state, and optionally its revision and start time; without these
+ * each is newer than the one before it.
+ */
 function createState() {
     const removedIds: string[] = [];
+    const ignoredEntries: string[] = [];
+    let nextRevision = 1;
     const scheduler = new VirtualScheduler();
     const state = new RelayState({
         scheduler,
@@ -30,15 +39,24 @@
         },
         upstreams: {
             source: unusedSource,
-            decode: (id, value) =>
-                String(value) === "broken" ? err("broken") : ok(exampleUpstream(id, { isDraining: String(value) === "draining" })),
+            decode: (id, value) => {
+                const [state, revision = nextRevision++, startedWallMs = 1_000] = String(value).split(" ");
+                return state === "broken"
+                    ? err("broken")
+                    : ok(exampleUpstream(id, {
+                        isDraining: state === "draining",
+                        revision: Number(revision),
+                        startedWallMs: Number(startedWallMs),
+                    }));
+            },
             minExpiryMs: 0,
             maxGraceMs: Infinity,
         },
         onConfig: () => undefined,
         onUpstreamRemoved: id => removedIds.push(id),
+        onEntryIgnored: reason => ignoredEntries.push(reason),
     });
-    return { state, removedIds, scheduler };
+    return { state, removedIds, ignoredEntries, scheduler };
 }
 
 const available = (state: RelayState) => state.directory.available("orders").map(upstream => upstream.id);
@@ -47,7 +65,7 @@
     const { state } = createState();
     state.applyConfigRecords([record("config", "4")]);
     expect(state.isReady).toEqual(false);
-    state.applyUpstreamRecords([], true);
+    state.applyUpstreamRecords([], wholeList);
     expect(state.isReady).toEqual(true);
 });
 
@@ -88,35 +106,35 @@
 
 test("an upstream entry that cannot be decoded leaves the previous one in force", () => {
     const { state } = createState();
-    state.applyUpstreamRecords([record("a", "ready"), record("b", "broken")], true);
-    state.applyUpstreamRecords([record("a", "broken")], false);
+    state.applyUpstreamRecords([record("a", "ready"), record("b", "broken")], wholeList);
+    state.applyUpstreamRecords([record("a", "broken")], changes);
     expect(available(state)).toEqual(["a"]);
 });
 
 test("an upstream gets no more calls once its entry is draining or has been removed", () => {
     const { state, removedIds } = createState();
-    state.applyUpstreamRecords([record("a", "ready"), record("b", "ready"), record("c", "ready")], true);
-    state.applyUpstreamRecords([record("a", "draining"), record("b", undefined)], false);
+    state.applyUpstreamRecords([record("a", "ready"), record("b", "ready"), record("c", "ready")], wholeList);
+    state.applyUpstreamRecords([record("a", "draining"), record("b", undefined)], changes);
     expect([available(state), removedIds]).toEqual([["c"], ["b"]]);
 });
 
 test("an upstream whose entry is removed shortly after a list outage is removed only when the entry stays missing", () => {
     const { state, removedIds, scheduler } = createState();
-    state.applyUpstreamRecords([record("a", "ready"), record("b", "ready")], true);
+    state.applyUpstreamRecords([record("a", "ready"), record("b", "ready")], wholeList);
     state.recordListOutage(scheduler.nowMs());
     state.recordListRead(scheduler.nowMs());
-    state.applyUpstreamRecords([record("a", undefined), record("b", undefined)], false);
+    state.applyUpstreamRecords([record("a", undefined), record("b", undefined)], changes);
     scheduler.advance(2_000);
     expect(available(state)).toEqual(["a", "b"]);
-    state.applyUpstreamRecords([record("b", "ready")], false);
+    state.applyUpstreamRecords([record("b", "ready")], changes);
     scheduler.advance(100);
     expect([available(state), removedIds]).toEqual([["b"], ["a"]]);
 });
 
 test("only records that other VMs may not know yet are returned for forwarding", () => {
     const { state } = createState();
-    const applyChanges = (...records: KeyedRecord[]) => state.applyUpstreamRecords(records, false).map(({ key }) => key);
-    state.applyUpstreamRecords([record("a", "ready")], true);
+    const applyChanges = (...records: KeyedRecord[]) => state.applyUpstreamRecords(records, changes).map(({ key }) => key);
+    state.applyUpstreamRecords([record("a", "ready")], wholeList);
     expect(applyChanges(record("a", "ready"), record("b", "ready"))).toEqual(["b"]);
     expect(applyChanges(record("a", "draining"), record("b", "ready"))).toEqual(["a"]);
     expect(applyChanges(record("a", "draining"), record("b", "broken"))).toEqual(["b"]);
@@ -128,3 +146,88 @@
     // The upstream is kept here, but was removed on VMs that did not see the outage.
     expect(applyChanges(record("b", "ready"))).toEqual(["b"]);
 });
+
+// Guards against calls to a draining upstream after a heartbeat that was sent before its draining and held up on its way.
+test("an entry that an upstream wrote before it was draining, and that arrives after, changes nothing and is not forwarded", () => {
+    const { state, ignoredEntries } = createState();
+    state.applyUpstreamRecords([record("a", "ready 7"), record("b", "ready")], wholeList);
+    state.applyUpstreamRecords([record("a", "draining 9")], changes);
+    const late = record("a", "ready 8");
+    expect(state.applyUpstreamRecords([late], changes)).toEqual([]);
+    expect([available(state), ignoredEntries]).toEqual([["b"], ["older"]]);
+    // The log holds it as the newest entry of its upstream until that one writes again.
+    expect(state.applyUpstreamRecords([late, record("b", "ready")], wholeList).map(({ key }) => key)).toEqual(["b"]);
+    expect(available(state)).toEqual(["b"]);
+    state.applyUpstreamRecords([record("a", "ready 10")], changes);
+    expect(available(state)).toEqual(["a", "b"]);
+});
+
+// Guards against calls to an upstream that has left, after a heartbeat that was sent before that and held up on its way.
+test("an entry that an upstream wrote before it was removed, and that arrives after, does not list it again", () => {
+    const { state } = createState();
+    state.applyUpstreamRecords([record("a", "ready 7")], wholeList);
+    state.applyUpstreamRecords([record("a", "draining 9"), record("a", undefined), record("a", "ready 8")], changes);
+    expect(available(state)).toEqual([]);
+    state.applyUpstreamRecords([record("a", "ready 8")], wholeList);
+    expect([available(state), state.directory.size]).toEqual([[], 0]);
+    state.applyUpstreamRecords([record("a", "ready 10")], changes);
+    expect(available(state)).toEqual(["a"]);
+});
+
+test("an entry of an earlier start that arrives after one of the next start changes nothing", () => {
+    const { state, ignoredEntries } = createState();
+    state.applyUpstreamRecords([record("a", "ready 40 1000")], wholeList);
+    state.applyUpstreamRecords([record("a", "draining 1 2000"), record("a", "ready 39 1000"), record("a", "ready 41 1000")], changes);
+    expect([available(state), ignoredEntries]).toEqual([[], ["older", "earlier-start"]]);
+});
+
+test("an upstream that restarts under its id is used at once, also if its clock has been set back", () => {
+    const { state } = createState();
+    state.applyUpstreamRecords([record("a", "draining 40 2000")], wholeList);
+    state.applyUpstreamRecords([record("a", "ready 1 1000")], changes);
+    expect(available(state)).toEqual(["a"]);
+    state.applyUpstreamRecords([record("a", "draining 2 1000"), record("a", "ready 1 3000")], changes);
+    expect(available(state)).toEqual(["a"]);
+});
+
+test("an entry that cannot be decoded does not block those that follow it", () => {
+    const { state } = createState();
+    state.applyUpstreamRecords(
+        [record("a", "ready 7"), record("a", "broken"), record("a", "draining 8"), record("a", "broken")],
+        wholeList,
+    );
+    expect(available(state)).toEqual([]);
+    state.applyUpstreamRecords([record("a", "ready 9")], changes);
+    expect(available(state)).toEqual(["a"]);
+});
+
+test("an entry that another VM has accepted is applied here too, unless this VM knows a newer one", () => {
+    const { state } = createState();
+    const forwarded = { ...changes, isForwarded: true };
+    state.applyUpstreamRecords([record("a", "draining 2 2000")], wholeList);
+    state.applyUpstreamRecords([record("a", "ready 5 1000")], forwarded);
+    expect(available(state)).toEqual(["a"]);
+    state.applyUpstreamRecords([record("a", "draining 4 1000")], forwarded);
+    expect(available(state)).toEqual(["a"]);
+});
+
+test("an ignored entry is logged with its revision and the one in force", () => {
+    const lines: Record<string, unknown>[] = [];
+    const { write } = logOutput;
+    logOutput.write = line => lines.push(JSON.parse(line) as Record<string, unknown>);
+    configureLogging({ format: "json", parts: "orioleshelf:state" });
+    const { state } = createState();
+    state.applyUpstreamRecords([record("a", "draining 9 1000"), record("a", "ready 8 1000"), record("a", "ready 20 900")], changes);
+    logOutput.write = write;
+    configureLogging({ format: "plain", parts: "" });
+    expect(
+        lines.slice(1).map(({ revision, revisionInForce, startedWallMs, startedWallMsInForce, isDraining }) => [
+            revision,
+            revisionInForce,
+            startedWallMs,
+            startedWallMsInForce,
+            isDraining,
+        ]),
+    ).toEqual([[8, 9, 1000, 1000, false], [20, 9, 900, 1000, false]]);
+    expect(new Set(lines.map(line => line["message"])).size).toEqual(3);
+});
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -1,9 +1,12 @@
 import { isDeepStrictEqual } from "node:util";
 import { RouteTable } from "../../core/relay/RouteTable.js";
 import { UpstreamDirectory } from "../../core/relay/UpstreamDirectory.js";
+import { UpstreamEntryOrder } from "../../core/relay/UpstreamEntryOrder.js";
 import type { Scheduler } from "../../core/util/Scheduler.js";
+import type { RelayUpstream } from "../../schema/relay/RelayUpstream.js";
 import { createLogger } from "../logs/createLogger.js";
 import type { KeyedRecord } from "../services/KeyedRecord.js";
+import type { RecordsRead } from "./RecordsRead.js";
 import type { RelayVmOptions } from "./RelayVmOptions.js";
 
 const log = createLogger("state");
@@ -14,13 +17,18 @@
     readonly signal: AbortSignal;
     readonly onConfig: (table: RouteTable) => void;
     readonly onUpstreamRemoved: (id: string) => void;
+    /** Called for each upstream entry that is not applied. */
+    readonly onEntryIgnored: (reason: IgnoredEntryReason) => void;
 }
 
+type IgnoredEntryReason = "older" | "earlier-start" | "undecodable";
+
 /** Configuration and upstreams in force on this VM. The version of the configuration never decreases. */
 export class RelayState {
     readonly directory: UpstreamDirectory;
     routeTable: RouteTable | undefined;
     private isUpstreamListKnown = false;
+    private readonly entryOrder = new UpstreamEntryOrder();
     /** Ids of upstreams whose newest entry cannot be decoded. */
     private readonly undecodableUpstreamIds = new Set<string>();
 
@@ -45,16 +53,21 @@
     }
 
     /**
-     * Applies records of the upstream list; with `isWhole`, `records` is the complete list. `writtenAfterMs` is a time before which none of
-     * them was written. Returns the records to forward to other VMs, without unchanged entries, as upstreams rewrite theirs all the time.
+     * Applies records of the upstream list. Returns those to forward to other VMs, without unchanged entries, as upstreams rewrite theirs all the
+     * time; of a complete list, those in force.
      */
-    applyUpstreamRecords(records: readonly KeyedRecord[], isWhole: boolean, writtenAfterMs = -Infinity): readonly KeyedRecord[] {
+    applyUpstreamRecords(records: readonly KeyedRecord[], read: RecordsRead): readonly KeyedRecord[] {
         const nowMs = this.options.scheduler.nowMs();
-        if (isWhole) {
+        if (read.isWhole) {
             this.isUpstreamListKnown = true;
-            this.directory.retain(new Set(records.map(record => record.key)), nowMs);
+            const ids = new Set(records.map(record => record.key));
+            this.directory.retain(ids, nowMs);
+            this.entryOrder.startList(ids, nowMs);
         }
-        return records.filter(record => this.applyUpstreamRecord(record, { nowMs, writtenAfterMs }));
+        return records.filter(record => {
+            const result = this.applyUpstreamRecord(record, nowMs, read);
+            return result === "changed" || read.isWhole && result === "unchanged";
+        });
     }
 
     /** Records that a read of the platform's list that began at `startedMs` has failed. */
@@ -114,13 +127,17 @@
         return true;
     }
 
-    /** Applies a record. Returns whether to forward it; other VMs may lack an entry that has not changed here. */
+    /** Applies a record. It counts as changed, too, if other VMs may lack an entry that has not changed here. */
     private applyUpstreamRecord(
         { key: id, value, offset }: KeyedRecord,
-        { nowMs, writtenAfterMs }: { readonly nowMs: number; readonly writtenAfterMs: number; },
-    ): boolean {
+        nowMs: number,
+        { isForwarded, writtenAfterMs }: RecordsRead,
+    ): "changed" | "unchanged" | "ignored" {
         const before = this.directory.get(id);
         if (value === undefined) {
+            if (!this.entryOrder.recordRemoval(id, offset, nowMs)) {
+                return "ignored";
+            }
             this.undecodableUpstreamIds.delete(id);
             this.directory.remove(id, nowMs);
             if (before !== undefined) {
@@ -134,7 +151,7 @@
                     this.options.onUpstreamRemoved(id);
                 }
             }
-            return true;
+            return "changed";
         }
         const upstream = this.options.upstreams.decode(id, value);
         if (upstream.isErr()) {
@@ -143,7 +160,16 @@
                 log(`upstream entry cannot be decoded; ${consequence}`, { upstream: id, offset, reason: upstream.error });
             }
             this.undecodableUpstreamIds.add(id);
-            return true;
+            this.options.onEntryIgnored("undecodable");
+            return "changed";
+        }
+        const age = this.entryOrder.accept(upstream.value, { offset, isVouchedFor: isForwarded }, nowMs);
+        if (age !== "newest") {
+            if (age !== "known") {
+                this.logIgnoredEntry(upstream.value, offset, age);
+                this.options.onEntryIgnored(age);
+            }
+            return "ignored";
         }
         const { service, address, isDraining, startedWallMs, revision } = upstream.value;
         // Upstreams rewrite their entries all the time, and then only the revision changes.
@@ -163,8 +189,28 @@
             });
         }
         // VMs that removed the entry during the outage, or started while it could not be decoded, lack an entry that is unchanged here.
-        const isForwarded = !isSame || this.directory.isInGracePeriod(id) || this.undecodableUpstreamIds.delete(id);
+        const mayBeLacking = this.directory.isInGracePeriod(id) || this.undecodableUpstreamIds.delete(id);
         this.directory.set(upstream.value, writtenAfterMs);
-        return isForwarded;
+        return !isSame || mayBeLacking ? "changed" : "unchanged";
+    }
+
+    private logIgnoredEntry(
+        { id, startedWallMs, revision, isDraining }: RelayUpstream,
+        offset: number,
+        age: "older" | "earlier-start",
+    ): void {
+        const message = age === "older"
+            ? "upstream entry is older than one that has been applied; ignoring it"
+            : "upstream entry seems to be of an earlier start; ignoring it unless another one follows it";
+        const inForce = this.directory.get(id);
+        log(message, {
+            upstream: id,
+            offset,
+            startedWallMs,
+            revision,
+            isDraining,
+            startedWallMsInForce: inForce?.startedWallMs,
+            revisionInForce: inForce?.revision,
+        });
     }
 }
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -135,6 +135,9 @@
             onUpstreamRemoved: id => {
                 this.loadTracker.removeUpstream(id);
             },
+            onEntryIgnored: reason => {
+                this.relayMetrics.recordIgnoredEntry(reason);
+            },
         });
         this.availability = new UpstreamAvailability({ directory: this.state.directory, health: this.health, random: Math.random });
         this.enginePlacer = new EnginePlacer(this.loadTracker, Math.random);
@@ -275,7 +278,7 @@
                 readPauseMs: timing.upstreamsReadPauseMs,
                 nextReadDueMs: () => state.directory.lastReadDueMs,
             },
-            (records, isWhole, writtenAfterMs) => state.applyUpstreamRecords(records, isWhole, writtenAfterMs),
+            (records, read) => state.applyUpstreamRecords(records, read),
         );
         forwarder.start(signal);
         this.snapshots.start(signal);
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -100,7 +100,7 @@
     };
     private readonly lastForwarder = new Map<Stream, { readonly vm: string; readonly nowMs: number; }>();
     private lastConfigVersion = 0;
-    private lastUpstreamValue = 0;
+    private lastUpstreamStart = 0;
 
     constructor(seed: number) {
         this.random = createSeededRandom(seed);
@@ -160,12 +160,13 @@
             config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
             upstreams: {
                 source: unusedSource,
-                decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })),
+                decode: (id, value) => ok(exampleUpstream(id, decodeUpstreamValue(value))),
                 minExpiryMs: 0,
                 maxGraceMs: Infinity,
             },
             onConfig: () => undefined,
             onUpstreamRemoved: () => undefined,
+            onEntryIgnored: () => undefined,
         });
         const vm: SimulatedVm = {
             name,
@@ -404,11 +405,13 @@
     /** Mostly writes an entry again as it is, as upstreams do all the time; otherwise changes or removes it. */
     private appendUpstream(index: number): void {
         const key = `upstream-${index}`;
-        const before = asText(this.logs.upstreams.newestBefore(key, Infinity));
+        const before = this.logs.upstreams.newestBefore(key, Infinity)?.value;
         const choice = this.random();
         const isRemoved = before !== undefined && choice < 0.1;
-        const isSame = before !== undefined && choice > 0.4;
-        this.logs.upstreams.append(key, isRemoved ? undefined : isSame ? before : String(++this.lastUpstreamValue));
+        const { startedWallMs, revision } = before !== undefined && choice > 0.4
+            ? decodeUpstreamValue(before)
+            : { startedWallMs: ++this.lastUpstreamStart, revision: 0 };
+        this.logs.upstreams.append(key, isRemoved ? undefined : `${startedWallMs} ${revision + 1}`);
     }
 
     private repeat(intervalMs: () => number, task: () => void): void {
@@ -434,8 +437,15 @@
     }
 }
 
+/** The version of a configuration or the start time of an upstream. */
 function asText(record: KeyedRecord | undefined): string | undefined {
-    return record?.value === undefined ? undefined : String(Buffer.from(record.value));
+    return record?.value === undefined ? undefined : String(Buffer.from(record.value)).split(" ")[0];
+}
+
+/** The value of an upstream's record is its start time and revision. */
+function decodeUpstreamValue(value: Uint8Array) {
+    const [startedWallMs = 0, revision = 0] = String(Buffer.from(value)).split(" ").map(Number);
+    return { startedWallMs, revision };
 }
 
 function describe({ fromOffset, nextOffset, records }: ForwardedRead): string {
--- a/src/node/relay/testing/simulateListOutage.ts
+++ b/src/node/relay/testing/simulateListOutage.ts
@@ -70,6 +70,7 @@
     const ids = [...Array(upstreamCount).keys()].map(index => `u${index}`);
     const leavingId = kind === "vm" ? "u0" : undefined;
     const leaveMs = outageEndMs + between(-1_500, 2_500);
+    let revision = 1;
     let expiredCount = 0;
 
     const append = (key: string, value: Buffer | undefined) => {
@@ -78,7 +79,7 @@
     const write = (id: string) => {
         const hasLeft = id === leavingId && scheduler.nowMs() >= leaveMs;
         if (!hasLeft && !isStoreDown()) {
-            append(id, Buffer.from(id));
+            append(id, Buffer.from(String(revision++)));
             writtenMs.set(id, scheduler.nowMs());
         }
     };
@@ -143,12 +144,13 @@
         config: { source: unusedSource, key: "config", decode: () => err("unused") },
         upstreams: {
             source: unusedSource,
-            decode: id => ok(exampleUpstream(id)),
+            decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: 1, revision: Number(value) })),
             minExpiryMs: knowsHeartbeat ? 2.5 * heartbeatMs : 0,
             maxGraceMs: reconnectedMs,
         },
         onConfig: () => undefined,
         onUpstreamRemoved: () => undefined,
+        onEntryIgnored: () => undefined,
     });
     const timing = computeFollowerTiming(drainMs);
     const follower = new KeyedLogFollower({
