relay: keep what each incarnation of an upstream says of itself apart

UpstreamAvailability kept one record an id. A response of an earlier incarnation that was handled after one of the next replaced the record: an upstream that had said that it is leaving got calls again. The new test of UpstreamAvailability.test.ts failed before (a and b selected, where a is leaving).

--- a/src/core/relay/UpstreamAvailability.test.ts
+++ b/src/core/relay/UpstreamAvailability.test.ts
@@ -38,6 +38,16 @@
     expect(select(2)).toEqual(["a,b", undefined]);
 });
 
+// Guards against calls to a leaving upstream after a response of its incarnation before that arrived late.
+test("what an earlier incarnation of an upstream says late does not make the VM forget what the later one has said", () => {
+    const { directory, availability, select } = createAvailability();
+    const restarted = { ...a, startedWallMs: 5 };
+    directory.set(restarted);
+    availability.recordLeaving(restarted);
+    availability.recordPause(a, 100, 0);
+    expect(select(200)).toEqual(["b", undefined]);
+});
+
 test("a paused upstream gets no calls, not even when the others have failed, until its pause is over", () => {
     const { health, availability, select } = createAvailability();
     expect(availability.recordPause(a, 2_000, 100)).toEqual(2_000);
--- a/src/core/relay/UpstreamAvailability.ts
+++ b/src/core/relay/UpstreamAvailability.ts
@@ -6,8 +6,6 @@
 type AvailabilityState = "open" | "resuming" | "paused" | "leaving";
 
 interface AvailabilityRecord {
-    /** Tells the incarnation of the upstream that the record is about from a later one under the same id. */
-    readonly startedWallMs: number;
     isLeaving: boolean;
     /** End of the pause that the upstream has asked for; undefined without one, and after its first answer since. */
     pausedUntilMs: number | undefined;
@@ -40,6 +38,7 @@
  * themselves in their responses: that they are leaving, or that they want no calls for some time.
  */
 export class UpstreamAvailability {
+    /** Records by upstream and incarnation. */
     private readonly records = new Map<string, AvailabilityRecord>();
 
     constructor(private readonly options: UpstreamAvailabilityOptions) {}
@@ -126,23 +125,24 @@
             : Math.max(record.pausedUntilMs, record.lastTrialMs + trialIntervalMs);
     }
 
-    private findRecord({ id, startedWallMs }: RelayUpstream): AvailabilityRecord | undefined {
-        const record = this.records.get(id);
-        return record?.startedWallMs === startedWallMs ? record : undefined;
+    private findRecord(upstream: RelayUpstream): AvailabilityRecord | undefined {
+        return this.records.get(formatKey(upstream));
     }
 
     private getRecord(upstream: RelayUpstream): AvailabilityRecord {
         let record = this.findRecord(upstream);
         if (record === undefined) {
-            const { id, startedWallMs } = upstream;
-            record = { startedWallMs, isLeaving: false, pausedUntilMs: undefined, lastTrialMs: -Infinity };
-            this.records.delete(id);
-            this.records.set(id, record);
-            const [oldestId] = this.records.keys();
-            if (this.records.size > maxRecords && oldestId !== undefined) {
-                this.records.delete(oldestId);
+            record = { isLeaving: false, pausedUntilMs: undefined, lastTrialMs: -Infinity };
+            this.records.set(formatKey(upstream), record);
+            const [oldestKey] = this.records.keys();
+            if (this.records.size > maxRecords && oldestKey !== undefined) {
+                this.records.delete(oldestKey);
             }
         }
         return record;
     }
 }
+
+function formatKey({ id, startedWallMs }: RelayUpstream): string {
+    return `${id}/${startedWallMs}`;
+}
