--- a/src/core/relay/UpstreamEntryOrder.test.ts
+++ b/src/core/relay/UpstreamEntryOrder.test.ts
@@ -18,7 +18,7 @@
     };
 }
 
-test("an entry is older if one with a higher revision of the same start was accepted", () => {
+test("an entry is older if one with a higher revision of the same incarnation was accepted", () => {
     const { accept } = createOrder();
     expect([accept(startMs, 7), accept(startMs, 9), accept(startMs, 8), accept(startMs, 9), accept(startMs, 10)])
         .toEqual(["newest", "newest", "older", "newest", "newest"]);
@@ -30,19 +30,19 @@
     expect([remove(), accept(startMs, 8), accept(startMs, 9), accept(startMs, 10)]).toEqual([true, "older", "older", "newest"]);
 });
 
-test("an entry of a start that another one has replaced is older", () => {
+test("an entry of an incarnation that another one has replaced is older", () => {
     const { accept } = createOrder();
     expect([accept(startMs, 40), accept(startMs + 5_000, 1), accept(startMs, 39), accept(startMs, 40), accept(startMs + 5_000, 2)])
         .toEqual(["newest", "newest", "older", "older", "newest"]);
 });
 
-test("an entry that follows on those of a replaced start, or is of one before it, does not count while the current start goes on", () => {
+test("an entry that follows on those of a replaced incarnation, or is of one before it, does not count while the current one goes on", () => {
     const { accept } = createOrder();
     accept(startMs, 40);
     accept(startMs + 5_000, 1);
     expect([accept(startMs, 41), accept(startMs + 5_000, 2), accept(startMs, 42), accept(startMs + 5_000, 3)])
-        .toEqual(["earlier-start", "newest", "earlier-start", "newest"]);
-    expect([accept(startMs - 60_000, 50), accept(startMs + 5_000, 4)]).toEqual(["earlier-start", "newest"]);
+        .toEqual(["earlier-incarnation", "newest", "earlier-incarnation", "newest"]);
+    expect([accept(startMs - 60_000, 50), accept(startMs + 5_000, 4)]).toEqual(["earlier-incarnation", "newest"]);
 });
 
 test("an upstream whose clock was set back before it restarted counts at once, also after its removal", () => {
@@ -53,14 +53,14 @@
     expect(accept(startMs - 7_200_000, 1)).toEqual("newest");
 });
 
-test("a start with a lower time whose first entries did not arrive counts from its second entry on", () => {
+test("an incarnation with a lower start time whose first entries did not arrive counts from its second entry on", () => {
     const { accept } = createOrder();
     accept(startMs, 2);
     expect([accept(startMs - 3_600_000, 5), accept(startMs - 3_600_000, 6), accept(startMs - 3_600_000, 7)])
-        .toEqual(["earlier-start", "newest", "newest"]);
+        .toEqual(["earlier-incarnation", "newest", "newest"]);
 });
 
-test("a start with a lower time counts at once if another VM vouches for it, but not an entry that is known to be older", () => {
+test("an incarnation with a lower start time counts at once if another VM vouches for it, but not an entry that is known to be older", () => {
     const { accept } = createOrder();
     accept(startMs, 2);
     expect([accept(startMs - 3_600_000, 5, 0, true), accept(startMs, 2, 0, true), accept(startMs - 3_600_000, 4, 0, true)])
@@ -73,7 +73,7 @@
     const withStart = createOrder();
     withStart.accept(startMs, 40);
     expect([withStart.accept(0, 41), withStart.accept(startMs, 41), withStart.accept(0, 42), withStart.accept(0, 43)])
-        .toEqual(["earlier-start", "newest", "earlier-start", "newest"]);
+        .toEqual(["earlier-incarnation", "newest", "earlier-incarnation", "newest"]);
 });
 
 test("a revision blocks lower ones for 30 s only, whether its upstream is listed or not", () => {
@@ -117,7 +117,7 @@
 });
 
 // Guards against calls to a draining upstream, or to one that has left, after a heartbeat that was held up on its way.
-test("whatever is held up, an entry is never accepted after a newer one of its start, and a live upstream never waits long", () => {
+test("whatever is held up, an entry is never accepted after a newer one of its incarnation, and a live upstream never waits long", () => {
     const write = fc.record({ delayMs: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 6_000 })), restarts: fc.nat({ max: 9 }) });
     const writes = fc.array(write, { minLength: 1, maxLength: 40 });
     fc.assert(
--- a/src/core/relay/UpstreamEntryOrder.ts
+++ b/src/core/relay/UpstreamEntryOrder.ts
@@ -2,9 +2,9 @@
 
 /**
  * `newest`: nothing newer is known of the upstream; `known`: a record at this offset or a later one has been accepted; `older`: a newer entry has been
- * accepted; `earlier-start`: the entry seems to be of a start before the one that is known, but may be of a later one whose clock is behind.
+ * accepted; `earlier-incarnation`: the entry seems to be of an incarnation before the one that is known, but may be of a later one whose clock is behind.
  */
-type EntryAge = "newest" | "known" | "older" | "earlier-start";
+type EntryAge = "newest" | "known" | "older" | "earlier-incarnation";
 
 type Entry = Pick<RelayUpstream, "id" | "startedWallMs" | "revision">;
 
@@ -18,21 +18,21 @@
     readonly isVouchedFor: boolean;
 }
 
-/** The newest entry that has been accepted of one start of an upstream. */
-interface Start {
+/** The newest entry that has been accepted of one incarnation of an upstream. */
+interface Incarnation {
     readonly startedWallMs: number;
     readonly revision: number;
-    /** When that entry was accepted; for a start that another one has replaced, when that was. */
+    /** When that entry was accepted; for an incarnation that another one has replaced, when that was. */
     readonly heldMs: number;
 }
 
 interface UpstreamHistory {
     /** Offset of the last record that was accepted, an entry or its removal; -1 if there is none since the last complete list began. */
     readonly offset: number;
-    readonly current: Start;
-    /** Starts before the current one, the latest first. */
-    readonly replaced: readonly Start[];
-    /** Last entry that seemed to be of an earlier start; undefined if the current start has written since. */
+    readonly current: Incarnation;
+    /** Incarnations before the current one, the latest first. */
+    readonly replaced: readonly Incarnation[];
+    /** Last entry that seemed to be of an earlier incarnation; undefined if the current one has written since. */
     readonly unconfirmed: Omit<Entry, "id"> | undefined;
     /** When the entry left the list; undefined while it is listed. */
     readonly removedMs: number | undefined;
@@ -40,7 +40,7 @@
 
 /** The platform may carry out a write that it has not confirmed seconds after its sender has given it up. */
 const maxWriteDelayMs = 30_000;
-const maxReplacedStarts = 3;
+const maxReplacedIncarnations = 3;
 /** Start time of upstreams that do not state theirs. Their revisions cannot be compared, as they may have restarted in between. */
 const unknownStartMs = 0;
 const maxRemovedUpstreams = 1_024;
@@ -49,9 +49,9 @@
  * Tells whether an entry of the upstream list is newer than those accepted before it. The order of the list's log is that in which the platform
  * carried out the writes, which need not be that in which the upstream sent them.
  *
- * Within one start of an upstream, revisions decide. Start times do so only in part, as a clock may have been set back before a restart: an
- * entry with a lower start time counts as newer if its revision is not higher, since a start counts from the beginning, or if another one of the same
- * start follows it.
+ * Within one incarnation of an upstream, revisions decide. Start times do so only in part, as a clock may have been set back before a restart: an
+ * entry with a lower start time counts as newer if its revision is not higher, since each incarnation counts from the beginning, or if another
+ * one of the same incarnation follows it.
  */
 export class UpstreamEntryOrder {
     private readonly listed = new Map<string, UpstreamHistory>();
@@ -72,7 +72,7 @@
                 removedMs: undefined,
             });
         }
-        else if (age === "earlier-start" && history !== undefined) {
+        else if (age === "earlier-incarnation" && history !== undefined) {
             (history.removedMs === undefined ? this.listed : this.removed).set(id, {
                 ...history,
                 unconfirmed: { startedWallMs, revision },
@@ -146,25 +146,28 @@
     }
     const isConfirmed = isVouchedFor || unconfirmed?.startedWallMs === startedWallMs && revision > unconfirmed.revision;
     if (startedWallMs === unknownStartMs) {
-        return isConfirmed || current.startedWallMs === unknownStartMs ? "newest" : "earlier-start";
+        return isConfirmed || current.startedWallMs === unknownStartMs ? "newest" : "earlier-incarnation";
     }
     if (startedWallMs === current.startedWallMs) {
         // Of an upstream that has left the list, the entry that was its newest may be carried out only now.
         const isOlder = revision < current.revision || revision === current.revision && removedMs !== undefined;
         return isOlder && !isOver(removedMs ?? current.heldMs, nowMs) ? "older" : "newest";
     }
-    const known = replaced.find(start => start.startedWallMs === startedWallMs && !isOver(start.heldMs, nowMs));
+    const known = replaced.find(earlier => earlier.startedWallMs === startedWallMs && !isOver(earlier.heldMs, nowMs));
     if (known !== undefined && revision <= known.revision) {
         return "older";
     }
-    const isLaterStart = known === undefined && (startedWallMs > current.startedWallMs || revision <= current.revision);
-    return isConfirmed || isLaterStart ? "newest" : "earlier-start";
+    const isLaterIncarnation = known === undefined && (startedWallMs > current.startedWallMs || revision <= current.revision);
+    return isConfirmed || isLaterIncarnation ? "newest" : "earlier-incarnation";
 }
 
-function listReplaced({ current, replaced }: UpstreamHistory, startedWallMs: number, nowMs: number): readonly Start[] {
+function listReplaced({ current, replaced }: UpstreamHistory, startedWallMs: number, nowMs: number): readonly Incarnation[] {
     return startedWallMs === current.startedWallMs
         ? replaced
-        : [{ ...current, heldMs: nowMs }, ...replaced.filter(start => start.startedWallMs !== startedWallMs)].slice(0, maxReplacedStarts);
+        : [{ ...current, heldMs: nowMs }, ...replaced.filter(earlier => earlier.startedWallMs !== startedWallMs)].slice(
+            0,
+            maxReplacedIncarnations,
+        );
 }
 
 function isOver(sinceMs: number, nowMs: number): boolean {
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -178,7 +178,7 @@
     const { state, ignoredEntries } = createState();
     state.applyUpstreamRecords([record("a", "ready 40 1000")], wholeList);
     state.applyUpstreamRecords([record("a", "draining 1 2000"), record("a", "ready 39 1000"), record("a", "ready 41 1000")], changes);
-    expect([available(state), ignoredEntries]).toEqual([[], ["older", "earlier-start"]]);
+    expect([available(state), ignoredEntries]).toEqual([[], ["older", "earlier-incarnation"]]);
 });
 
 test("an upstream that restarts under its id is used at once, also if its clock has been set back", () => {
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -21,7 +21,7 @@
     readonly onEntryIgnored: (reason: IgnoredEntryReason) => void;
 }
 
-type IgnoredEntryReason = "older" | "earlier-start" | "undecodable";
+type IgnoredEntryReason = "older" | "earlier-incarnation" | "undecodable";
 
 /** Configuration and upstreams in force on this VM. The version of the configuration never decreases. */
 export class RelayState {
@@ -197,11 +197,11 @@
     private logIgnoredEntry(
         { id, startedWallMs, revision, isDraining }: RelayUpstream,
         offset: number,
-        age: "older" | "earlier-start",
+        age: "older" | "earlier-incarnation",
     ): void {
         const message = age === "older"
             ? "upstream entry is older than one that has been applied; ignoring it"
-            : "upstream entry seems to be of an earlier start; ignoring it unless another one follows it";
+            : "upstream entry seems to be of an earlier incarnation; ignoring it unless another one follows it";
         const inForce = this.directory.get(id);
         log(message, {
             upstream: id,
