relay: follow the platform's log through a return from an older copy

A VM kept its position: records at offsets that it had passed were never read, calls on a route that had been confirmed got 404, and an upstream that had said that it is draining got calls again.

Change: a position in a log is an epoch and an offset. A VM that meets a later epoch, in a reply or from another VM, takes the newest records again and keeps what is newer here: configurations by version, upstream entries by UpstreamEntryOrder. Upstreams that the copy lacks stay for the grace period. The reader forwards the newest records whole, once an epoch, so that the others need not read them. A VM that starts while the store is away applies what another one knew before it applies the copy; for that a VM that is one of the seeds also asks the others first when it restarts. Entries in the registry of VMs are written again within a second.

--- a/src/core/relay/UpstreamDirectory.ts
+++ b/src/core/relay/UpstreamDirectory.ts
@@ -14,6 +14,8 @@
     lastFailureMs: number;
     /** Start and end of the first read after the outage; undefined while it lasts. */
     firstRead: { readonly startedMs: number; readonly endedMs: number; } | undefined;
+    /** Whether the list has been restored from a copy, which lacks the entries that were written after it was taken. */
+    readonly isRestore: boolean;
 }
 
 interface UpstreamDirectoryOptions {
@@ -43,7 +45,12 @@
      * because of it.
      */
     recordListOutage(startedMs: number): void {
-        this.outage = { lastFailureMs: startedMs, firstRead: undefined };
+        this.outage = { lastFailureMs: startedMs, firstRead: undefined, isRestore: false };
+    }
+
+    /** Records that the list which follows has been restored from a copy: upstreams that it lacks may only have written their entries after the copy. */
+    recordRestore(nowMs: number): void {
+        this.outage = { lastFailureMs: nowMs, firstRead: { startedMs: nowMs, endedMs: nowMs }, isRestore: true };
     }
 
     /**
@@ -172,10 +179,13 @@
 
     /** Whether an entry that has left the list may have expired because of an outage, and its upstream may still write it again. */
     private mayHaveExpired({ writtenAfterMs }: DirectoryEntry, nowMs: number): boolean {
-        if (this.outage === undefined || this.isGraceOver(nowMs) || nowMs - writtenAfterMs < this.options.minExpiryMs) {
+        if (this.outage === undefined || this.isGraceOver(nowMs)) {
+            return false;
+        }
+        const { firstRead, isRestore } = this.outage;
+        if (!isRestore && nowMs - writtenAfterMs < this.options.minExpiryMs) {
             return false;
         }
-        const { firstRead } = this.outage;
         return firstRead === undefined || writtenAfterMs < firstRead.startedMs;
     }
 }
--- a/src/core/relay/UpstreamEntryOrder.ts
+++ b/src/core/relay/UpstreamEntryOrder.ts
@@ -36,6 +36,8 @@
     readonly unconfirmed: Omit<Entry, "id"> | undefined;
     /** When the entry left the list; undefined while it is listed. */
     readonly removedMs: number | undefined;
+    /** Whether the entry is missing only since the list was restored from a copy, and may be written again as it was. */
+    readonly isLost: boolean;
 }
 
 /** The platform may carry out a write that it has not confirmed seconds after its sender has given it up. */
@@ -70,6 +72,7 @@
                 replaced: history === undefined ? [] : listReplaced(history, startedWallMs, nowMs),
                 unconfirmed: undefined,
                 removedMs: undefined,
+                isLost: false,
             });
         }
         else if (age === "earlier-incarnation" && history !== undefined) {
@@ -93,18 +96,21 @@
         if (offset <= history.offset) {
             return false;
         }
-        this.remove(id, { ...history, offset }, nowMs);
+        this.remove(id, { ...history, offset, removedMs: nowMs });
         return true;
     }
 
-    /** A complete list follows, which contains these upstreams. Its records replace all before them, whatever their offsets. */
-    startList(ids: ReadonlySet<string>, nowMs: number): void {
+    /**
+     * A complete list follows, which contains these upstreams. Its records replace all before them, whatever their offsets. With `isRestored`, entries
+     * that it lacks may have been lost.
+     */
+    startList(ids: ReadonlySet<string>, nowMs: number, isRestored: boolean): void {
         for (const [id, history] of [...this.listed]) {
             if (ids.has(id)) {
                 this.listed.set(id, { ...history, offset: -1 });
             }
             else {
-                this.remove(id, history, nowMs);
+                this.remove(id, { ...history, removedMs: nowMs, isLost: isRestored });
             }
         }
         for (const [id, history] of this.removed) {
@@ -112,9 +118,9 @@
         }
     }
 
-    private remove(id: string, history: UpstreamHistory, nowMs: number): void {
+    private remove(id: string, history: UpstreamHistory): void {
         this.listed.delete(id);
-        this.removed.set(id, { ...history, removedMs: nowMs });
+        this.removed.set(id, history);
         const [oldestId] = this.removed.keys();
         if (this.removed.size > maxRemovedUpstreams && oldestId !== undefined) {
             this.removed.delete(oldestId);
@@ -138,7 +144,7 @@
 function compare(
     { startedWallMs, revision }: Omit<Entry, "id">,
     { offset, isVouchedFor }: EntrySource,
-    { offset: acceptedOffset, current, replaced, unconfirmed, removedMs }: UpstreamHistory,
+    { offset: acceptedOffset, current, replaced, unconfirmed, removedMs, isLost }: UpstreamHistory,
     nowMs: number,
 ): EntryAge {
     if (offset <= acceptedOffset) {
@@ -150,7 +156,7 @@
     }
     if (startedWallMs === current.startedWallMs) {
         // Of an upstream that has left the list, the entry that was its newest may be carried out only now.
-        const isOlder = revision < current.revision || revision === current.revision && removedMs !== undefined;
+        const isOlder = revision < current.revision || revision === current.revision && removedMs !== undefined && !isLost;
         return isOlder && !isOver(removedMs ?? current.heldMs, nowMs) ? "older" : "newest";
     }
     const known = replaced.find(earlier => earlier.startedWallMs === startedWallMs && !isOver(earlier.heldMs, nowMs));
--- a/src/node/relay/KeyedLogFollower.ts
+++ b/src/node/relay/KeyedLogFollower.ts
@@ -42,7 +42,9 @@
      * which the records were applied: a VM at an earlier position must not skip to `nextOffset`. Returns the number of VMs that it was
      * sent to.
      */
-    readonly onRead: (read: { readonly fromOffset: number; readonly nextOffset: number; }, forwarded: readonly KeyedRecord[]) => number;
+    readonly onRead: (read: Omit<ForwardedRead, "records">, forwarded: readonly KeyedRecord[]) => number;
+    /** Called when this VM learns that the log has been restored from a copy. */
+    readonly onRestored: () => void;
     /** Called after each read that fails while no other VM forwards its reads, with the time at which it began. */
     readonly onOutage: (startedMs: number) => void;
     /**
@@ -71,8 +73,14 @@
 
 /** Follows a keyed log: reads the newest record of each key first, then changes, which the reader forwards to the other VMs of the fleet. */
 export class KeyedLogFollower {
-    /** Offset of the next record to read; undefined until the newest records are known. */
+    /** Epoch of the log as far as this VM knows; undefined before it has heard of the log. */
+    epoch: number | undefined;
+    /** Offset in this epoch of the next record to read; undefined until the newest records are known. */
     nextOffset: number | undefined;
+    /** Epoch of the newest records that were applied last. */
+    private appliedEpoch: number | undefined;
+    /** What another VM knew that had not heard of the log lately, for a VM that starts; applied before the first records that are read. */
+    private earlierSnapshot: LogSnapshot | undefined;
     /** End of the newest records that were read; they may include records after `nextOffset`, which other VMs may lack. */
     private newestEndOffset = 0;
     private isReachable: boolean | undefined;
@@ -169,7 +177,19 @@
     }
 
     /** Applies records that another VM has read. After a gap in the offsets it applies none, and this VM reads the log without waiting. */
-    receiveFromPeer(from: string, { fromOffset, records, nextOffset }: ForwardedRead): void {
+    receiveFromPeer(from: string, read: ForwardedRead): void {
+        const { epoch, isWhole, fromOffset, records, nextOffset } = read;
+        if (epoch < (this.epoch ?? 0)) {
+            this.options.monitor.recordEarlierEpoch();
+            return;
+        }
+        this.enterEpoch(epoch, from);
+        if (isWhole && this.isNewer(nextOffset)) {
+            this.options.monitor.recordReceived(from, read, this.nextOffset ?? 0);
+            this.options.onReadable(this.readStartedMs ?? this.options.scheduler.nowMs());
+            this.takeNewest({ epoch, nextOffset, records }, true);
+            return;
+        }
         if (this.nextOffset === undefined || fromOffset > this.nextOffset) {
             this.options.monitor.recordGap(from, { fromOffset, nextOffset }, this.nextOffset);
             this.gap = { vm: from, endOffset: fromOffset };
@@ -189,13 +209,33 @@
         this.applyRecords(records, nextOffset, true);
     }
 
-    /** The newest records, for a VM that lacks them; undefined when this VM has not heard of the log for too long. */
+    /** The newest records, for a VM that lacks them; undefined before this VM has any. */
     getSnapshot(): LogSnapshot | undefined {
+        if (this.appliedEpoch === undefined) {
+            return undefined;
+        }
         const heardMs = Math.max(this.lastHeardMs, this.lastReadMs);
-        const isRecent = this.options.scheduler.nowMs() - heardMs <= this.options.baseSilenceTimeoutMs;
-        return this.nextOffset === undefined || !isRecent
-            ? undefined
-            : { nextOffset: this.nextOffset, records: [...this.newestRecords.values()] };
+        const isRecent = this.nextOffset !== undefined && this.options.scheduler.nowMs() - heardMs <= this.options.baseSilenceTimeoutMs;
+        return { epoch: this.appliedEpoch, isRecent, nextOffset: this.nextOffset ?? 0, records: [...this.newestRecords.values()] };
+    }
+
+    /** Gives the position up if the log has been restored from a copy: its offsets are given to other records since then. */
+    private enterEpoch(epoch: number, vm?: string): void {
+        if (this.epoch !== undefined && epoch > this.epoch) {
+            log("platform log was restored from a copy; taking its newest records again and keeping what is newer here", {
+                stream: this.options.name,
+                epoch,
+                epochBefore: this.epoch,
+                nextOffsetBefore: this.nextOffset,
+                vm,
+            });
+            this.nextOffset = undefined;
+            this.newestEndOffset = 0;
+            this.positionReadMs = -Infinity;
+            this.gap = undefined;
+            this.options.onRestored();
+        }
+        this.epoch = epoch;
     }
 
     private applyRecords(records: readonly KeyedRecord[], nextOffset: number, isForwarded: boolean): readonly KeyedRecord[] {
@@ -205,6 +245,7 @@
         const firstNewOffset = this.nextOffset;
         const changed = this.options.onRecords(records.filter(record => record.offset >= firstNewOffset), {
             isWhole: false,
+            isRestored: false,
             isForwarded,
             writtenAfterMs: this.positionReadMs,
         });
@@ -214,14 +255,22 @@
         return changed;
     }
 
-    /** Applies the newest records of all keys. Those that are not in force leave the ones that are for other VMs. */
-    private applyWhole(records: readonly KeyedRecord[], isForwarded: boolean): void {
-        const inForce = this.options.onRecords(records, { isWhole: true, isForwarded, writtenAfterMs: -Infinity });
-        const keys = new Set(records.map(({ key }) => key));
-        for (const key of [...this.newestRecords.keys()].filter(key => !keys.has(key))) {
-            this.newestRecords.delete(key);
+    /** Applies the newest records of all keys. For other VMs, a record that is not in force leaves the one that is at its place. */
+    private applyWhole(epoch: number, records: readonly KeyedRecord[], isForwarded: boolean): void {
+        const isRestored = this.appliedEpoch !== undefined && epoch > this.appliedEpoch;
+        const inForce = this.options.onRecords(records, { isWhole: true, isRestored, isForwarded, writtenAfterMs: -Infinity });
+        const offsets = new Map(records.map(({ key, offset }) => [key, offset]));
+        for (const [key, record] of [...this.newestRecords]) {
+            const offset = offsets.get(key);
+            if (offset === undefined) {
+                this.newestRecords.delete(key);
+            }
+            else {
+                this.newestRecords.set(key, { ...record, offset });
+            }
         }
         this.keepNewest(inForce);
+        this.appliedEpoch = epoch;
     }
 
     private keepNewest(records: readonly KeyedRecord[]): void {
@@ -254,7 +303,7 @@
         for (let tries = 0; tries < maxSnapshotTriesAfterGap && !signal.aborted && (this.nextOffset ?? -1) < endOffset; tries++) {
             const snapshot = await this.options.requestSnapshot(vm, signal);
             this.applySnapshot(snapshot);
-            if (snapshot === undefined) {
+            if (snapshot?.isRecent !== true) {
                 return;
             }
             await sleepFor(this.options.scheduler, snapshotRetryMs);
@@ -263,12 +312,31 @@
 
     /** Applies the newest records of another VM if they are newer than this VM's. */
     private applySnapshot(snapshot: LogSnapshot | undefined): void {
-        if (snapshot !== undefined && snapshot.nextOffset > (this.nextOffset ?? -1)) {
+        if (snapshot === undefined || snapshot.epoch < (this.epoch ?? 0)) {
+            return;
+        }
+        if (!snapshot.isRecent) {
+            this.earlierSnapshot = this.appliedEpoch === undefined ? snapshot : undefined;
+            return;
+        }
+        this.enterEpoch(snapshot.epoch);
+        if (this.isNewer(snapshot.nextOffset)) {
             this.takeNewest(snapshot, true);
         }
     }
 
-    private takeNewest({ nextOffset, records }: LogSnapshot, isForwarded: boolean): void {
+    /**
+     * Whether newest records up to this offset lack nothing of what this VM has: the ones that it took last may have reached beyond its position.
+     */
+    private isNewer(nextOffset: number): boolean {
+        return this.nextOffset === undefined || nextOffset > this.nextOffset && nextOffset >= this.newestEndOffset;
+    }
+
+    private takeNewest({ epoch, nextOffset, records }: Omit<LogSnapshot, "isRecent">, isForwarded: boolean): void {
+        if (this.earlierSnapshot !== undefined && this.earlierSnapshot.epoch <= epoch) {
+            this.applyWhole(this.earlierSnapshot.epoch, this.earlierSnapshot.records, true);
+        }
+        this.earlierSnapshot = undefined;
         this.nextOffset = nextOffset;
         this.newestEndOffset = Math.max(nextOffset, ...records.map(record => record.offset + 1));
         this.lastHeardMs = this.options.scheduler.nowMs();
@@ -276,7 +344,7 @@
             this.hasRead = true;
             this.startupDelayEndMs = this.lastHeardMs + this.options.startupDelayMs;
         }
-        this.applyWhole(records, isForwarded);
+        this.applyWhole(epoch, records, isForwarded);
     }
 
     private async readNewest(signal: AbortSignal, startedMs: number): Promise<boolean> {
@@ -285,15 +353,30 @@
             this.recordFailure(read.error, startedMs);
             return false;
         }
+        const { epoch, nextOffset, records } = read.value;
+        if (epoch < (this.epoch ?? 0)) {
+            this.options.monitor.recordEarlierEpoch();
+            return false;
+        }
         this.recordSuccess(startedMs);
-        this.options.monitor.recordRead(read.value.records.length);
+        this.options.monitor.recordRead(records.length);
+        const isRestored = this.appliedEpoch !== undefined && epoch > this.appliedEpoch;
+        this.enterEpoch(epoch);
+        if (!this.isNewer(nextOffset)) {
+            // Another VM has forwarded newer ones during the read.
+            return true;
+        }
         this.takeNewest(read.value, false);
         this.positionReadMs = startedMs;
+        if (isRestored) {
+            this.forward({ epoch, isWhole: true, fromOffset: 0, nextOffset }, 0, records, [...this.newestRecords.values()]);
+        }
         return true;
     }
 
     private async readChanges(offset: number, signal: AbortSignal, startedMs: number): Promise<boolean> {
         this.options.monitor.recordReading(offset, this.options.readerRank);
+        const positionEpoch = this.epoch;
         const read = await this.options.source.readChanges(offset, this.options.waitMs, signal);
         if (read.isErr()) {
             if (read.error.kind === "forgotten") {
@@ -309,23 +392,43 @@
             this.recordFailure(read.error, startedMs);
             return false;
         }
+        const { epoch, nextOffset, records } = read.value;
+        if (epoch > (this.epoch ?? 0)) {
+            this.enterEpoch(epoch);
+            return this.readNewest(signal, startedMs);
+        }
+        if (epoch !== positionEpoch || epoch !== this.epoch) {
+            this.options.monitor.recordEarlierEpoch();
+            return false;
+        }
         this.recordSuccess(startedMs);
-        this.options.monitor.recordRead(read.value.records.length);
+        this.options.monitor.recordRead(records.length);
         // Messages of other VMs may have advanced the position during the read, and the newest records may have reached beyond it.
         const fromOffset = Math.max(offset, this.nextOffset ?? offset, this.newestEndOffset);
-        const { nextOffset, records } = read.value;
         const forwarded = this.applyRecords(records, nextOffset, false);
         if (this.nextOffset === nextOffset) {
             this.positionReadMs = startedMs;
         }
         const hasNothingNew = fromOffset > offset && nextOffset <= fromOffset;
-        if (!hasNothingNew && this.options.readerRank() < firstNonForwardingRank) {
-            const vms = this.options.onRead({ fromOffset, nextOffset }, forwarded);
-            this.options.monitor.recordForwarded({ fromOffset, nextOffset }, { readOffset: offset, records, forwarded, vms });
+        if (!hasNothingNew) {
+            this.forward({ epoch, isWhole: false, fromOffset, nextOffset }, offset, records, forwarded);
         }
         return true;
     }
 
+    /** Forwards a read that this VM has requested from `readOffset` on, if it is one of the first in rank. */
+    private forward(
+        range: Omit<ForwardedRead, "records">,
+        readOffset: number,
+        records: readonly KeyedRecord[],
+        forwarded: readonly KeyedRecord[],
+    ): void {
+        if (this.options.readerRank() < firstNonForwardingRank) {
+            const vms = this.options.onRead(range, forwarded);
+            this.options.monitor.recordForwarded(range, { readOffset, records, forwarded, vms });
+        }
+    }
+
     private recordSuccess(startedMs: number): void {
         this.consecutiveFailures = 0;
         this.lastReadMs = this.options.scheduler.nowMs();
--- a/src/node/relay/KeyedLogMonitor.ts
+++ b/src/node/relay/KeyedLogMonitor.ts
@@ -18,8 +18,11 @@
     readonly vms: number;
 }
 
-/** What a forwarded read was to the VM that received it; `behind`: it ends before the VM's own position. */
-type ReceivedResult = "moved" | "unchanged" | "behind" | "gap" | "not-started";
+/**
+ * What a forwarded read was to the VM that received it; `behind`: it ends before the VM's own position; `earlier-epoch`: it is of the log before that
+ * was restored from a copy.
+ */
+type ReceivedResult = "moved" | "unchanged" | "behind" | "gap" | "not-started" | "earlier-epoch";
 
 interface KeyedLogMonitorOptions {
     readonly name: string;
@@ -113,6 +116,11 @@
         }
     }
 
+    /** A read of this VM or a forwarded one is of an earlier epoch of the log than the one that this VM knows. */
+    recordEarlierEpoch(): void {
+        this.options.onReceived("earlier-epoch");
+    }
+
     /** A forwarded read starts beyond `position`, or this VM does not know its position yet. Logged once for each position. */
     recordGap(from: string, { fromOffset, nextOffset }: OffsetRange, position: number | undefined): void {
         this.options.onReceived(position === undefined ? "not-started" : "gap");
--- a/src/node/relay/ReadForwarder.ts
+++ b/src/node/relay/ReadForwarder.ts
@@ -31,8 +31,10 @@
     start(signal: AbortSignal): void {
         this.options.links.onMessage("keyedRecords", (from, message) => {
             this.passOn(message);
-            const { stream, fromOffset, nextOffset, records } = message;
+            const { stream, epoch, isWhole, fromOffset, nextOffset, records } = message;
             this.options.onRead(from, stream, {
+                epoch,
+                isWhole,
                 fromOffset,
                 nextOffset,
                 records: records.map(({ offset, key, value }) => ({ offset, key, value })),
@@ -45,12 +47,20 @@
         const groups = planForwarding(this.options.vm, this.options.membership.members);
         const largestGroup = Math.max(groups.length, ...groups.map(({ vms }) => vms.length - 1));
         const limited = limitForwardedRead(read, largestGroup);
-        if (limited.records.length < read.records.length) {
+        const isLimited = limited.records.length < read.records.length;
+        if (isLimited) {
             const { fromOffset, nextOffset } = read;
             log("read is too large to forward; other VMs read the log themselves", { stream, fromOffset, nextOffset });
         }
         const { links } = this.options;
-        const message = { type: "keyedRecords" as const, stream, ...limited, records: [...limited.records] };
+        const message = {
+            ...limited,
+            type: "keyedRecords" as const,
+            stream,
+            epoch: read.epoch,
+            isWhole: read.isWhole && !isLimited,
+            records: [...limited.records],
+        };
         const counts = { sent: 0, unsent: 0 };
         for (const { relays, vms } of groups) {
             const isSent = relays.some(relay => links.send(relay, { ...message, passOnTo: vms.filter(vm => vm !== relay) }));
--- a/src/node/relay/RegistryTask.ts
+++ b/src/node/relay/RegistryTask.ts
@@ -12,6 +12,9 @@
 const checkIntervalMs = 3_000;
 /** Only VMs that know no other one use the registry, and a few entries lead them to the fleet. */
 const maxRegisteredVms = 5;
+/** VMs announce themselves again within this time after the registry may have lost their entries, each at a moment of its own. */
+const maxReannounceDelayMs = 1_000;
+const maxListedVms = 64;
 const registryDuty = "vm-registry";
 
 interface RegistryTaskOptions {
@@ -21,6 +24,8 @@
     readonly registry: VmRegistry;
     readonly membership: Pick<MembershipService, "members">;
     readonly scheduler: Scheduler;
+    /** Returns a number from 0 to 1. */
+    readonly random: () => number;
     /** Receives the other VMs of the registry. */
     readonly onListed: (vms: VmList["vms"]) => void;
 }
@@ -31,10 +36,30 @@
  */
 export class RegistryTask {
     private isAnnounced = false;
+    private isReannouncing = false;
+    private readonly stopController = new AbortController();
+    /** VMs that the registry has listed, the last ones at the end; it may have lost some of them since. */
+    private readonly listedVms = new Map<string, VmList["vms"][number]>();
 
     constructor(private readonly options: RegistryTaskOptions) {}
 
+    /** The platform's log was restored from a copy, which may lack the entry of this VM. */
+    recordLoss(): void {
+        if (!this.isAnnounced || this.isReannouncing) {
+            return;
+        }
+        this.isReannouncing = true;
+        const { signal } = this.stopController;
+        this.options.scheduler.after(this.options.random() * maxReannounceDelayMs, () => {
+            this.isReannouncing = false;
+            void this.announce(signal);
+        }, signal);
+    }
+
     start(signal: AbortSignal): void {
+        signal.addEventListener("abort", () => {
+            this.stopController.abort();
+        }, { once: true });
         const { scheduler } = this.options;
         const check = () => void this.check(signal);
         scheduler.after(firstCheckMs, () => {
@@ -67,7 +92,14 @@
         const { registry, vm, onListed } = this.options;
         const listed = await registry.list(signal);
         const others = listed.unwrapOr([]).filter(other => other.vm !== vm);
-        onListed(others);
+        for (const other of others) {
+            this.listedVms.delete(other.vm);
+            this.listedVms.set(other.vm, other);
+        }
+        for (const vm of [...this.listedVms.keys()].slice(0, Math.max(0, this.listedVms.size - maxListedVms))) {
+            this.listedVms.delete(vm);
+        }
+        onListed([...this.listedVms.values()]);
         log("no other VM is known; looked for VMs in the registry", {
             found: others.length,
             reason: listed.isErr() ? listed.error.message : undefined,
--- a/src/node/relay/RelayMetrics.test.ts
+++ b/src/node/relay/RelayMetrics.test.ts
@@ -9,6 +9,7 @@
     const relayMetrics = new RelayMetrics(metrics, () => state.version);
     relayMetrics.addStream({
         name: "config",
+        epoch: () => undefined,
         nextOffset: () => state.nextOffset,
         heardMsAgo: source => source === "reader" ? state.readerMs : 700,
     });
--- a/src/node/relay/RelayMetrics.ts
+++ b/src/node/relay/RelayMetrics.ts
@@ -7,6 +7,8 @@
 
 interface LogStream {
     readonly name: string;
+    /** Rises each time the log is restored from a copy; undefined until the log has been heard of. */
+    readonly epoch: () => number | undefined;
     /** Offset of the next record to apply; undefined until the newest records are known. */
     readonly nextOffset: () => number | undefined;
     /** Time since another VM's read was received or the store was read; undefined if neither has happened. */
@@ -31,6 +33,12 @@
             ["stream"],
             () => this.streams.flatMap(({ name, nextOffset }) => toSamples({ stream: name }, nextOffset())),
         );
+        metrics.registerLabelledGauge(
+            "log_epoch",
+            "Epoch of a log stream, which rises each time the platform's log is restored from a copy.",
+            ["stream"],
+            () => this.streams.flatMap(({ name, epoch }) => toSamples({ stream: name }, epoch())),
+        );
         metrics.registerLabelledGauge(
             "log_silence_seconds",
             "Time since a log stream was last heard from another VM that reads it, or read from the store.",
--- a/src/node/relay/RelayState.ts
+++ b/src/node/relay/RelayState.ts
@@ -41,15 +41,27 @@
         return this.routeTable !== undefined && this.isUpstreamListKnown;
     }
 
-    /** Applies records of the configuration stream; returns those to forward to other VMs: none that a later one supersedes. */
-    applyConfigRecords(records: readonly KeyedRecord[]): readonly KeyedRecord[] {
+    /**
+     * Applies records of the configuration stream. Returns those to forward to other VMs: none that a later one supersedes; of the newest
+     * records of all keys, those in force.
+     */
+    applyConfigRecords(records: readonly KeyedRecord[], { isWhole }: Pick<RecordsRead, "isWhole">): readonly KeyedRecord[] {
         let firstForwardedIndex = 0;
-        for (const [index, { key, value, offset }] of records.entries()) {
-            if (key === this.options.config.key && value !== undefined && this.applyConfigRecord(value, offset)) {
+        const ignored = new Set<KeyedRecord>();
+        for (const [index, record] of records.entries()) {
+            const { key, value, offset } = record;
+            if (key !== this.options.config.key || value === undefined) {
+                continue;
+            }
+            const result = this.applyConfigRecord(value, offset);
+            if (result === "applied") {
                 firstForwardedIndex = index;
             }
+            else if (result === "ignored") {
+                ignored.add(record);
+            }
         }
-        return records.slice(firstForwardedIndex);
+        return isWhole ? records.filter(record => !ignored.has(record)) : records.slice(firstForwardedIndex);
     }
 
     /**
@@ -60,9 +72,13 @@
         const nowMs = this.options.scheduler.nowMs();
         if (read.isWhole) {
             this.isUpstreamListKnown = true;
+            if (read.isRestored) {
+                this.directory.recordRestore(nowMs);
+                this.scheduleRemoval();
+            }
             const ids = new Set(records.map(record => record.key));
             this.directory.retain(ids, nowMs);
-            this.entryOrder.startList(ids, nowMs);
+            this.entryOrder.startList(ids, nowMs, read.isRestored);
         }
         return records.filter(record => {
             const result = this.applyUpstreamRecord(record, nowMs, read);
@@ -109,22 +125,22 @@
         }
     }
 
-    /** Applies a configuration record. Returns whether it is in force now. */
-    private applyConfigRecord(value: Uint8Array, offset: number): boolean {
+    /** Applies a configuration record, unless the one in force is the same or a newer one. */
+    private applyConfigRecord(value: Uint8Array, offset: number): "applied" | "same" | "ignored" {
         const config = this.options.config.decode(value);
         if (config.isErr()) {
             log("configuration cannot be decoded; ignoring it", { offset, reason: config.error, version: this.routeTable?.version });
-            return false;
+            return "ignored";
         }
         if (this.routeTable !== undefined && config.value.version <= this.routeTable.version) {
             log("configuration is not newer; ignoring it", { offset, version: config.value.version, inForce: this.routeTable.version });
-            return false;
+            return config.value.version === this.routeTable.version ? "same" : "ignored";
         }
         const before = this.routeTable?.version;
         this.routeTable = new RouteTable(config.value);
         log("configuration applied", { offset, version: config.value.version, before, routes: config.value.routes.length });
         this.options.onConfig(this.routeTable);
-        return true;
+        return "applied";
     }
 
     /** Applies a record. It counts as changed, too, if other VMs may lack an entry that has not changed here. */
--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -105,6 +105,7 @@
     private readonly stopController = new AbortController();
     private readonly followers = new Map<string, KeyedLogFollower>();
     private registeredVms: VmList["vms"] = [];
+    private registryTask: RegistryTask | undefined;
     private isStopping = false;
 
     constructor(private readonly dependencies: RelayVmDependencies) {
@@ -267,7 +268,7 @@
             "config",
             dependencies.config.source,
             { waitMs: timing.configReadWaitMs, readPauseMs: 0, nextReadDueMs: () => undefined },
-            records => state.applyConfigRecords(records),
+            (records, read) => state.applyConfigRecords(records, read),
         );
         const upstreams = this.createFollower(
             forwarder,
@@ -287,17 +288,19 @@
         scheduler.every(latenessCheckIntervalMs, latenessMs => {
             this.relayMetrics.recordTimerLateness(latenessMs);
         }, signal);
-        new RegistryTask({
+        this.registryTask = new RegistryTask({
             vm: dependencies.vm,
             availabilityZone: dependencies.availabilityZone,
             peerUrl: dependencies.peerUrl,
             registry: dependencies.registry,
             membership: this.membership,
             scheduler,
+            random: Math.random,
             onListed: vms => {
                 this.registeredVms = vms;
             },
-        }).start(signal);
+        });
+        this.registryTask.start(signal);
         signal.addEventListener("abort", () => {
             this.stopController.abort();
             void this.connections.close();
@@ -347,6 +350,9 @@
                 relayMetrics.recordForwarded(name, counts);
                 return counts.sent;
             },
+            onRestored: () => {
+                this.registryTask?.recordLoss();
+            },
             onOutage: startedMs => {
                 if (name === "upstreams") {
                     this.state.recordListOutage(startedMs);
@@ -359,18 +365,25 @@
             },
         });
         this.followers.set(name, follower);
-        relayMetrics.addStream({ name, nextOffset: () => follower.nextOffset, heardMsAgo: source => monitor.heardMsAgo(source) });
+        relayMetrics.addStream({
+            name,
+            epoch: () => follower.epoch,
+            nextOffset: () => follower.nextOffset,
+            heardMsAgo: source => monitor.heardMsAgo(source),
+        });
         return follower;
     }
 
     /**
-     * A VM that others are told to join through reads the log at once. The others wait longer while the whole fleet starts for the first time,
-     * which needs no haste, and differ in how long, so that not all of them read the log when no VM has its records.
+     * While the whole fleet starts for the first time, a VM that others are told to join through reads the log at once. The others wait longer then,
+     * as there is no haste, and differ in how long, so that not all of them read the log when no VM has its records. At a restart all ask: the log
+     * may just have been restored from a copy that is older than what other VMs know.
      */
     private get snapshotWaitMs(): number {
         const { seeds, peerUrl, isFirstStart } = this.dependencies;
         const { minMs, maxMs } = isFirstStart ? snapshotWaits.firstStart : snapshotWaits.restart;
-        return seeds.length === 0 || seeds.includes(peerUrl) ? 0 : minMs + Math.random() * (maxMs - minMs);
+        const isFirstReader = isFirstStart && seeds.includes(peerUrl);
+        return seeds.length === 0 || isFirstReader ? 0 : minMs + Math.random() * (maxMs - minMs);
     }
 
     /** One VM reads the platform's log for the fleet, and the next in rank when it does not; the ranks follow from the membership view. */
--- a/src/node/relay/SnapshotExchange.ts
+++ b/src/node/relay/SnapshotExchange.ts
@@ -10,7 +10,7 @@
     readonly membership: Pick<MembershipService, "members">;
     /** Returns a number from 0 to 1. */
     readonly random: () => number;
-    /** The records of a stream that this VM knows; undefined when they are not recent. */
+    /** The records of a stream that this VM knows; undefined when it has none. */
     readonly getSnapshot: (stream: string) => LogSnapshot | undefined;
 }
 
@@ -44,7 +44,7 @@
                 return { type: "keyedSnapshotAnswer" };
             }
             const records = snapshot.records.flatMap(({ offset, key, value }) => value === undefined ? [] : [{ offset, key, value }]);
-            return { type: "keyedSnapshotAnswer", snapshot: { nextOffset: snapshot.nextOffset, records } };
+            return { type: "keyedSnapshotAnswer", snapshot: { ...snapshot, records } };
         }, signal);
     }
 
@@ -65,6 +65,8 @@
             log("received the newest records from another VM", {
                 stream,
                 vm: source,
+                epoch: snapshot.epoch,
+                isRecent: snapshot.isRecent,
                 nextOffset: snapshot.nextOffset,
                 records: snapshot.records.length,
             });
--- a/src/node/relay/relayLinkLimits.test.ts
+++ b/src/node/relay/relayLinkLimits.test.ts
@@ -52,6 +52,8 @@
         const message = {
             type: "keyedRecords" as const,
             stream: "config",
+            epoch: 0,
+            isWhole: false,
             fromOffset: 0,
             nextOffset: 1,
             records: [{ offset: 0, key: "config", value }],
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -177,7 +177,7 @@
             knownReadyMs: new Map(),
             history: { config: [], upstreams: [] },
             followers: {
-                config: this.createFollower("config", processor, () => vm, records => state.applyConfigRecords(records)),
+                config: this.createFollower("config", processor, () => vm, (...read) => state.applyConfigRecords(...read)),
                 upstreams: this.createFollower(
                     "upstreams",
                     processor,
@@ -212,6 +212,7 @@
                 this.forward(getVm(), stream, { ...read, records: forwarded });
                 return this.vms.length - 1;
             },
+            onRestored: () => undefined,
             onOutage: () => undefined,
             onReadable: () => undefined,
             monitor: createTestMonitor(() => processor.nowMs()),
--- a/src/node/relay/testing/simulateListOutage.ts
+++ b/src/node/relay/testing/simulateListOutage.ts
@@ -11,7 +11,7 @@
 import { RelayState } from "../RelayState.js";
 import { createTestMonitor } from "./createTestMonitor.js";
 
-type ListRead = Result<{ readonly records: readonly KeyedRecord[]; readonly nextOffset: number; }, LogError>;
+type ListRead = Result<{ readonly records: readonly KeyedRecord[]; readonly nextOffset: number; readonly epoch: number; }, LogError>;
 
 interface ListOutageOptions {
     readonly seed: number;
@@ -127,7 +127,7 @@
             }
             const newest = new Map(records.map(record => [record.key, record]));
             const whole = [...newest.values()].filter(({ value }) => value !== undefined);
-            const reply = { records: isWhole ? whole : records.slice(fromOffset), nextOffset: records.length };
+            const reply = { records: isWhole ? whole : records.slice(fromOffset), nextOffset: records.length, epoch: 0 };
             await sleepFor(scheduler, between(1, 3));
             return ok(reply);
         };
@@ -167,6 +167,7 @@
         readerRank: () => hasReader ? 5 : 0,
         onRecords: (...listRead) => state.applyUpstreamRecords(...listRead),
         onRead: () => 0,
+        onRestored: () => undefined,
         onOutage: startedMs => {
             state.recordListOutage(startedMs);
         },
@@ -183,7 +184,13 @@
         scheduler.every(10, () => {
             if (!isOut() && scheduler.nowMs() >= nextReadMs) {
                 nextReadMs = scheduler.nowMs() + timing.upstreamsReadPauseMs;
-                follower.receiveFromPeer("reader", { fromOffset, nextOffset: records.length, records: records.slice(fromOffset) });
+                follower.receiveFromPeer("reader", {
+                    epoch: 0,
+                    isWhole: false,
+                    fromOffset,
+                    nextOffset: records.length,
+                    records: records.slice(fromOffset),
+                });
                 fromOffset = records.length;
             }
             else if (isOut()) {
--- a/src/node/services/KeyedLog.ts
+++ b/src/node/services/KeyedLog.ts
@@ -6,6 +6,8 @@
 interface KeyedRecords {
     readonly records: readonly KeyedRecord[];
     readonly nextOffset: number;
+    /** Rises each time the log is restored from a copy, after which its offsets begin again at the end of the copy; 0 for a log that has none. */
+    readonly epoch: number;
 }
 
 /** A compacted stream of the platform's log: the newest record of each key is kept indefinitely. */
--- a/src/schema/peer/PeerMessage.ts
+++ b/src/schema/peer/PeerMessage.ts
@@ -140,6 +140,10 @@
     z.object({
         type: z.literal("keyedRecords"),
         stream: z.string(),
+        /** 0 if the log has none. */
+        epoch: z.int().default(0),
+        /** Whether the records are those in force of all keys. */
+        isWhole: z.boolean().default(false),
         fromOffset: z.int(),
         nextOffset: z.int(),
         records: z.array(
@@ -152,8 +156,11 @@
     z.object({ type: z.literal("keyedSnapshotAsk"), stream: z.string() }),
     z.object({
         type: z.literal("keyedSnapshotAnswer"),
-        /** Omitted while the sender has no recent records, or too many to send. */
+        /** Omitted while the sender has no records, or too many to send. */
         snapshot: z.object({
+            epoch: z.int().default(0),
+            /** False if the sender has not heard of the log for too long to tell its position. */
+            isRecent: z.boolean().default(true),
             nextOffset: z.int(),
             records: z.array(
                 z.object({ offset: z.int(), key: z.string(), value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array) }),
