--- a/proof/soak/SoakFault.ts
+++ b/proof/soak/SoakFault.ts
@@ -11,6 +11,7 @@
         | "store-forgets"
         | "store-resets"
         | "store-slow"
+        | "store-restores"
         | "upstream-silent"
         | "upstream-one-way"
         | "upstream-resets"
--- a/proof/soak/SoakFleet.ts
+++ b/proof/soak/SoakFleet.ts
@@ -25,6 +25,9 @@
 /** Delay of each byte on a slow connection. */
 const slowConnectionDelayMs = 300;
 const graceMs = 9_000;
+/** How long the store is away before it comes back from a copy, and how long after that the operator writes the configuration again. */
+const restoreOutageMs = 200;
+const rewriteDelayMs = 800;
 /** Calls continue for this long after the last fault: the 12 s limit for recovery, and 4 s of calls to check it with. */
 const observationMs = 16_000;
 
@@ -167,6 +170,9 @@
                 this.store.forget("keyed.op");
                 this.store.forget("keyed.servers");
                 break;
+            case "store-restores":
+                await this.restoreStore(durationMs);
+                break;
             case "upstream-busy":
                 upstream?.setBusy(true);
                 await delay(durationMs);
@@ -196,6 +202,17 @@
         }
     }
 
+    /** Lets the store come back from a copy of this age; the operator and the upstreams then write again. */
+    private async restoreStore(copyAgeMs: number): Promise<void> {
+        const copy = this.store.takeCopy();
+        await delay(copyAgeMs);
+        this.setStoreFault("refuse", restoreOutageMs);
+        await delay(restoreOutageMs);
+        this.store.restore(copy);
+        await delay(rewriteDelayMs);
+        this.configure();
+    }
+
     private setStoreFault(kind: Fault["kind"], durationMs: number): void {
         this.store.server.faults.set({ kind, durationMs, delayMs: 0, factor: 1, afterTokens: 0 });
     }
--- a/proof/soak/planSoak.ts
+++ b/proof/soak/planSoak.ts
@@ -25,6 +25,10 @@
 const laterFaultKinds: typeof faultKinds = [["upstream-busy", 3_000], ["upstream-leaves", 3_500]];
 const maxLaterFaults = 3;
 const laterSeedOffset = 1_000_000;
+/** Restores of the store, drawn apart for the same reason; `durationMs` is the age of the copy. */
+const maxRestores = 2;
+const maxCopyAgeMs = 3_000;
+const restoreSeedOffset = 2_000_000;
 /** Probability that a fault is followed by another of its kind, so that signals and changes come in bursts. */
 const repeatProbability = 0.4;
 const repeatDelayMs = 400;
@@ -60,5 +64,11 @@
         const durationMs = 300 + drawLaterBelow(maxMs - 300);
         faults.push({ kind, atMs: drawLaterBelow(options.lengthMs), durationMs, target: drawLaterBelow(options.targets) });
     }
+    const restoreRandom = createSeededRandom(seed + restoreSeedOffset);
+    const drawRestoreBelow = (limit: number) => Math.floor(restoreRandom() * limit);
+    for (let index = drawRestoreBelow(maxRestores + 1); index > 0; index--) {
+        const durationMs = 300 + drawRestoreBelow(maxCopyAgeMs - 300);
+        faults.push({ kind: "store-restores", atMs: drawRestoreBelow(options.lengthMs), durationMs, target: 0 });
+    }
     return faults.sort((left, right) => left.atMs - right.atMs);
 }
--- a/standins/store/StoreStandin.ts
+++ b/standins/store/StoreStandin.ts
@@ -43,6 +43,9 @@
     /** Comes back from a copy: later records are gone, and their offsets are given out again. */
     restore(copy: ReadonlyMap<string, readonly StoredRecord[]>): void {
         this.topics = new Map([...copy].map(([topic, records]) => [topic, [...records]]));
+        for (const [topic, firstOffset] of this.firstOffsets) {
+            this.firstOffsets.set(topic, Math.min(firstOffset, this.recordsOf(topic).length));
+        }
         this.era = (this.era ?? 0) + 1;
     }
 
