--- a/src/node/relay/KeyedLogFollower.restore.test.ts
+++ b/src/node/relay/KeyedLogFollower.restore.test.ts
@@ -168,3 +168,8 @@
         }
     });
 }
+
+// Fails on the seed, see KNOWN-RED.txt: a live upstream is removed for a moment by a VM that has not noticed yet that the store is away again.
+test("a live upstream stays when the store goes away again within the grace period after a restore (seed 90)", async () => {
+    expect((await simulateRestores(90, 8)).failures).toEqual([]);
+});
