relay: a seed reads the store at once at a restart again

Since a VM that is one of the seeds asked other VMs first when it restarted, for up to 0.3 s.

What it was for is smaller: a seed that restarts in the moment in which the store comes back from a copy goes by the copy until the reader forwards or the operator and the upstreams write again. docs/design/platform.md says so.

--- a/src/node/relay/RelayVm.ts
+++ b/src/node/relay/RelayVm.ts
@@ -375,15 +375,13 @@
     }
 
     /**
-     * While the whole fleet starts for the first time, a VM that others are told to join through reads the log at once. The others wait longer then,
-     * as there is no haste, and differ in how long, so that not all of them read the log when no VM has its records. At a restart all ask: the log
-     * may just have been restored from a copy that is older than what other VMs know.
+     * A VM that others are told to join through reads the log at once. The others wait longer while the whole fleet starts for the first time,
+     * which needs no haste, and differ in how long, so that not all of them read the log when no VM has its records.
      */
     private get snapshotWaitMs(): number {
         const { seeds, peerUrl, isFirstStart } = this.dependencies;
         const { minMs, maxMs } = isFirstStart ? snapshotWaits.firstStart : snapshotWaits.restart;
-        const isFirstReader = isFirstStart && seeds.includes(peerUrl);
-        return seeds.length === 0 || isFirstReader ? 0 : minMs + Math.random() * (maxMs - minMs);
+        return seeds.length === 0 || seeds.includes(peerUrl) ? 0 : minMs + Math.random() * (maxMs - minMs);
     }
 
     /** One VM reads the platform's log for the fleet, and the next in rank when it does not; the ranks follow from the membership view. */
