--- a/src/node/relay/KeyedLogFollower.restore.test.ts
+++ b/src/node/relay/KeyedLogFollower.restore.test.ts
@@ -11,7 +11,7 @@
 
 const record = (offset: number, key: string, value = key): KeyedRecord => ({ offset, key, value: Buffer.from(value) });
 
-/** A follower of a log that a test replaces as a whole; `delays` holds resolvers of the replies that the test holds back. */
+/** Creates a follower of a log that a test replaces as a whole. While `state.isHeld`, replies wait until the test calls them in `held`. */
 function createFollower(
     log: { epoch: number; records: KeyedRecord[]; },
     rank = 0,
