--- a/src/node/relay/testing/simulateRestores.ts
+++ b/src/node/relay/testing/simulateRestores.ts
@@ -377,11 +377,11 @@
         return log;
     }
 
-    /** The running VMs in the order in which they have started; a killed one is missed a while later. */
+    /** Place of a VM among those that are known to run: the others learn of a start after a second, and of a kill after two. */
     private computeRank(vm: SimulatedVm): number {
         const nowMs = this.scheduler.nowMs();
-        return this.vms.filter(other => other.startMs + 1_000 <= nowMs && nowMs < other.stopMs + 2_000).findIndex(other => other === vm) >>>
-            0;
+        const known = this.vms.filter(other => other.startMs + 1_000 <= nowMs && nowMs < other.stopMs + 2_000);
+        return known.includes(vm) ? known.indexOf(vm) : Infinity;
     }
 
     private forward(vm: SimulatedVm, stream: Stream, read: ForwardedRead): void {
