--- a/review/standins-3/fleet.mjs
+++ b/review/standins-3/fleet.mjs
@@ -48,6 +48,13 @@
 
 /** Starts the processes of `names`, each in a zone of its own, and resolves when all of them are ready. */
 export async function startFleet(names, storePort, settings = {}) {
+    const machines = await launchFleet(names, storePort, settings);
+    await Promise.all(machines.map(waitUntilReady));
+    return machines;
+}
+
+/** Starts the processes without waiting for them; `start` of a machine starts its process again. */
+export async function launchFleet(names, storePort, settings = {}) {
     const machines = [];
     for (const [index, name] of names.entries()) {
         machines.push({ name, zone: `z${index + 1}`, ports: await freePorts(["front", "ready", "control", "metrics"]) });
@@ -94,7 +101,6 @@
         };
         machine.start();
     }
-    await Promise.all(machines.map(waitUntilReady));
     return machines;
 }
 
