--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -10,8 +10,11 @@
 
 /** Within `body_bytes`, which is 4,194,304. */
 const longBodyBytes = 4_190_000;
-const longRequests = 4;
-const usualClients = 8;
+const longRequests = 6;
+const longGapMs = 150;
+const usualClients = 12;
+/** Pause of a client between an answer and its next request. */
+const thinkMs = 80;
 /** `stable_window_ms` is 3,000. */
 const calmMs = 5_000;
 /** `config_apply_ms`. */
@@ -77,7 +80,7 @@
         const sentMs = performance.now();
         const answer = await client.send({ path, headers, body: "please" });
         results.push({ id: headers["X-Attempt-Id"], path, sentMs, endMs: performance.now(), answer });
-        await sleep(20);
+        await sleep(thinkMs);
     }
 }
 
@@ -90,12 +93,14 @@
 await sleep(2_000);
 record.add(`${longRequests} long requests beside the usual ones; ${hasTrouble ? "rejected before they are in" : "read to their end"}`);
 isRejecting = hasTrouble;
-const long = await Promise.all(Array.from({ length: longRequests }, async () => {
+const long = [];
+for (let index = 0; index < longRequests; index++) {
     const client = new Client(machine.ports.front);
     const answer = await client.send({ path: "/book/1", headers: requestHeaders(), body: "y".repeat(longBodyBytes) });
     client.close();
-    return answer.status;
-}));
+    long.push(answer.status);
+    await sleep(longGapMs);
+}
 isRejecting = false;
 record.add(`${rejected} of ${results.length + longRequests} requests so far were rejected early; the long ones got ${long.join(", ")}; all workers are sound from now on`);
 await sleep(calmMs);
