--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -102,7 +102,11 @@
     await sleep(longGapMs);
 }
 isRejecting = false;
-record.add(`${rejected} of ${results.length + longRequests} requests so far were rejected early; the long ones got ${long.join(", ")}; all workers are sound from now on`);
+record.add(
+    `${rejected} of ${results.length + longRequests} requests so far were rejected early; the long ones got ${
+        long.join(", ")
+    }; all workers are sound from now on`,
+);
 await sleep(calmMs);
 
 const calmStartMs = performance.now();
@@ -125,8 +129,14 @@
             `${answer.body.split("\n\n").length - 1} of ${ids.length} events and no end, after ${(endMs - sentMs).toFixed(0)} ms`,
     );
 }
-record.add(`sent in calm, over 3 s after the last rejection: ${inCalm.filter(isOn("/parts/1")).length} streams, ${inCalm.filter(isOn("/book/1")).length} bookings`);
-record.add(`streams whose channel was closed before their end although the worker sent them whole: ${cut.length}, ${cutAtHangup.length} of them sent up to ${changeMs} ms after the SIGHUP`);
+record.add(
+    `sent in calm, over 3 s after the last rejection: ${inCalm.filter(isOn("/parts/1")).length} streams, ${
+        inCalm.filter(isOn("/book/1")).length
+    } bookings`,
+);
+record.add(
+    `streams whose channel was closed before their end although the worker sent them whole: ${cut.length}, ${cutAtHangup.length} of them sent up to ${changeMs} ms after the SIGHUP`,
+);
 record.add(`bookings that a worker ran and answered with 200, and whose clients got a 5xx: ${runAndFailed.length}`);
 clients.forEach(client => client.close());
 await stopFleet([machine]);
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -26,7 +26,9 @@
 const store = new Store();
 const storePort = await store.listen();
 await worker.listen();
-putConfig(store, [createRoute("manual-diagnosis", "/manual/", "streaming", "pumpline-model", { timeout_ms: 5_000, target_latency_ms: 600 })]);
+putConfig(store, [
+    createRoute("manual-diagnosis", "/manual/", "streaming", "pumpline-model", { timeout_ms: 5_000, target_latency_ms: 600 }),
+]);
 register(store, worker, "pumpline-model");
 const [machine] = await startFleet(["front-1"], storePort);
 
@@ -46,11 +48,15 @@
     missing += lost.length > 0 ? 1 : 0;
     cut += answer.isWhole ? 0 : 1;
     record.add(
-        `${id}: ${answer.status}, the worker sent ${sent.length} events and the end of the answer, ids ${/\d+/.exec(sent[0])?.[0]} and on; the client got ` +
+        `${id}: ${answer.status}, the worker sent ${sent.length} events and the end of the answer, ids ${
+            /\d+/.exec(sent[0])?.[0]
+        } and on; the client got ` +
             `${received.length} events ${answer.isWhole ? "and the end" : "and no end"}; missing before the last one: ${lost.length}`,
     );
 }
 client.close();
-record.add(`streams with a piece missing: ${missing}; streams cut on a kept channel, passed on to a sound worker: ${cut} of ${streamCount}`);
+record.add(
+    `streams with a piece missing: ${missing}; streams cut on a kept channel, passed on to a sound worker: ${cut} of ${streamCount}`,
+);
 await stopFleet([machine]);
 record.end(missing > 0 ? 1 : 0);
--- a/review/standins-3/client.mjs
+++ b/review/standins-3/client.mjs
@@ -116,7 +116,10 @@
         const size = Number.parseInt(rest.toString("latin1", position, lineEnd), 16);
         const end = lineEnd + 2 + size + 2;
         if (end > rest.length) {
-            return { body: Buffer.concat([...parts, rest.subarray(lineEnd + 2, Math.min(rest.length, lineEnd + 2 + size))]), end: undefined };
+            return {
+                body: Buffer.concat([...parts, rest.subarray(lineEnd + 2, Math.min(rest.length, lineEnd + 2 + size))]),
+                end: undefined,
+            };
         }
         if (size === 0) {
             return { body: Buffer.concat(parts), end };
