--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -10,9 +10,13 @@
 
 /** Within `body_bytes`, which is 4,194,304. */
 const longBodyBytes = 4_190_000;
-const longRequests = 6;
+/** At one of the two workers, at most this share of its answers so far; the largest dose of the kind is share 0.6, x 0.03. */
+const rejectingId = "i-1";
+const rejectedShare = 0.03;
+const longRequests = 16;
 const longGapMs = 150;
-const usualClients = 12;
+const warmUpMs = 4_000;
+const usualClients = 16;
 /** Pause of a client between an answer and its next request. */
 const thinkMs = 80;
 /** `stable_window_ms` is 3,000. */
@@ -25,6 +29,7 @@
 const record = new Record(import.meta.url);
 let isRejecting = false;
 let rejected = 0;
+const answers = {};
 const completed = new Set();
 const requests = new Map();
 
@@ -33,7 +38,8 @@
         id,
         onHead(exchange) {
             requests.set(exchange.id, exchange);
-            if (!isRejecting || exchange.length < longBodyBytes) {
+            answers[id] = (answers[id] ?? 0) + 1;
+            if (!isRejecting || id !== rejectingId || exchange.length < longBodyBytes || rejected + 1 > answers[id] * rejectedShare) {
                 return false;
             }
             // Rejects the request before it is in, closes its half of the channel, and reads on later.
@@ -87,11 +93,15 @@
 const clients = Array.from({ length: usualClients }, () => new Client(machine.ports.front));
 const sendAll = endMs => Promise.all(clients.map((client, index) => sendUntil(client, index % 2 === 0 ? "/parts/1" : "/book/1", endMs)));
 
-const endOfCaseMs = performance.now() + 2_000 + 2_000 + calmMs + 2 * checkMs;
+const endOfCaseMs = performance.now() + warmUpMs + longRequests * (longGapMs + 150) + calmMs + 2 * checkMs;
 record.add(`usual requests on ${usualClients} kept channels, until the end`);
 const usual = sendAll(endOfCaseMs);
-await sleep(2_000);
-record.add(`${longRequests} long requests beside the usual ones; ${hasTrouble ? "rejected before they are in" : "read to their end"}`);
+await sleep(warmUpMs);
+record.add(
+    `${longRequests} long requests beside the usual ones; ${
+        hasTrouble ? `${rejectingId} rejects some before they are in` : "all are read to their end"
+    }`,
+);
 isRejecting = hasTrouble;
 const long = [];
 for (let index = 0; index < longRequests; index++) {
