relay: events with ids above 2^53 are not dropped from streams

Cause: ids were compared as numbers, so that neighbouring ids were equal and an event counted as a repetition; and they were compared in every stream, also in a first one, where nothing can be repeated. The end of a stream depended on the same comparison.

--- a/src/core/relay/EventFramer.test.ts
+++ b/src/core/relay/EventFramer.test.ts
@@ -32,6 +32,47 @@
     expect(framer.push(Buffer.from("id: 8\ndata: b\n\n")).toString()).toEqual("id: 8\ndata: b\n\n");
 });
 
+const idSeries = [1n, 2n ** 53n - 3n, 2n ** 53n + 1n, 2n ** 62n, 10n ** 30n, 10n ** 400n].map(firstId => ({
+    name: firstId > 10n ** 100n ? "10^400" : String(firstId),
+    events: Array.from({ length: 13 }, (...[, index]) => `id: ${firstId + BigInt(index)}\ndata: ${index}\n\n`),
+}));
+
+for (const { name, events } of idSeries) {
+    // Guards against events with ids above 2^53 that were dropped as repetitions.
+    test(`a first stream with ids from ${name} on arrives whole and may end`, () => {
+        const framer = new EventFramer(undefined);
+        expect(framer.push(Buffer.from(events.join(""))).toString()).toEqual(events.join(""));
+        expect(framer.canEnd).toEqual(true);
+    });
+
+    test(`a stream with ids from ${name} on arrives whole if another one goes on after its last event, or repeats some`, () => {
+        for (const repeated of [0, 1, 3, 7]) {
+            const framer = new EventFramer(undefined);
+            const first = framer.push(Buffer.from(events.slice(0, 7).join("")));
+            framer.resume();
+            const canEndAfter: boolean[] = [];
+            const rest = events.slice(7 - repeated).map(event => {
+                const accepted = framer.push(Buffer.from(event)).toString();
+                canEndAfter.push(framer.canEnd);
+                return accepted;
+            });
+            expect(first.toString() + rest.join("")).toEqual(events.join(""));
+            expect(canEndAfter.filter(canEnd => !canEnd).length).toEqual(Math.max(0, repeated - 1));
+        }
+    });
+}
+
+test("no event of a first stream is a repetition, whatever its id", () => {
+    const stream = ["9", "9", "3", "a", "a", "", "0x10", "-5", "1e3"].map(id => `id: ${id}\ndata: x\n\n`).join("");
+    const framer = new EventFramer(undefined);
+    expect([framer.push(Buffer.from(stream)).toString(), framer.canEnd]).toEqual([stream, true]);
+});
+
+test("a resumed stream that repeats the last event with leading zeros may end there", () => {
+    const framer = new EventFramer("8");
+    expect([framer.push(Buffer.from("id: 008\ndata: b\n\n")).length, framer.canEnd]).toEqual([0, true]);
+});
+
 test("events up to the last id that a resumed stream repeats are dropped", () => {
     const framer = new EventFramer("8");
     expect(framer.push(Buffer.from(events.join(""))).toString()).toEqual("id: 12\r\ndata: c\r\n\r\n");
--- a/src/core/relay/EventFramer.ts
+++ b/src/core/relay/EventFramer.ts
@@ -1,4 +1,5 @@
 import { GrowingBuffer } from "../util/GrowingBuffer.js";
+import { compareEventIds } from "./compareEventIds.js";
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
@@ -21,12 +22,15 @@
     isOutOfPlace = false;
     /** Whether the current stream goes on from events of an earlier one, and has not sent an event with an id. */
     private isUnplacedContinuation = false;
+    /** The event after which the current stream has to go on; undefined if it is the first one, and once a later event has arrived. */
+    private resumeAfterId: string | undefined;
     /** Whether the current stream repeats events and has not reached the last one. */
     private isBehind = false;
     private readonly pending = new GrowingBuffer();
 
     constructor(lastEventId: string | undefined) {
         this.lastEventId = lastEventId;
+        this.resumeAfterId = lastEventId;
     }
 
     /** Size of the incomplete event, in bytes. */
@@ -47,6 +51,7 @@
     /** Discards the incomplete event; the next bytes are those of the stream that resumes this one. */
     resume(): void {
         this.pending.clear();
+        this.resumeAfterId = this.lastEventId;
         this.isUnplacedContinuation = this.eventCount > 0;
         this.isOutOfPlace = false;
         this.isBehind = false;
@@ -87,16 +92,22 @@
         }
         if (id !== undefined) {
             this.isUnplacedContinuation = false;
-            const isDuplicate = this.lastEventId !== undefined && isDuplicateId(id, this.lastEventId);
-            this.isBehind = isDuplicate && id !== this.lastEventId;
-            if (isDuplicate) {
+            if (this.isRepetition(id)) {
                 return false;
             }
+            this.resumeAfterId = undefined;
             this.lastEventId = id;
         }
         this.eventCount++;
         return true;
     }
+
+    /** Whether a resumed stream sends the event with this id again. Once a later event has arrived, and in a first stream, none is a repetition. */
+    private isRepetition(id: string): boolean {
+        const order = this.resumeAfterId === undefined ? 1 : compareEventIds(id, this.resumeAfterId);
+        this.isBehind = order < 0;
+        return order <= 0;
+    }
 }
 
 /** Offset just after the first event end at or after `start`; -1 when the event is incomplete. */
@@ -122,8 +133,3 @@
     }
     return undefined;
 }
-
-function isDuplicateId(id: string, lastId: string): boolean {
-    const [value, lastValue] = [Number(id), Number(lastId)];
-    return Number.isFinite(value) && Number.isFinite(lastValue) ? value <= lastValue : id === lastId;
-}
--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -119,6 +119,22 @@
     expect([(await answer).body, (await answer).isComplete]).toEqual([wholeStream, true]);
 });
 
+// Guards against pieces that were missing where a stream was resumed, as neighbouring ids above 2^53 were the same number.
+test("a stream with ids above 2^53 that is resumed arrives whole if the other upstream repeats events, and if it does not", async () => {
+    const largeEvents = Array.from({ length: 13 }, (...[, index]) => `id: ${2n ** 53n + 1n + BigInt(index)}\ndata: ${index}\n\n`);
+    for (const resumedFrom of [7, 4]) {
+        const { answer, firstCall, second } = await startCall(resumableStream);
+        firstCall.response.writeHead(200, streamHeaders).write(
+            largeEvents.slice(0, 7).join(""),
+            () => firstCall.response.socket?.destroy(),
+        );
+        const secondCall = await second.nextCall();
+        expect(secondCall.request.headers["last-event-id"]).toEqual(String(2n ** 53n + 7n));
+        secondCall.response.writeHead(200, streamHeaders).end(largeEvents.slice(resumedFrom).join(""));
+        expect([(await answer).body, (await answer).isComplete]).toEqual([largeEvents.join(""), true]);
+    }
+});
+
 /** Starts a resumable stream and sends parts of its second event, each `intervalMs` after the one before. */
 async function startSlowEvent(event: string, partBytes: number, partCount: number, intervalMs: number) {
     const started = await startCall(resumableStream);
