relay: an empty event id is no position in a stream

An event with an empty `id` field became the resume point. A stream that then broke off was resumed with an empty Last-Event-Id, and as no id compares with an empty one, whatever the other upstream sent counted as new: the caller could get events twice. Such an event now counts as one without an id. The test failed before.

--- a/src/core/relay/EventFramer.test.ts
+++ b/src/core/relay/EventFramer.test.ts
@@ -73,6 +73,15 @@
     expect([framer.push(Buffer.from("id: 008\ndata: b\n\n")).length, framer.canEnd]).toEqual([0, true]);
 });
 
+test("an empty id is none: the stream is resumed after the last event that has one", () => {
+    const framer = new EventFramer(undefined);
+    framer.push(Buffer.from("id: 4\ndata: a\n\nid:\ndata: b\n\n"));
+    expect(framer.lastEventId).toEqual("4");
+    framer.resume();
+    framer.push(Buffer.from("id:\ndata: b\n\n"));
+    expect(framer.isOutOfPlace).toEqual(true);
+});
+
 test("events up to the last id that a resumed stream repeats are dropped", () => {
     const framer = new EventFramer("8");
     expect(framer.push(Buffer.from(events.join(""))).toString()).toEqual("id: 12\r\ndata: c\r\n\r\n");
--- a/src/core/relay/EventFramer.ts
+++ b/src/core/relay/EventFramer.ts
@@ -85,7 +85,8 @@
 
     /** Counts an event and records its id. Returns false for an event that a resumed stream repeats, or that cannot be placed in it. */
     private accept(event: Buffer): boolean {
-        const id = readField(event, idFieldPrefix);
+        // An empty id is no position in the stream.
+        const id = readField(event, idFieldPrefix) || undefined;
         this.isOutOfPlace ||= id === undefined && this.isUnplacedContinuation && readField(event, dataFieldPrefix) !== undefined;
         if (this.isOutOfPlace) {
             return false;
