relay: Last-Event-Id of a caller hides events only where a stream may be resumed

On a route that may not be resumed each run is a stream of its own, but the events up to the id that a caller sent were dropped from it: the caller got a part of the body, or a cut stream if all events were dropped. The test failed before.

--- a/src/node/relay/CallerResponse.ts
+++ b/src/node/relay/CallerResponse.ts
@@ -29,7 +29,8 @@
         private readonly request: RelayRequest,
         private readonly summary: CallSummary,
     ) {
-        this.framer = new EventFramer(request.call.lastEventId);
+        // A route that may not be resumed answers each call with a stream of its own, whatever id the caller sends.
+        this.framer = new EventFramer(request.route.isResumable ? request.call.lastEventId : undefined);
     }
 
     /** Whether the response head has been sent. */
--- a/src/node/relay/RelayCallHandler.test.ts
+++ b/src/node/relay/RelayCallHandler.test.ts
@@ -135,6 +135,19 @@
     }
 });
 
+// Guards against streams of another run that were cut because a caller sent the id of an event of an earlier one.
+test("a caller's Last-Event-Id hides events only on a route that may be resumed", async () => {
+    for (const { isResumable, body } of [{ isResumable: false, body: wholeStream }, { isResumable: true, body: events[2] }]) {
+        const { answer, firstCall } = await startCall({ kind: "stream", isResumable }, 10, undefined, {
+            ...patience,
+            "last-event-id": "8",
+        });
+        expect(firstCall.request.headers["last-event-id"]).toEqual("8");
+        firstCall.response.writeHead(200, streamHeaders).end(wholeStream);
+        expect([(await answer).body, (await answer).isComplete]).toEqual([body, true]);
+    }
+});
+
 /** Starts a resumable stream and sends parts of its second event, each `intervalMs` after the one before. */
 async function startSlowEvent(event: string, partBytes: number, partCount: number, intervalMs: number) {
     const started = await startCall(resumableStream);
--- a/src/node/relay/testing/exampleDialect.ts
+++ b/src/node/relay/testing/exampleDialect.ts
@@ -22,7 +22,7 @@
                 target: url,
                 key: "key-1",
                 patienceMs: Number(headers["patience"] ?? 5_000),
-                lastEventId: undefined,
+                lastEventId: typeof headers["last-event-id"] === "string" ? headers["last-event-id"] : undefined,
                 prompt: decodePrompt(headers["prompt-parts"]),
             })
             : err("call-id is missing");
