relay: an upstream connection that ended early does not mark the next ones

TrackedClient kept one state for all connections that it opens in turn, and reset every field on a new one but hasEndedDuringUpload.

--- a/src/node/upstream/ConnectionState.ts
+++ b/src/node/upstream/ConnectionState.ts
@@ -1,6 +1,6 @@
 import type { FramingLimiter } from "./FramingLimiter.js";
 
-/** State of one connection to an upstream. */
+/** State of one connection to an upstream. The next connection of the same client has a state of its own. */
 export interface ConnectionState {
     /** The connection was reset or failed, so a response that is delimited by the end of its connection may be truncated. */
     hasFailed: boolean;
@@ -8,8 +8,8 @@
     hasEndedDuringUpload: boolean;
     /** The upstream has sent the head of a response on this connection; a later one may be a repetition of it. */
     hasResponded: boolean;
-    /** Limits what the upstream sends outside bodies; undefined until the connection is open. */
-    framingLimiter: FramingLimiter | undefined;
+    /** Limits what the upstream sends outside bodies. */
+    readonly framingLimiter: FramingLimiter;
     /** Lets the connection be reset when it is closed, so that what is still to be sent on it never arrives. */
-    resetOnClose: () => void;
+    readonly resetOnClose: () => void;
 }
--- a/src/node/upstream/TrackedDispatchOptions.ts
+++ b/src/node/upstream/TrackedDispatchOptions.ts
@@ -1,7 +1,8 @@
 import type { Dispatcher } from "undici";
 import type { ConnectionState } from "./ConnectionState.js";
 
-/** Dispatch options with a callback that receives the state of the connection on which the request runs. */
+/** Dispatch options that tell on which connection the request runs. */
 export interface TrackedDispatchOptions extends Dispatcher.DispatchOptions {
-    readonly onConnection?: (state: ConnectionState) => void;
+    /** Called at the dispatch. The connection of the request is the one that `getConnection` returns when the request is written. */
+    readonly onDispatch?: (getConnection: () => ConnectionState | undefined) => void;
 }
--- a/src/node/upstream/UpstreamConnections.ts
+++ b/src/node/upstream/UpstreamConnections.ts
@@ -26,8 +26,8 @@
     dispatch(options: Dispatcher.DispatchOptions, exchange: UpstreamExchange): void {
         const trackedOptions: TrackedDispatchOptions = {
             ...options,
-            onConnection: state => {
-                exchange.connection = state;
+            onDispatch: getConnection => {
+                exchange.getConnection = getConnection;
             },
         };
         this.agent.dispatch(trackedOptions, exchange);
--- a/src/node/upstream/UpstreamExchange.ts
+++ b/src/node/upstream/UpstreamExchange.ts
@@ -20,10 +20,12 @@
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
     /** The request may have reached the upstream. */
     isSent = false;
-    /** The connection that this exchange runs on. */
-    connection: ConnectionState | undefined;
+    /** Returns the current connection of the client. */
+    getConnection: () => ConnectionState | undefined = () => undefined;
     /** Called once, when the exchange has completed or failed. */
     onFinished: () => void = () => undefined;
+    /** The connection on which the request was written. */
+    private connection: ConnectionState | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private sink: ResponseSink | undefined;
     private abortFailure: ThrownUpstreamError | undefined;
@@ -72,7 +74,8 @@
             return;
         }
         this.isSent = true;
-        this.connection?.framingLimiter?.startRequest();
+        this.connection = this.getConnection();
+        this.connection?.framingLimiter.startRequest();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
@@ -90,7 +93,7 @@
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        this.connection?.framingLimiter?.recordData(chunk.length);
+        this.connection?.framingLimiter.recordData(chunk.length);
         if (!controller.aborted) {
             this.sink?.onData(chunk);
         }
