peer: a connection that closes does not end the dial of its replacement

If the old connection closed while its replacement was dialed, frames that waited for the dial were dropped, and requests failed with no-link although the link was about to open. The mark is now the connection that is dialed. The new test failed before.

--- a/src/node/peer/PeerState.ts
+++ b/src/node/peer/PeerState.ts
@@ -4,7 +4,8 @@
 /** State of one peer: its URL, its open connections, and the frames queued until a dial ends. */
 export interface PeerState {
     url: string | undefined;
-    isDialing: boolean;
+    /** The dialed connection whose handshake is not complete. */
+    dialingConnection: PeerConnection | undefined;
     lastDialMs: number;
     readonly connections: PeerConnection[];
     queuedFrames: PeerFrame[];
--- a/src/node/peer/WebSocketPeerLinks.test.ts
+++ b/src/node/peer/WebSocketPeerLinks.test.ts
@@ -149,6 +149,20 @@
     });
 }
 
+test("a connection that closes does not end the dial of its replacement", { timeout: 10_000 }, async () => {
+    const scheduler = new VirtualScheduler();
+    const dialLimits = { checkPeriodMs: 100, silentAfterMs: 120, redialAfterMs: 200, closeAfterMs: 250, handshakeTimeoutMs: 1000 };
+    const options = { scheduler, limits: { ...limits, ...dialLimits } };
+    const [left, right] = [await startLinks("vm-1", "shared", "1", options), await startLinks("vm-2", "shared", "1", options)];
+    answerWithRequestId(right.links);
+    left.links.setAddress("vm-2", buildUrl(right.port));
+    expect(await requestExplanation(left.links, "vm-2", "before")).toEqual(["vm-1", "before"]);
+    // The connection is silent after 200 ms, which dials its replacement, and closes after 300 ms.
+    scheduler.advance(300);
+    expect(left.links.hasLink("vm-2")).toEqual(false);
+    expect(await requestExplanation(left.links, "vm-2", "after")).toEqual(["vm-1", "after"]);
+});
+
 test("the handshake time-out is measured by the scheduler and not by the wall clock", { timeout: 10_000 }, async () => {
     const options = { scheduler: new VirtualScheduler(), limits: { ...limits, handshakeTimeoutMs: 1 } };
     const [left, right] = [await startLinks("vm-1", "shared", "1", options), await startLinks("vm-2", "shared", "1", options)];
--- a/src/node/peer/WebSocketPeerLinks.ts
+++ b/src/node/peer/WebSocketPeerLinks.ts
@@ -177,7 +177,6 @@
     private dial(url: string, vm: string | undefined): void {
         const state = vm === undefined ? undefined : this.peers.get(vm);
         if (state !== undefined) {
-            state.isDialing = true;
             state.lastDialMs = this.options.scheduler.nowMs();
         }
         const socket = new WebSocket(url, {
@@ -189,7 +188,10 @@
         socket.once("upgrade", response => {
             this.byteCounter.add(response.socket);
         });
-        this.createConnection(socket, "dialer", url, state);
+        const connection = this.createConnection(socket, "dialer", url, state);
+        if (state !== undefined) {
+            state.dialingConnection = connection;
+        }
     }
 
     /** `address` identifies the other end in the log; `dialedPeer` is the state of the VM that is dialed, if it is known. */
@@ -209,7 +211,7 @@
                 onOpen: opened => {
                     this.lastCloseReasons.delete(`${getPeerVm(opened)} ${address}`);
                     this.onOpen(opened);
-                    this.finishDial(dialedPeer);
+                    this.finishDial(dialedPeer, opened);
                 },
                 onMessage: (sender, message) => void this.handleMessage(getPeerVm(sender), message),
                 onRequest: (sender, id, message) => void this.handleRequest(getPeerVm(sender), id, message),
@@ -219,7 +221,7 @@
                 onClosed: (closed, reason) => {
                     this.logClosed(closed, address, reason);
                     this.onClosed(closed, reason);
-                    this.finishDial(dialedPeer);
+                    this.finishDial(dialedPeer, closed);
                 },
             },
         });
@@ -227,13 +229,16 @@
         return connection;
     }
 
-    /** Ends a dial and drops the frames still queued for it. Some are left only if the dial failed, as an opened connection sends them. */
-    private finishDial(state: PeerState | undefined): void {
-        if (state === undefined) {
+    /**
+     * Ends the dial of `connection`, if it is in progress, and drops the frames still queued for it. Some are left only if the dial failed, as an
+     * opened connection sends them.
+     */
+    private finishDial(state: PeerState | undefined, connection: PeerConnection): void {
+        if (state?.dialingConnection !== connection) {
             return;
         }
         const undeliveredFrames = state.queuedFrames;
-        state.isDialing = false;
+        state.dialingConnection = undefined;
         state.queuedFrames = [];
         for (const frame of undeliveredFrames) {
             if (frame.kind === "request") {
@@ -333,7 +338,7 @@
 
     /** Dials the VM if it is due; returns whether a dial is in progress. */
     private dialIfDue(vm: string, state: PeerState): boolean {
-        if (state.isDialing) {
+        if (state.dialingConnection !== undefined) {
             return true;
         }
         const isTooSoon = this.options.scheduler.nowMs() - state.lastDialMs < this.limits.redialAfterMs;
@@ -419,7 +424,7 @@
 }
 
 function createPeerState(url: string | undefined): PeerState {
-    return { url, isDialing: false, lastDialMs: -Infinity, connections: [], queuedFrames: [] };
+    return { url, dialingConnection: undefined, lastDialMs: -Infinity, connections: [], queuedFrames: [] };
 }
 
 function getPeerVm(connection: PeerConnection): string {
