--- a/src/core/relay/RouteTable.ts
+++ b/src/core/relay/RouteTable.ts
@@ -6,7 +6,7 @@
 
 /** Indexes one version of the configuration: routes by host and longest path prefix, customers by key, services by name. */
 export class RouteTable {
-    readonly version: number;
+    readonly version: bigint;
     /** Tier ranks that streams can have, the most urgent first. */
     readonly streamTierRanks: readonly number[];
     private readonly routesByHost = new Map<string, RelayRoute[]>();
--- a/src/core/relay/testing/exampleConfig.ts
+++ b/src/core/relay/testing/exampleConfig.ts
@@ -4,7 +4,7 @@
 /** Creates a configuration for tests; `fields` override the defaults. */
 export function exampleConfig(fields: Partial<RelayConfig> = {}): RelayConfig {
     return {
-        version: 1,
+        version: 1n,
         routes: [exampleRoute()],
         services: [{ name: "orders", maxConnections: 100, engine: undefined, scaling: undefined }],
         customers: [{ name: "ana", keys: ["key-1"], tier: undefined }],
--- a/src/node/logs/createLogger.test.ts
+++ b/src/node/logs/createLogger.test.ts
@@ -26,6 +26,16 @@
     expect(lines[0] ?? "").toMatchRegex(/orioleshelf:peer link closed requestId=r1 attempts=2/);
 });
 
+test("bigints are logged as numbers, or as strings if a number cannot hold them", () => {
+    const fields = { small: 7n, large: 9_007_199_254_740_993n };
+    const jsonLines = capture("json", "orioleshelf:*");
+    createLogger("peer")("link closed", fields);
+    expect(JSON.parse(jsonLines[0] ?? "")).toEqual(expect.subset({ small: 7, large: "9007199254740993" }));
+    const plainLines = capture("plain", "orioleshelf:*");
+    createLogger("peer")("link closed", fields);
+    expect(plainLines[0] ?? "").toMatchRegex(/small=7 large=9007199254740993/);
+});
+
 test("a JSON line contains the time, part, request id and fields, without undefined values", () => {
     const lines = capture("json", "orioleshelf:*");
     createLogger("peer")("link closed", { requestId: "r1", reason: undefined });
--- a/src/node/logs/createLogger.ts
+++ b/src/node/logs/createLogger.ts
@@ -20,12 +20,12 @@
         if (!debugLogger.enabled) {
             return;
         }
-        const redactedFields = redactSecrets(fields);
+        const loggedFields = toLoggedFields(fields);
         if (logOutput.format === "json") {
-            logOutput.write(JSON.stringify({ time: new Date().toISOString(), part: namespace, message, ...redactedFields }));
+            logOutput.write(JSON.stringify({ time: new Date().toISOString(), part: namespace, message, ...loggedFields }));
             return;
         }
-        debugLogger("%s", formatPlainLine(message, redactedFields));
+        debugLogger("%s", formatPlainLine(message, loggedFields));
     };
 }
 
@@ -34,10 +34,19 @@
     return [message, ...pairs].join(" ");
 }
 
-function redactSecrets(fields: Readonly<Record<string, unknown>>): Record<string, unknown> {
+/** Redacts secrets and converts what JSON cannot contain. */
+function toLoggedFields(fields: Readonly<Record<string, unknown>>): Record<string, unknown> {
     return Object.fromEntries(
         Object.entries(fields)
             .filter(([, value]) => value !== undefined)
-            .map(([name, value]) => [name, secretFieldPattern.test(name) ? redactedValue : value]),
+            .map(([name, value]) => [name, secretFieldPattern.test(name) ? redactedValue : toJsonValue(value)]),
     );
 }
+
+/** Bigints that a number cannot hold exactly become strings. */
+function toJsonValue(value: unknown): unknown {
+    if (typeof value !== "bigint") {
+        return value;
+    }
+    return Number.isSafeInteger(Number(value)) ? Number(value) : String(value);
+}
--- a/src/node/relay/KeyedLogFollower.test.ts
+++ b/src/node/relay/KeyedLogFollower.test.ts
@@ -118,7 +118,7 @@
     const state = new RelayState({
         scheduler,
         signal: new AbortController().signal,
-        config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
+        config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: BigInt(String(value)) })) },
         upstreams: {
             source: unusedSource,
             decode: (id, value) => ok(exampleUpstream(id, { startedWallMs: Number(value) })),
@@ -156,7 +156,8 @@
         monitor: createTestMonitor(() => scheduler.nowMs()),
     });
     void follower.run(new AbortController().signal);
-    const valueOf = (key: string) => key === "config" ? state.routeTable?.version : state.directory.get(key)?.startedWallMs;
+    const valueOf = (key: string) =>
+        key === "config" ? state.routeTable && Number(state.routeTable.version) : state.directory.get(key)?.startedWallMs;
     return { follower, scheduler, valueOf };
 }
 
--- a/src/node/relay/RelayMetrics.test.ts
+++ b/src/node/relay/RelayMetrics.test.ts
@@ -5,7 +5,7 @@
 
 test("configuration version, offsets and silence are read at each scrape; what is not known yet has no sample", async () => {
     const metrics = new Metrics();
-    const state: { version?: number; nextOffset?: number | undefined; readerMs?: number; } = {};
+    const state: { version?: bigint; nextOffset?: number | undefined; readerMs?: number; } = {};
     const relayMetrics = new RelayMetrics(metrics, () => state.version);
     relayMetrics.addStream({
         name: "config",
@@ -19,7 +19,7 @@
     expect(before).toMatchRegex(/log_silence_seconds\{stream="config",source="store"\} 0\.7/);
     expect(before.includes('source="reader"')).toEqual(false);
 
-    Object.assign(state, { version: 8, nextOffset: 3, readerMs: 1_500 });
+    Object.assign(state, { version: 8n, nextOffset: 3, readerMs: 1_500 });
     const after = await metrics.render();
     expect(after).toMatchRegex(/orioleshelf_config_version 8\n/);
     expect(after).toMatchRegex(/orioleshelf_log_next_offset\{stream="config"\} 3\n/);
--- a/src/node/relay/RelayMetrics.ts
+++ b/src/node/relay/RelayMetrics.ts
@@ -30,8 +30,12 @@
     private readonly admissionRefusals: Counter;
     private readonly timerLateness: Histogram;
 
-    constructor(private readonly metrics: Metrics, configVersion: () => number | undefined) {
-        metrics.registerGauge("config_version", "Version of the configuration in force; 0 before the first.", () => configVersion() ?? 0);
+    constructor(private readonly metrics: Metrics, configVersion: () => bigint | undefined) {
+        metrics.registerGauge(
+            "config_version",
+            "Version of the configuration in force; 0 before the first.",
+            () => Number(configVersion() ?? 0),
+        );
         metrics.registerLabelledGauge(
             "log_next_offset",
             "Offset of the next record of a log stream.",
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -35,7 +35,7 @@
         config: {
             source: unusedSource,
             key: "config",
-            decode: value => Number.isNaN(Number(value)) ? err("not a number") : ok(exampleConfig({ version: Number(value) })),
+            decode: value => /^\d+$/.test(String(value)) ? ok(exampleConfig({ version: BigInt(String(value)) })) : err("not a number"),
         },
         upstreams: {
             source: unusedSource,
@@ -74,7 +74,15 @@
     for (const value of ["4", "9", "7", "x", "9"]) {
         state.applyConfigRecords([record("config", value), record("other", "99")], changes);
     }
-    expect(state.routeTable?.version).toEqual(9);
+    expect(state.routeTable?.version).toEqual(9n);
+});
+
+test("the newer one of two configurations is applied if their versions are the same when rounded to a number", () => {
+    const { state } = createState();
+    for (const value of ["9007199254740992", "9007199254740993", "9007199254740992"]) {
+        state.applyConfigRecords([record("config", value)], changes);
+    }
+    expect(state.routeTable?.version).toEqual(9_007_199_254_740_993n);
 });
 
 test("configurations that a later one in the same read supersedes do not fill the reader's link", () => {
@@ -244,7 +252,7 @@
     expect(state.applyConfigRecords([record("config", "9")], restoredList).length).toEqual(1);
     const inForce = state.applyUpstreamRecords([record("a", "ready 6"), record("b", "ready 7"), record("c", "ready 7")], restoredList);
     expect(inForce.map(({ key }) => key)).toEqual(["c"]);
-    expect([state.routeTable?.version, available(state), removedIds]).toEqual([9, ["c"], ["b"]]);
+    expect([state.routeTable?.version, available(state), removedIds]).toEqual([9n, ["c"], ["b"]]);
 });
 
 test("an upstream that a restored list lacks stays until it had the time to write its entry again, even the same one", () => {
--- a/src/node/relay/testing/simulateFollowers.ts
+++ b/src/node/relay/testing/simulateFollowers.ts
@@ -157,7 +157,7 @@
         const state = new RelayState({
             scheduler: processor,
             signal: this.controller.signal,
-            config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
+            config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: BigInt(String(value)) })) },
             upstreams: {
                 source: unusedSource,
                 decode: (id, value) => ok(exampleUpstream(id, decodeUpstreamValue(value))),
--- a/src/node/relay/testing/simulateRestores.ts
+++ b/src/node/relay/testing/simulateRestores.ts
@@ -284,7 +284,7 @@
         const state = new RelayState({
             scheduler,
             signal,
-            config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: Number(value) })) },
+            config: { source: unusedSource, key: "config", decode: value => ok(exampleConfig({ version: BigInt(String(value)) })) },
             upstreams: {
                 source: unusedSource,
                 decode: (id, value) => {
@@ -410,7 +410,7 @@
 
     private check(vm: SimulatedVm): void {
         const nowMs = this.scheduler.nowMs();
-        const version = vm.state.routeTable?.version ?? 0;
+        const version = Number(vm.state.routeTable?.version ?? 0);
         if (version < vm.configVersion) {
             this.recordFailure("configuration went back", vm, `from ${vm.configVersion} to ${version}`);
         }
--- a/src/schema/relay/RelayConfig.ts
+++ b/src/schema/relay/RelayConfig.ts
@@ -4,8 +4,8 @@
 
 /** One complete version of the configuration of relayed traffic. */
 export interface RelayConfig {
-    /** Increases with each change, but not necessarily by one. */
-    readonly version: number;
+    /** Increases with each change, but not necessarily by one. Operators that derive it from a clock exceed 2^53. */
+    readonly version: bigint;
     readonly routes: readonly RelayRoute[];
     readonly services: readonly RelayService[];
     /** Undefined if callers need no key. */
