--- a/src/node/peer/WebSocketPeerLinks.test.ts
+++ b/src/node/peer/WebSocketPeerLinks.test.ts
@@ -149,6 +149,7 @@
     });
 }
 
+// Guards against requests that failed with no-link because the old connection closed while its replacement was dialed.
 test("a connection that closes does not end the dial of its replacement", { timeout: 10_000 }, async () => {
     const scheduler = new VirtualScheduler();
     const dialLimits = { checkPeriodMs: 100, silentAfterMs: 120, redialAfterMs: 200, closeAfterMs: 250, handshakeTimeoutMs: 1000 };
--- a/src/node/relay/RelayState.test.ts
+++ b/src/node/relay/RelayState.test.ts
@@ -77,6 +77,7 @@
     expect(state.routeTable?.version).toEqual(9n);
 });
 
+// Guards against a configuration that was ignored because its version was rounded to that of the one in force.
 test("the newer one of two configurations is applied if their versions are the same when rounded to a number", () => {
     const { state } = createState();
     for (const value of ["9007199254740992", "9007199254740993", "9007199254740992"]) {
--- a/src/node/upstream/TrackedClient.test.ts
+++ b/src/node/upstream/TrackedClient.test.ts
@@ -85,6 +85,7 @@
     return { end: await end.promise, isFirstOnConnection };
 }
 
+// Guards against whole responses that failed because an earlier connection of their client had ended during an upload.
 const earlyEnds: readonly { name: string; response: string; resetAfterMs?: number; }[] = [
     { name: "503", response: "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n" },
     { name: "400 with a body", response: "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\nno" },
@@ -117,6 +118,7 @@
     expect(second).toEqual({ end: "whole", isFirstOnConnection: true });
 });
 
+// Guards against truncated responses that pass as whole because the state of a connection is missing or that of an earlier one.
 test("a connection that ends during an upload is found on every connection of a client", async () => {
     const client = await startClient([answer(responseWithoutLength, true), answerEarly(responseWithoutLength)]);
     expect((await send(client)).end).toEqual("whole");
